Add core types, the log client, the configuration fold and the claim table

Cause: nothing stood yet. This is the first cut of the slices that the whole path needs: result codes, log events, configuration, claims, streams, routing, limits and membership.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Targets for people and for CI. `make demo` and `make test` install what they
+# need; everything is put into .bin, which git ignores.
+
+GO ?= go
+BIN := $(CURDIR)/.bin
+LINT_VERSION := v2.12.0
+LINT := $(BIN)/golangci-lint
+PROGRAMS := slatebridge slatebridge-gateway slatebridge-controller slatebridge-standin
+
+.PHONY: all build demo test lint format generate docs golden bench clean
+
+all: lint test
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
+
+# demo runs the whole system on this machine and checks every answer.
+demo: build
+	bash scripts/demo.sh $(BIN)
+
+# test runs every test with the race detector.
+test:
+	$(GO) test -race ./...
+
+lint: $(LINT)
+	$(LINT) run ./...
+	$(LINT) fmt --diff ./...
+
+format: $(LINT)
+	$(LINT) fmt ./...
+
+$(LINT):
+	GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+# generate makes the protobuf and twirp code anew. It needs protoc, which
+# Debian has in the package protobuf-compiler.
+generate:
+	GOBIN=$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(BIN) $(GO) install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
+	PATH=$(BIN):$$PATH protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. peer/peer.proto
+
+# docs makes the pages that come from data files.
+docs:
+	$(GO) test ./internal/docs -update
+
+# golden makes the expected files of tests anew.
+golden:
+	$(GO) test ./... -run Golden -update
+
+# bench prints the measurements that the docs quote.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN) .demo
--- /dev/null
+++ b/claim/table.go
@@ -0,0 +1,159 @@
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/slatebridge/slatebridge/platform"
+)
+
+// Claim is one claim as it stands in the log.
+type Claim struct {
+	ID   ID     `json:"id"`
+	Key  Digest `json:"key"`
+	Body uint64 `json:"body"`
+	// Replaces names the claim that this one takes the place of. The zero ID
+	// stands for none.
+	Replaces ID `json:"replaces,omitzero"`
+}
+
+// GivenUp says in the log that a claim's call was not sent and never will be.
+type GivenUp struct {
+	ID  ID     `json:"id"`
+	Key Digest `json:"key"`
+}
+
+// Batch is one record of the claims stream.
+type Batch struct {
+	Claims  []Claim   `json:"claims,omitempty"`
+	GivenUp []GivenUp `json:"given_up,omitempty"`
+}
+
+// Entry is what the table knows of one key.
+type Entry struct {
+	// Owner is the claim that may send.
+	Owner   ID
+	Body    uint64
+	GivenUp bool
+	// Time is when the log took the owner's claim.
+	Time time.Time
+}
+
+// Table is the fold of the claims stream. It is not safe for concurrent use.
+type Table struct {
+	entries map[Digest]Entry
+	// order holds the keys in the order of their first claims, for Forget.
+	order []aged
+	// horizon is the time since which every claim is known.
+	horizon time.Time
+	// next is the offset of the next record to fold.
+	next int64
+}
+
+type aged struct {
+	key  Digest
+	time time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: make(map[Digest]Entry)}
+}
+
+// Len returns how many keys the table holds.
+func (t *Table) Len() int {
+	return len(t.entries)
+}
+
+// Horizon returns the time since which every claim is known. It is zero when
+// the stream was read from its start.
+func (t *Table) Horizon() time.Time {
+	return t.horizon
+}
+
+// Lookup returns what is known of the key.
+func (t *Table) Lookup(key Digest) (Entry, bool) {
+	e, ok := t.entries[key]
+
+	return e, ok
+}
+
+// Fold applies one reading of the stream. It returns false if the log no
+// longer kept records that the table has not seen; the horizon then moves up
+// to the oldest record that it does keep. now stands in for that record's
+// time when the reading has none.
+func (t *Table) Fold(b platform.Batch, now time.Time) (unreadable int, whole bool) {
+	whole = b.Oldest <= t.next
+	if !whole {
+		t.horizon = now
+		if len(b.Records) > 0 {
+			t.horizon = b.Records[0].Time
+		}
+		t.next = b.Oldest
+	}
+	for _, r := range b.Records {
+		if r.Offset < t.next {
+			continue
+		}
+		t.next = r.Offset + 1
+		if !t.foldRecord(r) {
+			unreadable++
+		}
+	}
+
+	return unreadable, whole
+}
+
+func (t *Table) foldRecord(r platform.Record) bool {
+	var b Batch
+	if err := json.Unmarshal(r.Data, &b); err != nil {
+		return false
+	}
+	for _, c := range b.Claims {
+		t.foldClaim(c, r.Time)
+	}
+	for _, g := range b.GivenUp {
+		t.foldGivenUp(g)
+	}
+
+	return true
+}
+
+// foldClaim makes c the owner of its key if the key has none, or if c names
+// the present owner as the claim that it replaces.
+func (t *Table) foldClaim(c Claim, at time.Time) {
+	e, claimed := t.entries[c.Key]
+	if claimed && (c.Replaces.IsZero() || c.Replaces != e.Owner) {
+		return
+	}
+	if !claimed {
+		t.order = append(t.order, aged{key: c.Key, time: at})
+	}
+	t.entries[c.Key] = Entry{Owner: c.ID, Body: c.Body, Time: at}
+}
+
+func (t *Table) foldGivenUp(g GivenUp) {
+	e, ok := t.entries[g.Key]
+	if !ok || e.Owner != g.ID {
+		return
+	}
+	e.GivenUp = true
+	t.entries[g.Key] = e
+}
+
+// Forget drops the keys whose first claim is older than the time, and moves
+// the horizon up to it.
+func (t *Table) Forget(before time.Time) {
+	n := 0
+	for n < len(t.order) && t.order[n].time.Before(before) {
+		delete(t.entries, t.order[n].key)
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	t.order = append([]aged(nil), t.order[n:]...)
+	if t.horizon.Before(before) {
+		t.horizon = before
+	}
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,108 @@
+// Package event defines the numbered log events and writes them by zap.
+//
+// The texts and levels of the events stand in events.toml.
+package event
+
+import (
+	_ "embed"
+
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// ID is the number of one event.
+type ID int
+
+// The events; events.toml gives the meaning of each.
+const (
+	Started               ID = 100
+	Stopping              ID = 101
+	Stopped               ID = 102
+	ActorSystem           ID = 103
+	ListenerFailed        ID = 104
+	RecordAccepted        ID = 200
+	RecordRefused         ID = 201
+	LogUnreachable        ID = 202
+	LogGap                ID = 203
+	StateFromPeer         ID = 204
+	SnapshotWritten       ID = 205
+	SnapshotRefused       ID = 206
+	SnapshotTaken         ID = 207
+	ControllerUnreachable ID = 208
+	LeaseTaken            ID = 300
+	LeaseLost             ID = 301
+	OrderSent             ID = 302
+	OrderFailed           ID = 303
+	OrderHeld             ID = 304
+	MemberChanged         ID = 310
+	RouteChosen           ID = 400
+	RouteRefused          ID = 401
+	AttemptFailed         ID = 402
+	FrameRefused          ID = 403
+	RequestDone           ID = 404
+	ClaimWon              ID = 500
+	ClaimLost             ID = 501
+	ClaimGivenUp          ID = 502
+	ClaimsUnreadable      ID = 503
+)
+
+// Entry is what events.toml says of one event.
+type Entry struct {
+	Number ID     `toml:"number"`
+	Name   string `toml:"name"`
+	Level  string `toml:"level"`
+	Text   string `toml:"text"`
+}
+
+//go:embed events.toml
+var eventsFile []byte
+
+var (
+	entries = mustLoad()
+	known   = index(entries)
+)
+
+type knownEvent struct {
+	name  string
+	level zapcore.Level
+}
+
+// Entries returns what is said of every event, in the order of the numbers.
+func Entries() []Entry {
+	return entries
+}
+
+// Log writes one line for the event.
+func Log(l *zap.Logger, id ID, fields ...zap.Field) {
+	k := known[id]
+	ce := l.Check(k.level, k.name)
+	if ce == nil {
+		return
+	}
+	ce.Write(append([]zap.Field{zap.Int("event", int(id))}, fields...)...)
+}
+
+func mustLoad() []Entry {
+	var file struct {
+		Event []Entry `toml:"event"`
+	}
+	if err := toml.Unmarshal(eventsFile, &file); err != nil {
+		panic("event: events.toml: " + err.Error())
+	}
+
+	return file.Event
+}
+
+func index(list []Entry) map[ID]knownEvent {
+	m := make(map[ID]knownEvent, len(list))
+	for _, e := range list {
+		level, err := zapcore.ParseLevel(e.Level)
+		if err != nil {
+			panic("event: events.toml: " + err.Error())
+		}
+		m[e.Number] = knownEvent{name: e.Name, level: level}
+	}
+
+	return m
+}
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,141 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/engine"
+	"github.com/slatebridge/slatebridge/platform"
+)
+
+// Contact is what this controller knows of a server by itself.
+type Contact struct {
+	Health Health
+	// Report is the engine's last report of itself.
+	Report engine.State
+}
+
+// View is everything that is known of boxes and servers. It is immutable.
+type View struct {
+	listed platform.Members
+	// kept holds servers that have dropped off the list but still answer.
+	kept     map[slatebridge.ServerID]slatebridge.BackendServer
+	stops    map[string]bool
+	contacts map[slatebridge.ServerID]Contact
+}
+
+// WithList returns the view after a reading of the platform's list.
+func (v View) WithList(m platform.Members) View {
+	kept := make(map[slatebridge.ServerID]slatebridge.BackendServer)
+	for _, s := range v.known() {
+		kept[s.ID] = s
+	}
+	for _, s := range m.Servers {
+		delete(kept, s.ID)
+	}
+	maps.DeleteFunc(kept, func(id slatebridge.ServerID, _ slatebridge.BackendServer) bool {
+		return !v.contacts[id].Health.Up()
+	})
+	v.listed = m
+	v.kept = kept
+
+	return v
+}
+
+// WithStops returns the view with these announced stops.
+func (v View) WithStops(stops []slatebridge.PlannedStop) View {
+	v.stops = make(map[string]bool, len(stops))
+	for _, s := range stops {
+		v.stops[s.Target] = true
+	}
+
+	return v
+}
+
+// WithContact returns the view after a poll of one server.
+func (v View) WithContact(id slatebridge.ServerID, c Contact) View {
+	v.contacts = cloneOrMake(v.contacts)
+	v.contacts[id] = c
+
+	return v
+}
+
+// Contact returns what is known of a server by direct contact.
+func (v View) Contact(id slatebridge.ServerID) Contact {
+	return v.contacts[id]
+}
+
+// known returns the listed and the kept servers.
+func (v View) known() []slatebridge.BackendServer {
+	list := slices.Concat(v.listed.Servers, slices.Collect(maps.Values(v.kept)))
+	slices.SortFunc(list, func(a, b slatebridge.BackendServer) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+
+	return list
+}
+
+// Servers returns every known server in the state that all sources together
+// give it, in the order of the IDs. Servers that do not answer are left out.
+func (v View) Servers() []slatebridge.BackendServer {
+	var list []slatebridge.BackendServer
+	for _, s := range v.known() {
+		c := v.contacts[s.ID]
+		if !c.Health.Up() {
+			continue
+		}
+		if v.stops[string(s.ID)] || c.Report.Leaving {
+			s = s.WithState(slatebridge.Leaving)
+		}
+		list = append(list, s)
+	}
+
+	return list
+}
+
+// Polled returns every known server, answering or not.
+func (v View) Polled() []slatebridge.BackendServer {
+	return v.known()
+}
+
+// Boxes returns the listed boxes; those whose stop is announced are leaving.
+func (v View) Boxes() []slatebridge.Box {
+	list := slices.Clone(v.listed.Boxes)
+	for i := range list {
+		if v.stops[string(list[i].ID)] {
+			list[i].State = slatebridge.Leaving
+		}
+	}
+
+	return list
+}
+
+// Loaded returns the layer ranges that answering engines hold.
+func (v View) Loaded() []slatebridge.LoadedRange {
+	var list []slatebridge.LoadedRange
+	for _, s := range v.Servers() {
+		r := v.contacts[s.ID].Report
+		if s.Kind != slatebridge.EngineServer || r.Layers.Len() == 0 {
+			continue
+		}
+		list = append(list, slatebridge.LoadedRange{
+			Server:   s.ID,
+			Model:    r.Model,
+			Layers:   r.Layers,
+			Load:     r.Streams,
+			Adapters: r.Adapters,
+		})
+	}
+
+	return list
+}
+
+func cloneOrMake[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+
+	return maps.Clone(m)
+}
--- /dev/null
+++ b/result/code.go
@@ -0,0 +1,106 @@
+// Package result defines the numbered result codes that callers receive, and
+// the error type that carries them.
+//
+// The texts, statuses and "ran" words of the codes stand in codes.toml.
+package result
+
+import (
+	_ "embed"
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Code is the number of one result.
+type Code int
+
+// The result codes; codes.toml gives the meaning of each.
+const (
+	OK                 Code = 0
+	Malformed          Code = 1001
+	UnknownAccount     Code = 1002
+	UnknownService     Code = 1003
+	KeyRequired        Code = 1004
+	KeyReused          Code = 1005
+	KeyTooOld          Code = 1006
+	KeyFromFuture      Code = 1007
+	RateLimited        Code = 2001
+	ConcurrencyLimited Code = 2002
+	Overloaded         Code = 2003
+	Draining           Code = 2004
+	NoPipeline         Code = 3001
+	NoServer           Code = 3002
+	LogUnavailable     Code = 3003
+	NotReady           Code = 3004
+	MayHaveRun         Code = 4001
+	AnswerDropped      Code = 4002
+	AttemptsExhausted  Code = 4003
+	DeadlineExceeded   Code = 4004
+	StreamMoved        Code = 4005
+)
+
+// Ran says whether a request was run.
+type Ran string
+
+// The words for whether a request was run.
+const (
+	RanNo    Ran = "no"
+	RanYes   Ran = "yes"
+	RanMaybe Ran = "maybe"
+)
+
+// Entry is what codes.toml says of one code.
+type Entry struct {
+	Number Code   `toml:"number"`
+	Name   string `toml:"name"`
+	// Status is the HTTP status of an answer with this code.
+	Status int `toml:"status"`
+	// Ran is the usual word; an Error may be stricter for one request.
+	Ran Ran `toml:"ran"`
+	// Retry says that coming back later makes sense.
+	Retry bool   `toml:"retry"`
+	Text  string `toml:"text"`
+}
+
+//go:embed codes.toml
+var codesFile []byte
+
+var (
+	entries = mustLoad()
+	byCode  = index(entries)
+)
+
+// Entries returns what is said of every code, in the order of the numbers.
+func Entries() []Entry {
+	return entries
+}
+
+// Entry returns what is said of the code.
+func (c Code) Entry() Entry {
+	return byCode[c]
+}
+
+// String returns the code's number and name.
+func (c Code) String() string {
+	return fmt.Sprintf("%d %s", int(c), c.Entry().Name)
+}
+
+func mustLoad() []Entry {
+	var file struct {
+		Code []Entry `toml:"code"`
+	}
+	if err := toml.Unmarshal(codesFile, &file); err != nil {
+		panic("result: codes.toml: " + err.Error())
+	}
+
+	return file.Code
+}
+
+func index(list []Entry) map[Code]Entry {
+	m := make(map[Code]Entry, len(list))
+	for _, e := range list {
+		m[e.Number] = e
+	}
+
+	return m
+}
--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,214 @@
+package route
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/stream"
+)
+
+// shunTime is for how long this box leaves out a server that it has seen fail,
+// until the controller's next snapshots know better.
+const shunTime = 3 * time.Second
+
+var (
+	// ErrNoPipeline marks that no chain of servers covers every layer.
+	ErrNoPipeline = errors.New("route: no chain of live servers holds every layer")
+	// ErrNoServer marks that no server answers a plain service.
+	ErrNoServer = errors.New("route: no live server answers the service")
+)
+
+// Router chooses among the servers of the newest snapshot. It is safe for
+// concurrent use.
+type Router struct {
+	hall   slatebridge.HallID
+	pick   Pick
+	logger *zap.Logger
+
+	mu       sync.Mutex
+	snapshot *slatebridge.Snapshot
+	// open counts this box's own streams on each server.
+	open map[slatebridge.ServerID]int
+	// openAtReport is what open was when the snapshot came.
+	openAtReport map[slatebridge.ServerID]int
+	shunned      map[slatebridge.ServerID]time.Time
+	nextPlain    int
+}
+
+// New returns a Router of a box in the hall.
+func New(hall slatebridge.HallID, pick Pick, logger *zap.Logger) *Router {
+	return &Router{
+		hall:         hall,
+		pick:         pick,
+		logger:       logger,
+		snapshot:     &slatebridge.Snapshot{},
+		open:         make(map[slatebridge.ServerID]int),
+		openAtReport: make(map[slatebridge.ServerID]int),
+		shunned:      make(map[slatebridge.ServerID]time.Time),
+	}
+}
+
+// SetSnapshot makes the router choose among the servers of s.
+func (r *Router) SetSnapshot(s *slatebridge.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.snapshot = s
+	clear(r.openAtReport)
+	for id, n := range r.open {
+		if n == 0 {
+			delete(r.open, id)
+
+			continue
+		}
+		r.openAtReport[id] = n
+	}
+}
+
+// Shun leaves the server out for a short time.
+func (r *Router) Shun(id slatebridge.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shunned[id] = time.Now().Add(shunTime)
+}
+
+// Opened counts one more stream of this box on each stage of the pipeline.
+func (r *Router) Opened(p slatebridge.Pipeline) {
+	r.count(p, 1)
+}
+
+// Closed counts one stream less.
+func (r *Router) Closed(p slatebridge.Pipeline) {
+	r.count(p, -1)
+}
+
+func (r *Router) count(p slatebridge.Pipeline, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range p {
+		r.open[s.Server] += n
+	}
+}
+
+// Pipeline chooses a pipeline for the service. Stages of the previous attempt
+// are kept where they are still usable, since they hold its prefix.
+func (r *Router) Pipeline(svc slatebridge.Service, previous slatebridge.Pipeline, avoid stream.Avoid) (slatebridge.Pipeline, error) {
+	n := need{model: svc.Instance.Model, adapter: svc.Instance.Adapter, layers: svc.Template.Layers}
+	all := r.candidates(n, avoid)
+	near := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Hall != r.hall })
+	why := "own hall"
+	g := newGraph(near, n.layers)
+	if !g.complete() {
+		why = "other halls too"
+		g = newGraph(all, n.layers)
+	}
+	if !g.complete() {
+		return nil, ErrNoPipeline
+	}
+	p := g.walk(r.keep(previous, avoid))
+	event.Log(r.logger, event.RouteChosen,
+		zap.String("service", svc.Instance.Account+"/"+svc.Instance.Name),
+		zap.Stringer("pipeline", p),
+		zap.Int("candidates", len(all)),
+		zap.Bool("again", previous != nil),
+		zap.String("why", why))
+
+	return p, nil
+}
+
+// keep returns a pick that prefers the stages of the previous pipeline.
+func (r *Router) keep(previous slatebridge.Pipeline, avoid stream.Avoid) Pick {
+	return func(list []Candidate) Candidate {
+		for _, c := range list {
+			if previous.Uses(c.Stage.Server) && !avoid[c.Stage.Server] {
+				return c
+			}
+		}
+
+		return r.pick(list)
+	}
+}
+
+// candidates returns the layer ranges that fit the need, on usable servers.
+func (r *Router) candidates(n need, avoid stream.Avoid) []Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var list []Candidate
+	for _, l := range r.snapshot.Loaded {
+		if l.Model != n.model || !l.HasAdapter(n.adapter) || avoid[l.Server] {
+			continue
+		}
+		s, ok := r.snapshot.Server(l.Server)
+		if !ok || s.State != slatebridge.Live || r.isShunned(s.ID, now) {
+			continue
+		}
+		list = append(list, Candidate{
+			Stage: slatebridge.Stage{Server: s.ID, URL: s.URL, Layers: l.Layers},
+			Hall:  s.Hall,
+			Speed: s.Speed,
+			Load:  max(0, l.Load+r.open[s.ID]-r.openAtReport[s.ID]),
+		})
+	}
+
+	return list
+}
+
+func (r *Router) isShunned(id slatebridge.ServerID, now time.Time) bool {
+	until, ok := r.shunned[id]
+	if ok && !now.Before(until) {
+		delete(r.shunned, id)
+
+		return false
+	}
+
+	return ok
+}
+
+// PlainServers returns the servers of a plain service in the order in which
+// they are tried: those of the own hall first, each time from another one.
+func (r *Router) PlainServers(service string) ([]slatebridge.BackendServer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var near, far []slatebridge.BackendServer
+	for _, s := range r.snapshot.Servers {
+		if s.Kind != slatebridge.PlainServer || s.Service != service || s.State != slatebridge.Live {
+			continue
+		}
+		if r.isShunned(s.ID, now) {
+			continue
+		}
+		if s.Hall == r.hall {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
+		}
+	}
+	r.nextPlain++
+	list := append(rotate(near, r.nextPlain), rotate(far, r.nextPlain)...)
+	if len(list) == 0 {
+		return nil, ErrNoServer
+	}
+	event.Log(r.logger, event.RouteChosen,
+		zap.String("service", service),
+		zap.String("server", string(list[0].ID)),
+		zap.Int("candidates", len(list)),
+		zap.String("why", "own hall first, in turn"))
+
+	return list, nil
+}
+
+func rotate(list []slatebridge.BackendServer, n int) []slatebridge.BackendServer {
+	if len(list) == 0 {
+		return nil
+	}
+	n %= len(list)
+
+	return append(slices.Clone(list[n:]), list[:n]...)
+}
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,128 @@
+package slatebridge
+
+// Revision orders the snapshots that gateways receive.
+type Revision struct {
+	// Applied is the offset up to which the configuration log was folded. It
+	// never falls, whichever controller the snapshot comes from.
+	Applied int64 `json:"applied"`
+	// Controller is the boot ID of the controller that made the snapshot.
+	Controller string `json:"controller"`
+	// Sequence counts the snapshots of that controller since its boot.
+	Sequence int64 `json:"sequence"`
+}
+
+// Supersedes reports whether a snapshot of revision r may replace one of old.
+func (r Revision) Supersedes(old Revision) bool {
+	if r.Applied != old.Applied {
+		return r.Applied > old.Applied
+	}
+	if r.Controller != old.Controller {
+		return true
+	}
+
+	return r.Sequence > old.Sequence
+}
+
+// Service is an instance together with the template that it fills in.
+type Service struct {
+	Instance Instance `json:"instance"`
+	Template Template `json:"template"`
+}
+
+// LoadedRange is a layer range that an engine has reported as loaded.
+type LoadedRange struct {
+	Server ServerID     `json:"server"`
+	Model  ModelVersion `json:"model"`
+	Layers LayerRange   `json:"layers"`
+	// Load is the number of streams in the engine's last report.
+	Load int `json:"load"`
+	// Adapters are the adapters that the engine has loaded.
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// HasAdapter reports whether the adapter is loaded; the empty name always is.
+func (l LoadedRange) HasAdapter(name string) bool {
+	if name == "" {
+		return true
+	}
+	for _, a := range l.Adapters {
+		if a == name {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Snapshot is all that a gateway needs for its routing decisions.
+type Snapshot struct {
+	Revision Revision        `json:"revision"`
+	Services []Service       `json:"services"`
+	Accounts []Account       `json:"accounts"`
+	Boxes    []Box           `json:"boxes"`
+	Servers  []BackendServer `json:"servers"`
+	Loaded   []LoadedRange   `json:"loaded"`
+}
+
+// WithRevision returns a copy of the snapshot with the given revision.
+func (s Snapshot) WithRevision(r Revision) Snapshot {
+	s.Revision = r
+
+	return s
+}
+
+// Service returns the service of the account with the given name.
+func (s *Snapshot) Service(account, name string) (Service, bool) {
+	for _, v := range s.Services {
+		if v.Instance.Account == account && v.Instance.Name == name {
+			return v, true
+		}
+	}
+
+	return Service{}, false
+}
+
+// Account returns the limits of the client account.
+func (s *Snapshot) Account(name string) (Account, bool) {
+	for _, a := range s.Accounts {
+		if a.Name == name {
+			return a, true
+		}
+	}
+
+	return Account{}, false
+}
+
+// Server returns the backend server with the given ID.
+func (s *Snapshot) Server(id ServerID) (BackendServer, bool) {
+	for _, v := range s.Servers {
+		if v.ID == id {
+			return v, true
+		}
+	}
+
+	return BackendServer{}, false
+}
+
+// Box returns the box with the given ID.
+func (s *Snapshot) Box(id BoxID) (Box, bool) {
+	for _, b := range s.Boxes {
+		if b.ID == id {
+			return b, true
+		}
+	}
+
+	return Box{}, false
+}
+
+// LiveBoxes returns how many boxes of the hall take new work.
+func (s *Snapshot) LiveBoxes(hall HallID) int {
+	n := 0
+	for _, b := range s.Boxes {
+		if b.Hall == hall && b.State == Live {
+			n++
+		}
+	}
+
+	return n
+}
--- /dev/null
+++ b/stream/session.go
@@ -0,0 +1,307 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/engine"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+// Timing of sessions.
+const (
+	firstFloor   = 500 * time.Millisecond
+	firstCeiling = 10 * time.Second
+	gapFloor     = 150 * time.Millisecond
+	gapCeiling   = 5 * time.Second
+	// noPipelineRetryAfter is when callers may come back after NoPipeline.
+	noPipelineRetryAfter = 2 * time.Second
+	// choosePause is the pause before another try to find a pipeline, for a
+	// request that has been delivered in part.
+	choosePause = 50 * time.Millisecond
+)
+
+// MaxAttempts is how many attempts one request may take.
+const MaxAttempts = 6
+
+// Avoid holds the servers that a request has seen fail.
+type Avoid map[slatebridge.ServerID]bool
+
+// Choose returns a pipeline for the next attempt. previous is the pipeline of
+// the attempt that failed, or nil.
+type Choose func(previous slatebridge.Pipeline, avoid Avoid) (slatebridge.Pipeline, error)
+
+// Emit hands the next token of the answer to the caller.
+type Emit func(token string) error
+
+// Runner runs requests. Its Paces and Budget are shared by all of them.
+type Runner struct {
+	engines engine.Engines
+	logger  *zap.Logger
+	first   *Pace
+	gap     *Pace
+	budget  *Budget
+	resume  bool
+	verify  bool
+	// Lost is called with each server that an attempt has failed on.
+	lost func(id slatebridge.ServerID, err error)
+}
+
+// Option changes one setting of a Runner.
+type Option func(r *Runner)
+
+// WithBudget sets the retry budget.
+func WithBudget(b *Budget) Option {
+	return func(r *Runner) { r.budget = b }
+}
+
+// WithLost sets what is called with each server that an attempt failed on.
+func WithLost(f func(id slatebridge.ServerID, err error)) Option {
+	return func(r *Runner) { r.lost = f }
+}
+
+// WithFixedTimeouts makes silence be waited out for fixed times. It is there
+// as the baseline that the measurements compare with.
+func WithFixedTimeouts(first, gap time.Duration) Option {
+	return func(r *Runner) {
+		r.first = &Pace{Floor: first, Ceiling: first}
+		r.gap = &Pace{Floor: gap, Ceiling: gap}
+	}
+}
+
+// Defaults of the retry budget.
+const (
+	defaultRetryShare = 0.2
+	defaultRetryLimit = 50
+)
+
+// NewRunner returns a Runner that opens attempts on the engines.
+func NewRunner(engines engine.Engines, logger *zap.Logger, opts ...Option) *Runner {
+	r := &Runner{
+		engines: engines,
+		logger:  logger,
+		first:   &Pace{Floor: firstFloor, Ceiling: firstCeiling},
+		gap:     &Pace{Floor: gapFloor, Ceiling: gapCeiling},
+		budget:  NewBudget(defaultRetryShare, defaultRetryLimit),
+		resume:  true,
+		verify:  true,
+		lost:    func(slatebridge.ServerID, error) {},
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+
+	return r
+}
+
+// Request is one request to a model service.
+type Request struct {
+	// Open is the first attempt; its Attempt, Pipeline and Delivered are
+	// filled in by the Runner.
+	Open engine.StreamRequest
+	// Layers is the number of layers of the model.
+	Layers int
+	Choose Choose
+	Emit   Emit
+}
+
+// Summary is what became of a request.
+type Summary struct {
+	Tokens   int
+	Attempts int
+}
+
+// Run runs the request until its answer is whole. Each error is a
+// *result.Error.
+func (r *Runner) Run(ctx context.Context, req Request) (Summary, error) {
+	r.budget.Request()
+	s := &session{runner: r, req: req, avoid: make(Avoid)}
+	err := s.run(ctx)
+
+	return Summary{Tokens: len(s.delivered), Attempts: s.attempt}, err
+}
+
+// session is one request while it runs. Only its own goroutine uses it.
+type session struct {
+	runner    *Runner
+	req       Request
+	attempt   int
+	delivered []string
+	previous  slatebridge.Pipeline
+	avoid     Avoid
+}
+
+func (s *session) run(ctx context.Context) error {
+	for {
+		pipeline, err := s.choose(ctx)
+		if err != nil {
+			return err
+		}
+		s.attempt++
+		failure := s.try(ctx, pipeline)
+		if failure == nil {
+			return nil
+		}
+		s.note(pipeline, failure)
+		if err := s.mayGoOn(ctx, failure); err != nil {
+			return err
+		}
+		s.previous = pipeline
+	}
+}
+
+// choose picks a pipeline. A request that has delivered tokens waits for one;
+// a request that has not is refused at once.
+func (s *session) choose(ctx context.Context) (slatebridge.Pipeline, error) {
+	for {
+		p, err := s.req.Choose(s.previous, s.avoid)
+		if err == nil && p.Covers(s.req.Layers) {
+			return p, nil
+		}
+		if len(s.avoid) > 0 {
+			// Better a server that has failed once than none at all.
+			clear(s.avoid)
+
+			continue
+		}
+		if len(s.delivered) == 0 {
+			return nil, result.New(result.NoPipeline, "%v", err).WithRetryAfter(noPipelineRetryAfter)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, result.New(result.DeadlineExceeded, "no pipeline to go on with after %d tokens", len(s.delivered))
+		case <-time.After(choosePause):
+		}
+	}
+}
+
+// attemptError is why an attempt ended before its final frame.
+type attemptError struct {
+	cause error
+	// server is the stage that is to blame; empty when it is not known.
+	server slatebridge.ServerID
+	// caller says that the caller has gone.
+	caller bool
+}
+
+func (e *attemptError) Error() string {
+	return e.cause.Error()
+}
+
+func (s *session) try(ctx context.Context, p slatebridge.Pipeline) *attemptError {
+	open := s.req.Open
+	open.Attempt = s.attempt
+	open.Pipeline = p
+	open.Delivered = s.delivered
+	watch := newWatchdog(ctx, s.runner.first.Timeout())
+	defer watch.stop()
+	started := time.Now()
+	frames, err := s.runner.engines.Open(watch.ctx, open)
+	if err != nil {
+		return &attemptError{cause: err, server: p[0].Server}
+	}
+	defer frames.Close()
+
+	return s.read(frames, watch, started)
+}
+
+func (s *session) read(frames *engine.Frames, watch *watchdog, last time.Time) *attemptError {
+	pace := s.runner.first
+	for {
+		f, err := frames.Next()
+		if err != nil {
+			return &attemptError{cause: watch.explain(err)}
+		}
+		done, failure := s.take(f)
+		if done || failure != nil {
+			return failure
+		}
+		now := time.Now()
+		pace.Observe(now.Sub(last))
+		last = now
+		pace = s.runner.gap
+		watch.reset(pace.Timeout())
+	}
+}
+
+// take checks one frame and delivers its token.
+func (s *session) take(f engine.Frame) (done bool, failure *attemptError) {
+	if f.Failure != "" {
+		return false, &attemptError{cause: errors.Newf("engine: %s", f.Failure), server: f.FailedServer}
+	}
+	if err := s.check(f); err != nil && s.runner.verify {
+		event.Log(s.runner.logger, event.FrameRefused, zap.String("stream", s.req.Open.Stream), zap.Error(err))
+
+		return false, &attemptError{cause: err}
+	}
+	if f.Final {
+		return true, nil
+	}
+	if err := s.req.Emit(f.Token); err != nil {
+		return false, &attemptError{cause: err, caller: true}
+	}
+	s.delivered = append(s.delivered, f.Token)
+
+	return false, nil
+}
+
+// check refuses a frame that is not the very next one of this attempt, or
+// whose token has not passed each layer exactly once and in order.
+func (s *session) check(f engine.Frame) error {
+	switch {
+	case f.Attempt != s.attempt:
+		return errors.Newf("frame of attempt %d in attempt %d", f.Attempt, s.attempt)
+	case f.Index != len(s.delivered):
+		return errors.Newf("frame %d where %d was due", f.Index, len(s.delivered))
+	case !f.Final && !slatebridge.CoversExactly(f.Ran, s.req.Layers):
+		return errors.Newf("token %d has passed the layers %v of %d", f.Index, f.Ran, s.req.Layers)
+	default:
+		return nil
+	}
+}
+
+func (s *session) note(p slatebridge.Pipeline, failure *attemptError) {
+	event.Log(s.runner.logger, event.AttemptFailed,
+		zap.String("stream", s.req.Open.Stream),
+		zap.Int("attempt", s.attempt),
+		zap.Int("tokens", len(s.delivered)),
+		zap.Stringer("pipeline", p),
+		zap.String("server", string(failure.server)),
+		zap.Error(failure.cause))
+	if failure.caller {
+		return
+	}
+	if failure.server == "" {
+		// Any of the stages may be at fault: take others where there are any.
+		for _, stage := range p {
+			s.avoid[stage.Server] = true
+		}
+
+		return
+	}
+	s.avoid[failure.server] = true
+	s.runner.lost(failure.server, failure.cause)
+}
+
+// mayGoOn returns the final error when no further attempt is made.
+func (s *session) mayGoOn(ctx context.Context, failure *attemptError) error {
+	switch {
+	case ctx.Err() != nil:
+		return result.New(result.DeadlineExceeded, "after %d tokens: %v", len(s.delivered), failure.cause)
+	case failure.caller:
+		return result.New(result.StreamMoved, "the caller has gone: %v", failure.cause)
+	case !s.runner.resume && len(s.delivered) > 0:
+		return result.New(result.AttemptsExhausted, "%v", failure.cause)
+	case s.attempt >= MaxAttempts:
+		return result.New(result.AttemptsExhausted, "attempt %d: %v", s.attempt, failure.cause).WithRetryAfter(noPipelineRetryAfter)
+	case !s.runner.budget.Retry():
+		return result.New(result.AttemptsExhausted, "the retry budget is used up: %v", failure.cause).WithRetryAfter(noPipelineRetryAfter)
+	default:
+		return nil
+	}
+}
