--- /dev/null
+++ b/cmd/slatebridge-controller/main.go
@@ -0,0 +1,13 @@
+// Command slatebridge-controller runs the controller of one entry box.
+package main
+
+import (
+	"os"
+
+	"github.com/slatebridge/slatebridge/daemon"
+	"github.com/slatebridge/slatebridge/settings"
+)
+
+func main() {
+	os.Exit(daemon.Main("slatebridge-controller", settings.LoadController, daemon.RunController))
+}
--- /dev/null
+++ b/cmd/slatebridge-standin/commands.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/daemon"
+	"github.com/slatebridge/slatebridge/internal/standin/callers"
+	"github.com/slatebridge/slatebridge/internal/standin/engines"
+	"github.com/slatebridge/slatebridge/internal/standin/logservice"
+	"github.com/slatebridge/slatebridge/internal/standin/memberlist"
+	"github.com/slatebridge/slatebridge/internal/standin/plainservice"
+	"github.com/slatebridge/slatebridge/platform"
+)
+
+type logCommand struct {
+	Listen string `long:"listen" required:"yes" description:"the address to listen on"`
+}
+
+// Execute runs the log.
+func (c *logCommand) Execute([]string) error {
+	return serve(daemon.Listener{Name: "log", Addr: c.Listen, Handler: logservice.New().Handler()})
+}
+
+type membersCommand struct {
+	Listen string        `long:"listen" required:"yes" description:"the address to listen on"`
+	File   string        `long:"file" required:"yes" description:"a JSON file with the boxes and servers"`
+	Lag    time.Duration `long:"lag" description:"by how much the list lags" default:"2s"`
+}
+
+// Execute runs the list.
+func (c *membersCommand) Execute([]string) error {
+	m, err := readJSON[platform.Members](c.File)
+	if err != nil {
+		return err
+	}
+
+	return serve(daemon.Listener{Name: "members", Addr: c.Listen, Handler: memberlist.New(m, c.Lag).Handler()})
+}
+
+type engineCommand struct {
+	Listen       string        `long:"listen" required:"yes" description:"the address to listen on"`
+	ID           string        `long:"id" required:"yes" description:"the server's ID"`
+	Speed        float64       `long:"speed" description:"layers a millisecond for one token" default:"4"`
+	ChecksTokens bool          `long:"checks-tokens" description:"refuse orders with an old fencing token"`
+	LoadTime     time.Duration `long:"load-time" description:"how long an order takes" default:"300ms"`
+}
+
+// Execute runs an engine.
+func (c *engineCommand) Execute([]string) error {
+	e := engines.New(slatebridge.BackendServer{
+		ID:           slatebridge.ServerID(c.ID),
+		Speed:        c.Speed,
+		ChecksTokens: c.ChecksTokens,
+	}, daemon.NewHTTPClient(), engines.WithLoadTime(c.LoadTime))
+
+	return serve(daemon.Listener{Name: "engine", Addr: c.Listen, Handler: e.Handler()})
+}
+
+type plainCommand struct {
+	Listen []string `long:"listen" required:"yes" description:"the address of one server; may be given again"`
+	Checks bool     `long:"checks" description:"refuse to run a key twice"`
+}
+
+// Execute runs the servers of one plain service, which share a ledger.
+func (c *plainCommand) Execute([]string) error {
+	ledger := plainservice.NewLedger(c.Checks)
+	var list []daemon.Listener
+	for _, addr := range c.Listen {
+		list = append(list, daemon.Listener{Name: "plain", Addr: addr, Handler: plainservice.New(ledger).Handler()})
+	}
+
+	return serve(list...)
+}
+
+type loadCommand struct {
+	Plan    string        `long:"plan" required:"yes" description:"a JSON file with the plan"`
+	Timeout time.Duration `long:"timeout" description:"how long the load may take in all" default:"50s"`
+	Label   string        `long:"label" description:"what the last line begins with" default:"load"`
+}
+
+// Execute sends the load and fails if an answer was lost or doubled.
+func (c *loadCommand) Execute([]string) error {
+	plan, err := readJSON[callers.Plan](c.Plan)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	sum, err := callers.Run(ctx, plan, daemon.NewHTTPClient())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("calls whose caller was told that they may have run: %d\n", sum.MaybeRun)
+	fmt.Printf("%s: %s\n", c.Label, sum)
+	if sum.Lost+sum.Doubled > 0 {
+		return errors.New("answers were lost or doubled")
+	}
+
+	return nil
+}
+
+func readJSON[T any](file string) (T, error) {
+	var v T
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return v, errors.Wrap(err, "standin")
+	}
+
+	return v, errors.Wrap(json.Unmarshal(data, &v), file)
+}
--- /dev/null
+++ b/cmd/slatebridge-standin/main.go
@@ -0,0 +1,56 @@
+// Command slatebridge-standin runs the stand-ins of tests and of the demo: the
+// platform's log and list, engines, plain services, and callers. It is never
+// shipped on an entry box.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge/daemon"
+)
+
+func main() {
+	parser := flags.NewParser(&struct{}{}, flags.Default)
+	commands := []struct {
+		name    string
+		short   string
+		command any
+	}{
+		{"log", "run the platform's log", &logCommand{}},
+		{"members", "run the platform's list", &membersCommand{}},
+		{"engine", "run an engine", &engineCommand{}},
+		{"plain", "run the servers of a plain service", &plainCommand{}},
+		{"load", "send requests and check the answers", &loadCommand{}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+}
+
+// serve serves until the process is told to stop.
+func serve(list ...daemon.Listener) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	servers, err := daemon.Listen(zap.NewNop(), list...)
+	if err != nil {
+		return err
+	}
+	defer servers.Close()
+	<-ctx.Done()
+
+	return nil
+}
--- /dev/null
+++ b/cmd/slatebridge/commands.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/slatebridge/slatebridge/config"
+	"github.com/slatebridge/slatebridge/daemon"
+	"github.com/slatebridge/slatebridge/operator"
+	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/settings"
+)
+
+func addCommands(parser *flags.Parser, opts *options) {
+	commands := []struct {
+		name    string
+		short   string
+		command any
+	}{
+		{"publish", "publish declarations", &publishCommand{base: base{opts: opts}}},
+		{"delete", "delete an object", &deleteCommand{base: base{opts: opts}}},
+		{"stop", "announce the stop of a box or a backend server", &stopCommand{base: base{opts: opts}}},
+		{"status", "show what is in force", &statusCommand{base: base{opts: opts}}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// base is what all commands share.
+type base struct {
+	opts *options
+	Wait time.Duration `long:"wait" description:"how long to wait until the change is in force on every live box" default:"10s"`
+}
+
+func (b *base) operator() (*operator.Operator, error) {
+	cfg, err := settings.LoadOperator(b.opts.Settings)
+	if err != nil {
+		return nil, err
+	}
+	client := daemon.NewHTTPClient()
+
+	return operator.New(cfg.Name, platform.NewLog(cfg.Platform.Log, client), client, cfg.Controllers...), nil
+}
+
+// publish makes the changes, prints what became of each, and waits until they
+// are in force.
+func (b *base) publish(changes []operator.Change) error {
+	o, err := b.operator()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.Wait)
+	defer cancel()
+	reports, err := o.Publish(ctx, changes)
+	refused := 0
+	last := int64(-1)
+	for _, r := range reports {
+		fmt.Println(describe(r))
+		if r.Unchanged {
+			continue
+		}
+		last = max(last, r.Outcome.Offset)
+		if !r.Outcome.Accepted {
+			refused++
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if refused > 0 {
+		return errors.Newf("%d of %d changes were refused", refused, len(reports))
+	}
+	n, missing := o.WaitInForce(ctx, last)
+	if len(missing) > 0 {
+		return errors.Newf("in force on %d boxes; these live boxes have not reported it yet: %v", n, missing)
+	}
+	fmt.Printf("in force on all %d boxes\n", n)
+
+	return nil
+}
+
+func describe(r operator.Report) string {
+	switch {
+	case r.Unchanged:
+		return fmt.Sprintf("unchanged %s", r.Change.Object)
+	case r.Outcome.Accepted:
+		return fmt.Sprintf("accepted  %s at offset %d", r.Change.Object, r.Outcome.Offset)
+	default:
+		return fmt.Sprintf("refused   %s: %s", r.Change.Object, r.Outcome.Why)
+	}
+}
+
+type publishCommand struct {
+	base
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1" description:"TOML files of declarations"`
+	} `positional-args:"yes"`
+}
+
+// Execute publishes the declarations of all files.
+func (c *publishCommand) Execute([]string) error {
+	var changes []operator.Change
+	for _, file := range c.Args.Files {
+		d, err := settings.LoadDeclarations(file)
+		if err != nil {
+			return err
+		}
+		list, err := operator.Changes(d)
+		if err != nil {
+			return errors.Wrap(err, file)
+		}
+		changes = append(changes, list...)
+	}
+
+	return c.publish(changes)
+}
+
+type deleteCommand struct {
+	base
+	Args struct {
+		Object string `positional-arg-name:"KIND/NAME" required:"yes" description:"the object to delete"`
+	} `positional-args:"yes"`
+}
+
+// Execute deletes the object.
+func (c *deleteCommand) Execute([]string) error {
+	id, err := config.ParseObjectID(c.Args.Object)
+	if err != nil {
+		return err
+	}
+
+	return c.publish([]operator.Change{operator.Absent(id)})
+}
+
+type stopCommand struct {
+	base
+	In   time.Duration `long:"in" description:"when the target stops, from now" default:"10m"`
+	Args struct {
+		Target string `positional-arg-name:"TARGET" required:"yes" description:"the ID of a box or of a backend server"`
+	} `positional-args:"yes"`
+}
+
+// Execute announces the stop.
+func (c *stopCommand) Execute([]string) error {
+	at := time.Now().Add(c.In).UTC().Truncate(time.Second)
+
+	return c.publish([]operator.Change{operator.Stop(c.Args.Target, at)})
+}
+
+type statusCommand struct {
+	base
+}
+
+// Execute prints a line for each box, each backend server and each object.
+func (c *statusCommand) Execute([]string) error {
+	o, err := c.operator()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	for _, s := range o.StatusAll(ctx) {
+		fmt.Printf("box     %s hall=%s current=%t applied=%d leading=%t log_down=%t\n", s.Box, s.Hall, s.Current, s.Applied, s.Leading, s.LogDown)
+	}
+	s, err := o.Status(ctx)
+	if err != nil {
+		return err
+	}
+	load := make(map[string]string)
+	for _, l := range s.Loaded {
+		load[string(l.Server)] = fmt.Sprintf(" model=%s layers=%s streams=%d", l.Model, l.Layers, l.Load)
+	}
+	for _, v := range s.Servers {
+		fmt.Printf("server  %s hall=%s kind=%s state=%s%s\n", v.ID, v.Hall, v.Kind, v.State, load[string(v.ID)])
+	}
+	for _, obj := range s.Objects {
+		fmt.Printf("object  %s revision=%d by=%s\n", obj.ID, obj.Revision, obj.By)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/controller/publish.go
@@ -0,0 +1,193 @@
+package controller
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"sync"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/config"
+	"github.com/slatebridge/slatebridge/platform"
+)
+
+// Status is what a controller tells operators.
+type Status struct {
+	Box  slatebridge.BoxID  `json:"box"`
+	Hall slatebridge.HallID `json:"hall"`
+	// Current says that the configuration was read to its end since the boot.
+	Current bool `json:"current"`
+	// Applied is the offset of the next configuration record.
+	Applied int64 `json:"applied"`
+	// Gap says that the log has dropped records that this box needs.
+	Gap     bool `json:"gap"`
+	LogDown bool `json:"log_down"`
+	// Leading says that the box holds its hall's lease.
+	Leading bool                        `json:"leading"`
+	Holder  slatebridge.BoxID           `json:"holder"`
+	Boxes   []slatebridge.Box           `json:"boxes"`
+	Servers []slatebridge.BackendServer `json:"servers"`
+	Loaded  []slatebridge.LoadedRange   `json:"loaded"`
+	Objects []config.Object             `json:"objects"`
+}
+
+// publish hands the present state to everyone who reads it.
+func (s *state) publish() {
+	s.c.folded.Store(&s.config)
+	boxes := s.view.Boxes()
+	s.c.peers.Store(&boxes)
+	s.c.polled.Store(s.pollTargets())
+	snap := s.snapshot()
+	s.c.board.set(s.status(snap))
+	if !s.current || sameContent(snap, s.shown) {
+		return
+	}
+	s.sequence++
+	s.shown = snap.WithRevision(slatebridge.Revision{
+		Applied:    s.config.Applied(),
+		Controller: s.c.boot,
+		Sequence:   s.sequence,
+	})
+	s.c.board.show(s.shown)
+}
+
+// sameContent reports whether two snapshots differ in nothing but their
+// sequences.
+func sameContent(a, b slatebridge.Snapshot) bool {
+	if a.Revision.Applied != b.Revision.Applied {
+		return false
+	}
+
+	return reflect.DeepEqual(a.WithRevision(b.Revision), b)
+}
+
+func (s *state) snapshot() slatebridge.Snapshot {
+	v := s.config.View()
+	snap := slatebridge.Snapshot{
+		Revision: slatebridge.Revision{Applied: s.config.Applied()},
+		Services: v.Services,
+		Accounts: v.Accounts,
+		Boxes:    s.view.Boxes(),
+	}
+	for _, server := range s.view.Servers() {
+		if server.Hall == s.c.hall {
+			snap.Servers = append(snap.Servers, server)
+		}
+	}
+	snap.Loaded = s.view.Loaded()
+	for _, h := range s.halls {
+		snap.Servers = append(snap.Servers, h.servers...)
+		snap.Loaded = append(snap.Loaded, h.loaded...)
+	}
+	slices.SortFunc(snap.Servers, func(a, b slatebridge.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(snap.Loaded, func(a, b slatebridge.LoadedRange) int { return cmp.Compare(a.Server, b.Server) })
+
+	return snap
+}
+
+func (s *state) status(snap slatebridge.Snapshot) Status {
+	return Status{
+		Box:     s.c.box,
+		Hall:    s.c.hall,
+		Current: s.current,
+		Applied: s.config.Applied(),
+		Gap:     s.gap,
+		LogDown: s.logDown,
+		Leading: s.leading,
+		Holder:  s.keeper.Holder().Box,
+		Boxes:   snap.Boxes,
+		Servers: snap.Servers,
+		Loaded:  snap.Loaded,
+		Objects: s.config.Objects(),
+	}
+}
+
+// board shows the newest snapshot and status to many readers.
+type board struct {
+	mu       sync.Mutex
+	snapshot slatebridge.Snapshot
+	shown    bool
+	st       Status
+	// changed is closed, and replaced, when a snapshot is shown.
+	changed chan struct{}
+}
+
+func newBoard() *board {
+	return &board{changed: make(chan struct{})}
+}
+
+func (b *board) set(st Status) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.st = st
+}
+
+func (b *board) status() Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.st
+}
+
+func (b *board) show(s slatebridge.Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.snapshot = s
+	b.shown = true
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// look returns the snapshot, whether there is one, and what is closed when
+// there is another.
+func (b *board) look() (slatebridge.Snapshot, bool, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.snapshot, b.shown, b.changed
+}
+
+// relayLength is how many records are kept for peers.
+const relayLength = 2000
+
+// relay keeps the newest configuration records for peers.
+type relay struct {
+	mu      sync.Mutex
+	records []platform.Record
+}
+
+func newRelay() *relay {
+	return &relay{}
+}
+
+func (r *relay) add(records []platform.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range records {
+		n := len(r.records)
+		switch {
+		case n > 0 && rec.Offset <= r.records[n-1].Offset:
+			continue
+		case n > 0 && rec.Offset > r.records[n-1].Offset+1:
+			// What is kept must be without gaps.
+			r.records = nil
+		}
+		r.records = append(r.records, rec)
+	}
+	if n := len(r.records) - relayLength; n > 0 {
+		r.records = slices.Clone(r.records[n:])
+	}
+}
+
+// from returns the records from the offset on, or false if some of them are
+// not kept.
+func (r *relay) from(offset int64) ([]platform.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.records) == 0 || r.records[0].Offset > offset {
+		return nil, false
+	}
+	skip := min(offset-r.records[0].Offset, int64(len(r.records)))
+
+	return slices.Clone(r.records[skip:]), true
+}
--- /dev/null
+++ b/controller/state.go
@@ -0,0 +1,242 @@
+package controller
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/config"
+	"github.com/slatebridge/slatebridge/engine"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/lease"
+	"github.com/slatebridge/slatebridge/member"
+	"github.com/slatebridge/slatebridge/place"
+)
+
+// maxOrders is how many orders one round sends, so that the weight store's
+// rate is shared and a wrong plan does little harm before the next.
+const maxOrders = 4
+
+// claimSpread is over which time the boxes of a hall spread their claims.
+const claimSpread = 2 * time.Second
+
+// state is the control state. Only the actor's own goroutine uses it.
+type state struct {
+	c      *Controller
+	config config.State
+	// current says that the fold has reached the end of the log or of the
+	// peers' knowledge since this boot.
+	current  bool
+	gap      bool
+	logDown  bool
+	view     member.View
+	halls    []hallReport
+	keeper   *lease.Keeper
+	leading  bool
+	sequence int64
+	// shown is the snapshot that was published last.
+	shown slatebridge.Snapshot
+	// lastWritten is the offset that the newest snapshot in the log covers.
+	lastWritten int64
+}
+
+func newState(c *Controller) *state {
+	return &state{c: c, keeper: lease.NewKeeper(lease.Holder{Box: c.box, Boot: c.boot}, claimDelay(c.box))}
+}
+
+// claimDelay spreads the boxes' claims by a hash of their IDs.
+func claimDelay(box slatebridge.BoxID) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(box))
+
+	return time.Duration(h.Sum32()%1000) * claimSpread / 1000
+}
+
+// receive handles one message of the actor.
+func (s *state) receive(ctx actor.Context) {
+	switch msg := ctx.Message().(type) {
+	case configBatch:
+		s.onConfigBatch(msg)
+	case configState:
+		s.onConfigState(msg)
+	case configUnreadable:
+		s.logDown = true
+	case peersAsked:
+		s.onPeersAsked(msg)
+	case leaseBatch:
+		s.keeper.OnBatch(msg.batch, time.Now())
+	case leaseUnreadable:
+		s.keeper.OnReadError()
+	case listRead:
+		s.view = s.view.WithList(msg.members)
+	case serversPolled:
+		s.view = s.view.WithContacts(msg.contacts)
+	case hallsPolled:
+		s.halls = msg.halls
+	case tick:
+		s.onTick()
+	default:
+		return
+	}
+	s.publish()
+}
+
+func (s *state) onConfigBatch(msg configBatch) {
+	if msg.fromLog {
+		s.logDown = false
+	}
+	if msg.batch.Oldest > s.config.Applied() {
+		s.onGap(msg.batch.Oldest)
+
+		return
+	}
+	s.gap = false
+	next, outcomes := s.config.WithRecords(msg.batch.Records)
+	s.config = next
+	for _, o := range outcomes {
+		s.logOutcome(o)
+	}
+	s.c.relay.add(msg.batch.Records)
+	if msg.fromLog && next.Applied() >= msg.batch.Next {
+		s.current = true
+	}
+	s.view = s.view.WithStops(next.View().Stops)
+}
+
+// onGap notes that records are missing. The state that stands goes on being
+// used, but a box that has not been current yet does not become ready by it.
+func (s *state) onGap(oldest int64) {
+	if !s.gap {
+		event.Log(s.c.logger, event.LogGap,
+			zap.String("stream", config.Stream),
+			zap.Int64("oldest", oldest),
+			zap.Int64("applied", s.config.Applied()))
+	}
+	s.gap = true
+}
+
+func (s *state) onConfigState(msg configState) {
+	if msg.state.Applied() <= s.config.Applied() {
+		return
+	}
+	event.Log(s.c.logger, event.StateFromPeer,
+		zap.String("from", msg.from),
+		zap.Int64("applied", msg.state.Applied()))
+	s.config = msg.state
+	s.gap = false
+	s.view = s.view.WithStops(s.config.View().Stops)
+}
+
+// onPeersAsked makes the box current while the log is out, if a peer of the
+// hall was reached and none has applied more than this box.
+func (s *state) onPeersAsked(msg peersAsked) {
+	if msg.reached && msg.highest <= s.config.Applied() {
+		s.current = true
+	}
+}
+
+func (s *state) logOutcome(o config.Outcome) {
+	fields := []zap.Field{
+		zap.String("record", o.RecordID),
+		zap.Stringer("object", o.Object),
+		zap.Int64("offset", o.Offset),
+	}
+	if o.Accepted {
+		event.Log(s.c.logger, event.RecordAccepted, fields...)
+
+		return
+	}
+	event.Log(s.c.logger, event.RecordRefused, append(fields, zap.String("why", o.Why))...)
+}
+
+func (s *state) onTick() {
+	now := time.Now()
+	if rec, due := s.keeper.Due(now); due {
+		go s.c.appendLease(rec)
+	}
+	hold, leading := s.keeper.Held(now)
+	s.noteLeading(hold, leading)
+	if !leading {
+		return
+	}
+	s.offerOrders()
+	s.offerSnapshot()
+}
+
+func (s *state) noteLeading(hold lease.Hold, leading bool) {
+	if leading {
+		s.c.hold.Store(&hold)
+	} else {
+		s.c.hold.Store(nil)
+	}
+	if leading == s.leading {
+		return
+	}
+	s.leading = leading
+	if leading {
+		event.Log(s.c.logger, event.LeaseTaken, zap.Int64("token", hold.Token))
+
+		return
+	}
+	event.Log(s.c.logger, event.LeaseLost, zap.String("holder", string(s.keeper.Holder().Box)))
+}
+
+// offerOrders plans the hall's servers and hands the first orders to the
+// sender, unless it is still busy with earlier ones.
+func (s *state) offerOrders() {
+	if !s.current {
+		return
+	}
+	servers := s.ownEngines()
+	plan := place.Plan(place.Demands(s.config.View().Services), s.planServers(servers))
+	orders := place.Orders(plan, servers, s.holds)
+	if len(orders) == 0 {
+		return
+	}
+	select {
+	case s.c.orders <- orders[:min(len(orders), maxOrders)]:
+	default:
+	}
+}
+
+func (s *state) ownEngines() []slatebridge.BackendServer {
+	var list []slatebridge.BackendServer
+	for _, v := range s.view.Servers() {
+		if v.Hall == s.c.hall && v.Kind == slatebridge.EngineServer && v.State == slatebridge.Live {
+			list = append(list, v)
+		}
+	}
+
+	return list
+}
+
+func (s *state) planServers(servers []slatebridge.BackendServer) []place.Server {
+	list := make([]place.Server, 0, len(servers))
+	for _, v := range servers {
+		list = append(list, place.Server{ID: v.ID, Speed: v.Speed, MaxLayers: v.MaxLayers, Holds: s.holds(v.ID)})
+	}
+
+	return list
+}
+
+func (s *state) holds(id slatebridge.ServerID) engine.State {
+	return s.view.Contact(id).Report
+}
+
+// snapshotEvery is how many records are folded between two snapshots in the
+// log.
+const snapshotEvery = 500
+
+func (s *state) offerSnapshot() {
+	if !s.current || s.config.Applied() < s.lastWritten+snapshotEvery {
+		return
+	}
+	select {
+	case s.c.snapshotDue <- s.config:
+		s.lastWritten = s.config.Applied()
+	default:
+	}
+}
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge/claim"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/gateway"
+	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/settings"
+)
+
+// dialTimeout is how long a connection to a plain server may take to open.
+const dialTimeout = time.Second
+
+// RunGateway runs a gateway with the settings until ctx ends, and then drains
+// it.
+func RunGateway(ctx context.Context, cfg settings.Gateway) error {
+	logger := NewLogger(cfg.Logging.Level).With(zap.String("box", string(cfg.Box)), zap.String("hall", string(cfg.Hall)))
+	reg := newRegistry()
+	g, err := newGateway(cfg, logger, reg)
+	if err != nil {
+		return err
+	}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { g.Run(work) })
+	defer wg.Wait()
+	defer stopWork()
+	servers, err := Listen(logger, gatewayListeners(cfg, g, reg)...)
+	if err != nil {
+		return err
+	}
+	defer servers.Close()
+	event.Log(logger, event.Started, zap.String("version", Version))
+	<-ctx.Done()
+	drainGateway(cfg, g, logger)
+
+	return nil
+}
+
+// drainGateway stops a gateway so that no request is cut off: it first says
+// that it is not ready, then refuses new requests, then waits for the rest.
+func drainGateway(cfg settings.Gateway, g *gateway.Gateway, logger *zap.Logger) {
+	event.Log(logger, event.Stopping)
+	g.StopSoon()
+	time.Sleep(time.Duration(cfg.Drain.Grace))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(cfg.Drain.Timeout))
+	defer cancel()
+	err := g.Drain(ctx)
+	event.Log(logger, event.Stopped, zap.Error(err))
+}
+
+func newGateway(cfg settings.Gateway, logger *zap.Logger, reg *prometheus.Registry) (*gateway.Gateway, error) {
+	client := NewHTTPClient()
+
+	return gateway.New(cfg.Box, cfg.Hall,
+		gateway.WithLogger(logger),
+		gateway.WithRegisterer(reg),
+		gateway.WithControllers(cfg.Controllers...),
+		gateway.WithLog(platform.NewLog(cfg.Platform.Log, client)),
+		gateway.WithHTTPClient(client),
+		gateway.WithDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		gateway.WithPolicy(cfg.Routing.Policy, cfg.Routing.Seed),
+		gateway.WithMaxInFlight(cfg.Limits.MaxInFlight),
+		gateway.WithMaxBody(cfg.Limits.MaxBodyBytes),
+		gateway.WithClaimOptions(
+			claim.WithWindow(time.Duration(cfg.Claims.Window)),
+			claim.WithSkew(time.Duration(cfg.Claims.Skew)),
+			claim.WithClaimTimeout(time.Duration(cfg.Claims.Timeout)),
+			claim.WithInterval(time.Duration(cfg.Claims.Interval)),
+		),
+	)
+}
+
+func gatewayListeners(cfg settings.Gateway, g *gateway.Gateway, reg *prometheus.Registry) []Listener {
+	return []Listener{
+		{
+			Name:          "callers",
+			Addr:          cfg.Listen.Callers,
+			Handler:       g.CallerHandler(),
+			HeaderTimeout: time.Duration(cfg.Limits.HeaderTimeout),
+			ReadTimeout:   time.Duration(cfg.Limits.ReadTimeout),
+		},
+		{Name: "peers", Addr: cfg.Listen.Peers, Handler: g.PeerHandler()},
+		{Name: "operators", Addr: cfg.Listen.Operators, Handler: OperatorMux(reg, g.Ready)},
+	}
+}
+
+func newRegistry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+
+	return reg
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/slatebridge/slatebridge/result"
+)
+
+// metrics are the numbers that a gateway shows on /metrics.
+type metrics struct {
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	tokens   prometheus.Counter
+	attempts prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer, g *Gateway) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_requests_total",
+			Help: "Requests that have their final answer, by kind and result code.",
+		}, []string{"kind", "code"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "slatebridge_request_seconds",
+			Help:    "Time from the arrival of a request to its final answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
+		}, []string{"kind"}),
+		tokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "slatebridge_tokens_total",
+			Help: "Tokens delivered to callers.",
+		}),
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "slatebridge_attempts_total",
+			Help: "Attempts at streams.",
+		}),
+	}
+	r.MustRegister(m.requests, m.seconds, m.tokens, m.attempts,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "slatebridge_requests_in_flight",
+			Help: "Requests that the box holds.",
+		}, func() float64 { return float64(g.limiter.InFlight()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "slatebridge_claim_keys",
+			Help: "Keys of calls that may not be repeated in the claim table.",
+		}, func() float64 { return float64(g.claimer.Keys()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "slatebridge_config_applied",
+			Help: "Configuration offset of the routing snapshot in use.",
+		}, func() float64 { return float64(g.snapshot.Load().Revision.Applied) }),
+	)
+
+	return m
+}
+
+func (m *metrics) done(kind string, code result.Code, took time.Duration) {
+	m.requests.WithLabelValues(kind, strconv.Itoa(int(code))).Inc()
+	m.seconds.WithLabelValues(kind).Observe(took.Seconds())
+}
--- a/member/view.go
+++ b/member/view.go
@@ -23,7 +23,7 @@
 	// kept holds servers that have dropped off the list but still answer.
 	kept     map[slatebridge.ServerID]slatebridge.BackendServer
 	stops    map[string]bool
-	contacts map[slatebridge.ServerID]Contact
+	contacts Contacts
 }
 
 // WithList returns the view after a reading of the platform's list.
@@ -54,10 +54,16 @@
 	return v
 }
 
-// WithContact returns the view after a poll of one server.
-func (v View) WithContact(id slatebridge.ServerID, c Contact) View {
-	v.contacts = cloneOrMake(v.contacts)
-	v.contacts[id] = c
+// Contacts holds what this controller knows of each server that it polls.
+type Contacts map[slatebridge.ServerID]Contact
+
+// WithContacts returns the view after a round of polls. Servers that were not
+// polled keep what was known of them.
+func (v View) WithContacts(polled Contacts) View {
+	contacts := make(Contacts, len(polled))
+	maps.Copy(contacts, v.contacts)
+	maps.Copy(contacts, polled)
+	v.contacts = contacts
 
 	return v
 }
@@ -131,11 +137,3 @@
 
 	return list
 }
-
-func cloneOrMake[K comparable, V any](m map[K]V) map[K]V {
-	if m == nil {
-		return make(map[K]V)
-	}
-
-	return maps.Clone(m)
-}
--- a/stream/session.go
+++ b/stream/session.go
@@ -134,6 +134,8 @@
 	delivered []string
 	previous  slatebridge.Pipeline
 	avoid     Avoid
+	// mayHaveRun says that some attempt has reached an engine.
+	mayHaveRun bool
 }
 
 func (s *session) run(ctx context.Context) error {
@@ -170,7 +172,7 @@
 			continue
 		}
 		if len(s.delivered) == 0 {
-			return nil, result.New(result.NoPipeline, "%v", err).WithRetryAfter(noPipelineRetryAfter)
+			return nil, s.noPipeline(err)
 		}
 		select {
 		case <-ctx.Done():
@@ -180,6 +182,16 @@
 	}
 }
 
+// noPipeline is the refusal of a request that has delivered nothing.
+func (s *session) noPipeline(err error) error {
+	refusal := result.New(result.NoPipeline, "%v", err).WithRetryAfter(noPipelineRetryAfter)
+	if s.mayHaveRun {
+		return refusal.WithRan(result.RanMaybe)
+	}
+
+	return refusal
+}
+
 // attemptError is why an attempt ended before its final frame.
 type attemptError struct {
 	cause error
@@ -203,8 +215,11 @@
 	started := time.Now()
 	frames, err := s.runner.engines.Open(watch.ctx, open)
 	if err != nil {
-		return &attemptError{cause: err, server: p[0].Server}
+		s.mayHaveRun = s.mayHaveRun || !errors.Is(err, engine.ErrRefused)
+
+		return &attemptError{cause: watch.explain(err), server: p[0].Server}
 	}
+	s.mayHaveRun = true
 	defer frames.Close()
 
 	return s.read(frames, watch, started)
