--- a/cmd/slatebridge-standin/main.go
+++ b/cmd/slatebridge-standin/main.go
@@ -45,7 +45,7 @@
 func serve(list ...daemon.Listener) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	servers, err := daemon.Listen(zap.NewNop(), list...)
+	servers, err := daemon.Listen(ctx, zap.NewNop(), list...)
 	if err != nil {
 		return err
 	}
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -26,7 +26,7 @@
 	reg.MustRegister(controllerGauges(c)...)
 	mux := OperatorMux(reg, c.Ready)
 	mux.Handle("/v1/", c.OperatorHandler())
-	servers, err := Listen(logger,
+	servers, err := Listen(ctx, logger,
 		Listener{Name: "peers", Addr: cfg.Listen.Peers, Handler: c.PeerHandler()},
 		Listener{Name: "operators", Addr: cfg.Listen.Operators, Handler: mux},
 	)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -136,10 +136,11 @@
 }
 
 // Listen opens all listeners, or none.
-func Listen(logger *zap.Logger, list ...Listener) (*Servers, error) {
+func Listen(ctx context.Context, logger *zap.Logger, list ...Listener) (*Servers, error) {
 	s := &Servers{logger: logger}
+	var cfg net.ListenConfig
 	for _, l := range list {
-		ln, err := net.Listen("tcp", l.Addr)
+		ln, err := cfg.Listen(ctx, "tcp", l.Addr)
 		if err != nil {
 			s.Close()
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -34,7 +34,7 @@
 	wg.Go(func() { g.Run(work) })
 	defer wg.Wait()
 	defer stopWork()
-	servers, err := Listen(logger, gatewayListeners(cfg, g, reg)...)
+	servers, err := Listen(ctx, logger, gatewayListeners(cfg, g, reg)...)
 	if err != nil {
 		return err
 	}
--- a/engine/frames.go
+++ b/engine/frames.go
@@ -67,7 +67,7 @@
 
 func (c httpEngines) open(ctx context.Context, req StreamRequest) (*Frames, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := c.post(ctx, req.Pipeline[0].URL+"/v1/streams", req)
+	resp, err := c.post(ctx, req.Pipeline[0].URL+"/v1/streams", req) //nolint:bodyclose // Frames.Close closes it.
 	if err != nil {
 		cancel()
 
