--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -28,14 +28,11 @@
 	})
 }
 
-func requireCode(t *testing.T, err error, want result.Code) *result.Error {
+func requireCode(t *testing.T, err error, want result.Code) {
 	t.Helper()
-	var e *result.Error
-	if !errors.As(err, &e) || e.Code != want {
+	if e := result.From(err); err == nil || e.Code != want {
 		t.Fatalf("got error %v, want code %v", err, want)
 	}
-
-	return e
 }
 
 // history is what a caller was told of one key.
@@ -170,7 +167,8 @@
 		_, err := b.box("A").Do(b.ctx, key, []byte("{}"), func(context.Context) (Answer, error) {
 			return Answer{}, errors.Mark(errors.New("no route"), ErrNotSent)
 		})
-		e := requireCode(t, err, result.NoServer)
+		requireCode(t, err, result.NoServer)
+		e := result.From(err)
 		if e.Ran != result.RanNo || !e.Firm {
 			t.Errorf("got %+v, want a firm no", e)
 		}
@@ -186,7 +184,8 @@
 		time.Sleep(5 * time.Second)
 		start := time.Now()
 		_, err := b.try("A", b.key(), "{}")
-		e := requireCode(t, err, result.LogUnavailable)
+		requireCode(t, err, result.LogUnavailable)
+		e := result.From(err)
 		if took := time.Since(start); took != 0 {
 			t.Errorf("refused after %s", took)
 		}
@@ -200,7 +199,8 @@
 	inBubble(t, proof.Cell{}, func(b *bench) {
 		t.Run("too old", func(t *testing.T) {
 			_, err := b.try("A", b.keyAt(time.Now().Add(-16*time.Minute)), "{}")
-			if e := requireCode(t, err, result.KeyTooOld); e.Ran != result.RanMaybe {
+			requireCode(t, err, result.KeyTooOld)
+			if e := result.From(err); e.Ran != result.RanMaybe {
 				t.Errorf("ran = %s", e.Ran)
 			}
 		})
@@ -264,7 +264,8 @@
 			}
 		}
 		_, err := b.try("B", first, "{}")
-		if e := requireCode(t, err, result.AnswerDropped); e.Ran != result.RanYes {
+		requireCode(t, err, result.AnswerDropped)
+		if e := result.From(err); e.Ran != result.RanYes {
 			t.Errorf("ran = %s", e.Ran)
 		}
 	}, WithAnswerBytes(100))
--- /dev/null
+++ b/internal/docs/docs.go
@@ -0,0 +1,99 @@
+// Package docs makes the pages of docs/ that come from data in the code. A
+// test holds the pages to the data, and `make docs` writes them anew.
+package docs
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/internal/proof"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+const generated = "<!-- Made by `make docs`; do not edit. -->\n\n"
+
+// Results returns the page of result codes.
+func Results() string {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\n" + generated)
+	b.WriteString("Each refusal and each failed answer carries a code, in the body's `code` field.\n")
+	b.WriteString("`ran` says whether the request was run. A single answer may be more careful than\n")
+	b.WriteString("the table: \"no\" becomes \"maybe\" when an earlier try with the same key may have\n")
+	b.WriteString("run. See [callers.md](callers.md).\n\n")
+	b.WriteString("| code | name | status | ran | come back | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, e := range result.Entries() {
+		fmt.Fprintf(&b, "| %d | %s | %d | %s | %s | %s |\n", e.Number, e.Name, e.Status, e.Ran, yesNo(e.Retry), e.Text)
+	}
+
+	return b.String()
+}
+
+// Events returns the page of log events.
+func Events() string {
+	var b strings.Builder
+	b.WriteString("# Log events\n\n" + generated)
+	b.WriteString("Each log line is a JSON object with the event's number in `event` and its name in\n")
+	b.WriteString("`msg`. Routing and placement decisions have a line each.\n\n")
+	b.WriteString("| event | name | level | meaning |\n| --- | --- | --- | --- |\n")
+	for _, e := range event.Entries() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Text)
+	}
+
+	return b.String()
+}
+
+// Matrix returns the generated part of the page of proofs.
+func Matrix() string {
+	var b strings.Builder
+	b.WriteString("# Fault matrix\n\n" + generated)
+	b.WriteString("`+` marks a cell that is a subtest of the named test; `-` marks one that is not\n")
+	b.WriteString("proved. [PROOF.md](PROOF.md) says what each test asserts.\n")
+	for _, m := range proof.Matrices() {
+		writeMatrix(&b, m)
+	}
+
+	return b.String()
+}
+
+func writeMatrix(b *strings.Builder, m proof.Matrix) {
+	fmt.Fprintf(b, "\n## %s\n\nTest: `%s`, %d cells.\n\n| step |", m.Name, m.Test, len(m.Cells()))
+	for _, f := range m.Faults {
+		fmt.Fprintf(b, " %s |", f.Name)
+	}
+	b.WriteString("\n| --- |" + strings.Repeat(" --- |", len(m.Faults)) + "\n")
+	for _, s := range m.Steps {
+		fmt.Fprintf(b, "| %s |", s.Name)
+		for _, f := range m.Faults {
+			mark := "+"
+			if _, left := m.Left[proof.Cell{Step: s.Name, Fault: f.Name}]; left {
+				mark = "-"
+			}
+			fmt.Fprintf(b, " %s |", mark)
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n")
+	for _, s := range m.Steps {
+		fmt.Fprintf(b, "- **%s**: %s\n", s.Name, s.Text)
+	}
+	for _, f := range m.Faults {
+		fmt.Fprintf(b, "- *%s*: %s\n", f.Name, f.Text)
+	}
+	for _, s := range m.Steps {
+		for _, f := range m.Faults {
+			c := proof.Cell{Step: s.Name, Fault: f.Name}
+			if why, left := m.Left[c]; left {
+				fmt.Fprintf(b, "- not proved: `%s`: %s\n", c, why)
+			}
+		}
+	}
+}
+
+func yesNo(v bool) string {
+	if v {
+		return "yes"
+	}
+
+	return "no"
+}
--- /dev/null
+++ b/internal/docs/docs_test.go
@@ -0,0 +1,84 @@
+package docs
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/internal/golden"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+func TestPages(t *testing.T) {
+	pages := map[string]func() string{"RESULTS": Results, "EVENTS": Events, "MATRIX": Matrix}
+	for name, make := range pages {
+		t.Run(name, func(t *testing.T) {
+			golden.Compare(t, "../../docs/"+name+".md", make())
+		})
+	}
+}
+
+// constants returns the numbered constants of a type, by name, in a file.
+func constants(t *testing.T, file, typeName string) map[string]int {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[string]int)
+	ast.Inspect(f, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		id, isNamed := spec.Type.(*ast.Ident)
+		lit, isLit := spec.Values[0].(*ast.BasicLit)
+		if isNamed && isLit && id.Name == typeName {
+			found[spec.Names[0].Name], _ = strconv.Atoi(lit.Value)
+		}
+
+		return true
+	})
+
+	return found
+}
+
+// TestDataFilesMatchTheCode holds the data files to the constants.
+func TestDataFilesMatchTheCode(t *testing.T) {
+	t.Run("results", func(t *testing.T) {
+		listed := make(map[string]int)
+		for _, e := range result.Entries() {
+			listed[e.Name] = int(e.Number)
+		}
+		if diff := cmp.Diff(constants(t, "../../result/code.go", "Code"), listed); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("events", func(t *testing.T) {
+		listed := make(map[string]int)
+		for _, e := range event.Entries() {
+			listed[e.Name] = int(e.Number)
+		}
+		if diff := cmp.Diff(constants(t, "../../event/event.go", "ID"), listed); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestKnownRedIsShort(t *testing.T) {
+	data, err := os.ReadFile("../../KNOWN-RED.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Fields(strings.ReplaceAll(string(data), " ", "_"))
+	if len(lines) > 3 {
+		t.Errorf("KNOWN-RED.txt has %d lines; three at most", len(lines))
+	}
+}
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -15,7 +15,7 @@
 var update = flag.Bool("update", false, "write the expected files anew")
 
 // Compare fails the test if got differs from the content of the file.
-func Compare(t testing.TB, file, got string) {
+func Compare(t *testing.T, file, got string) {
 	t.Helper()
 	if *update {
 		write(t, file, got)
@@ -51,7 +51,7 @@
 	}
 }
 
-func write(t testing.TB, file, got string) {
+func write(t *testing.T, file, got string) {
 	t.Helper()
 	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
 		t.Fatal(err)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,7 +7,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$1
-requests=${2:-600}
+requests=${2:-2000}
 work=$(mktemp -d)
 pids=()
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -35,7 +35,10 @@
 func (c *checker) distinct(listeners ...listener) {
 	seen := make(map[string]string)
 	for _, l := range listeners {
-		if other, ok := seen[l.addr]; ok && !isAnyPort(l.addr) {
+		if !hasFixedPort(l.addr) {
+			continue
+		}
+		if other, ok := seen[l.addr]; ok {
 			c.add(l.key, "%q is the address of %s too", l.addr, other)
 		}
 		seen[l.addr] = l.key
@@ -48,10 +51,10 @@
 	addr string
 }
 
-func isAnyPort(addr string) bool {
+func hasFixedPort(addr string) bool {
 	a, err := netip.ParseAddrPort(addr)
 
-	return err == nil && a.Port() == 0
+	return err == nil && a.Port() != 0
 }
 
 // baseURL checks the base URL of another process: http, and an IP number.
