Prove whole answers under faults of stages, and mend what it found

The first runs of the matrix (four steps, 19 faults) failed in open/freeze-tail, prefill/freeze-tail and both with the log out: when the last stage fell silent before the first token, the runner blamed the first stage, and the router then left out one first stage after another, until requests were refused with NoPipeline though three good servers stood.

Ruled out: longer silence deadlines (they only delay the wrong blame).

Change: silence during an open blames no single stage; the router falls back to servers that it has seen fail rather than refuse. Also found by the race detector: the controller handed out a pointer to its own state; it now hands out a copy. A network within the process (cuts, freezes, kills) and a small fleet for virtual time carry the test.

--- a/controller/publish.go
+++ b/controller/publish.go
@@ -33,7 +33,9 @@
 
 // publish hands the present state to everyone who reads it.
 func (s *state) publish() {
-	s.c.folded.Store(&s.config)
+	// A copy: the actor goes on changing its own.
+	folded := s.config
+	s.c.folded.Store(&folded)
 	boxes := s.view.Boxes()
 	s.c.peers.Store(&boxes)
 	s.c.polled.Store(s.pollTargets())
--- /dev/null
+++ b/internal/proof/stream.go
@@ -0,0 +1,64 @@
+package proof
+
+// Names of the steps of a streamed answer.
+const (
+	StepOpen    = "open"
+	StepPrefill = "prefill"
+	StepToken   = "token"
+	StepFinal   = "final"
+)
+
+// Names of the faults of a streamed answer.
+const (
+	KillHead       = "kill-head"
+	KillTail       = "kill-tail"
+	FreezeHead     = "freeze-head"
+	FreezeTail     = "freeze-tail"
+	CutStages      = "cut-stages"
+	CutGateway     = "cut-gateway"
+	SlowTail       = "slow-tail"
+	DoubleFrames   = "double-frames"
+	LostFrame      = "lost-frame"
+	OldFrames      = "old-frames"
+	SkippedLayer   = "skipped-layer"
+	CutFinal       = "cut-final"
+	LeaveHead      = "leave-head"
+	KillController = "kill-controller"
+)
+
+// Stream returns the matrix of streamed answers. Several answers run at once
+// through two halls of four engines; the fault strikes one pipeline.
+func Stream() Matrix {
+	return Matrix{
+		Name: "stream",
+		Test: "fleet.TestStreamMatrix",
+		Steps: []Step{
+			{StepOpen, "before the request is sent"},
+			{StepPrefill, "before the first token is made"},
+			{StepToken, "before the fifth token is made"},
+			{StepFinal, "before the final frame"},
+		},
+		Faults: []Fault{
+			{KillHead, "the first stage stops for good"},
+			{KillTail, "the last stage stops for good"},
+			{FreezeHead, "the first stage is silent for 12 s, and then sends what it had"},
+			{FreezeTail, "the last stage is silent for 12 s, and then sends what it had"},
+			{CutStages, "the two stages cannot reach each other"},
+			{CutGateway, "the gateway cannot reach the first stage"},
+			{SlowTail, "the last stage takes 100 ms longer for each token"},
+			{DoubleFrames, "the first stage sends each frame twice"},
+			{LostFrame, "the first stage leaves out a frame"},
+			{OldFrames, "the first stage marks frames with the attempt before"},
+			{SkippedLayer, "the first stage leaves out a layer"},
+			{CutFinal, "the first stage breaks the connection in place of the final frame"},
+			{LeaveHead, "the first stage says that it is leaving"},
+			{KillController, "the box's controller stops for good"},
+			{LogDown, "the log is out for 10 s"},
+			{KillHead + "+" + KillTail, "both at once"},
+			{FreezeHead + "+" + KillTail, "both at once"},
+			{KillTail + "+" + KillController, "both at once"},
+			{FreezeTail + "+" + LogDown, "both at once"},
+		},
+		Left: map[Cell]string{},
+	}
+}
--- a/internal/standin/engines/engine.go
+++ b/internal/standin/engines/engine.go
@@ -41,6 +41,7 @@
 	linkDelay time.Duration
 
 	mu      sync.Mutex
+	hook    Hook
 	state   engine.State
 	faults  Faults
 	token   int64
@@ -55,6 +56,26 @@
 	attempt int
 }
 
+// Hook is called on the first stage before it makes a token of a stream, with
+// the token's index, and once more before the final frame.
+type Hook func(req engine.StreamRequest, index int)
+
+// SetHook sets what is called before each token; nil calls nothing.
+func (e *Engine) SetHook(h Hook) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hook = h
+}
+
+func (e *Engine) callHook(req engine.StreamRequest, index int) {
+	e.mu.Lock()
+	h := e.hook
+	e.mu.Unlock()
+	if h != nil {
+		h(req, index)
+	}
+}
+
 // Option changes one setting of an Engine.
 type Option func(e *Engine)
 
--- a/internal/standin/engines/http.go
+++ b/internal/standin/engines/http.go
@@ -77,6 +77,7 @@
 	out := frameWriter{w: w, control: http.NewResponseController(w), faults: e.currentFaults}
 	made := slices.Clone(req.Delivered)
 	for len(made) < req.MaxTokens {
+		e.callHook(req, len(made))
 		word, ran, err := e.makeToken(r.Context(), req, made)
 		if err != nil {
 			out.failure(req, len(made), err)
@@ -88,6 +89,7 @@
 		}
 		made = append(made, word)
 	}
+	e.callHook(req, len(made))
 	if e.currentFaults().DropFinal {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/internal/standin/memnet/memnet.go
@@ -0,0 +1,262 @@
+// Package memnet is a network within one process, for tests with virtual time:
+// hosts listen and dial, and can be cut off, frozen and killed.
+package memnet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	// ErrRefused is the error of a dial to an address nobody listens on.
+	ErrRefused = errors.New("memnet: connection refused")
+	errClosed  = errors.New("memnet: listener closed")
+)
+
+// Network is a set of hosts, named by the host part of their addresses.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+	cut       map[pair]bool
+	frozen    map[string]chan struct{}
+}
+
+type pair struct {
+	a string
+	b string
+}
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+
+	return pair{a: a, b: b}
+}
+
+// New returns an empty network.
+func New() *Network {
+	return &Network{
+		listeners: make(map[string]*listener),
+		conns:     make(map[*conn]struct{}),
+		cut:       make(map[pair]bool),
+		frozen:    make(map[string]chan struct{}),
+	}
+}
+
+// Listen opens a listener at the address, "host:port".
+func (n *Network) Listen(addr string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{n: n, addr: addr, incoming: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[addr] = l
+
+	return l
+}
+
+// Dialer returns how the host opens connections.
+func (n *Network) Dialer(host string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return n.dial(ctx, host, addr)
+	}
+}
+
+// Client returns an HTTP client of the host.
+func (n *Network) Client(host string) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: n.Dialer(host), MaxIdleConnsPerHost: 100}}
+}
+
+// dialTimeout is how long a dial may take, as in the programs.
+const dialTimeout = time.Second
+
+func (n *Network) dial(ctx context.Context, from, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	to, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	l := n.listeners[addr]
+	isCut := n.cut[pairOf(from, to)]
+	n.mu.Unlock()
+	if isCut {
+		// A cut link gives no answer, not even a refusal.
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, ErrRefused
+	}
+	near, far := net.Pipe()
+	dialed := &conn{Conn: near, n: n, host: from, peer: to}
+	accepted := &conn{Conn: far, n: n, host: to, peer: from}
+	select {
+	case l.incoming <- accepted:
+	case <-l.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	n.conns[dialed] = struct{}{}
+	n.conns[accepted] = struct{}{}
+	n.mu.Unlock()
+
+	return dialed, nil
+}
+
+// Cut cuts two hosts off from each other: open connections break, and new
+// ones get no answer.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	n.cut[pairOf(a, b)] = true
+	n.mu.Unlock()
+	n.closeWhere(func(c *conn) bool { return pairOf(c.host, c.peer) == pairOf(a, b) })
+}
+
+// Heal takes a cut back.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, pairOf(a, b))
+}
+
+// Kill closes the listeners and all connections of the host.
+func (n *Network) Kill(host string) {
+	n.mu.Lock()
+	var dead []*listener
+	for addr, l := range n.listeners {
+		if h, _, _ := net.SplitHostPort(addr); h == host {
+			dead = append(dead, l)
+			delete(n.listeners, addr)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range dead {
+		_ = l.Close()
+	}
+	n.closeWhere(func(c *conn) bool { return c.host == host || c.peer == host })
+}
+
+// Freeze stops all traffic of the host until Thaw; connections stay open.
+func (n *Network) Freeze(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen[host] == nil {
+		n.frozen[host] = make(chan struct{})
+	}
+}
+
+// Thaw lets the host's traffic go on.
+func (n *Network) Thaw(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if gate := n.frozen[host]; gate != nil {
+		close(gate)
+		delete(n.frozen, host)
+	}
+}
+
+// Close breaks every connection.
+func (n *Network) Close() {
+	n.closeWhere(func(*conn) bool { return true })
+}
+
+func (n *Network) closeWhere(match func(c *conn) bool) {
+	n.mu.Lock()
+	var list []*conn
+	for c := range n.conns {
+		if match(c) {
+			list = append(list, c)
+			delete(n.conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range list {
+		_ = c.Conn.Close()
+	}
+}
+
+// gate returns what is closed when neither host is frozen any more, or nil.
+func (n *Network) gate(host, peer string) chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g := n.frozen[host]; g != nil {
+		return g
+	}
+
+	return n.frozen[peer]
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net.Conn
+	n    *Network
+	host string
+	peer string
+}
+
+// Write writes unless one of the hosts is frozen; then it waits.
+func (c *conn) Write(p []byte) (int, error) {
+	for gate := c.n.gate(c.host, c.peer); gate != nil; gate = c.n.gate(c.host, c.peer) {
+		<-gate
+	}
+
+	return c.Conn.Write(p)
+}
+
+// Close closes this end.
+func (c *conn) Close() error {
+	c.n.mu.Lock()
+	delete(c.n.conns, c)
+	c.n.mu.Unlock()
+
+	return c.Conn.Close()
+}
+
+// listener hands out the connections that were dialed.
+type listener struct {
+	n        *Network
+	addr     string
+	incoming chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.incoming:
+		return c, nil
+	case <-l.closed:
+		return nil, errClosed
+	}
+}
+
+// Close makes Accept fail.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+
+	return nil
+}
+
+// Addr returns the listener's address.
+func (l *listener) Addr() net.Addr {
+	return addr(l.addr)
+}
+
+type addr string
+
+// Network returns "mem".
+func (a addr) Network() string { return "mem" }
+
+// String returns the address.
+func (a addr) String() string { return string(a) }
--- a/route/router.go
+++ b/route/router.go
@@ -100,13 +100,7 @@
 func (r *Router) Pipeline(svc slatebridge.Service, previous slatebridge.Pipeline, avoid stream.Avoid) (slatebridge.Pipeline, error) {
 	n := need{model: svc.Instance.Model, adapter: svc.Instance.Adapter, layers: svc.Template.Layers}
 	all := r.candidates(n, avoid)
-	near := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Hall != r.hall })
-	why := "own hall"
-	g := newGraph(near, n.layers)
-	if !g.complete() {
-		why = "other halls too"
-		g = newGraph(all, n.layers)
-	}
+	g, why := r.reach(all, n.layers)
 	if !g.complete() {
 		return nil, ErrNoPipeline
 	}
@@ -121,6 +115,38 @@
 	return p, nil
 }
 
+// reach widens the choice until some chain covers every layer: servers of the
+// own hall, servers of all halls, and last those that this box has seen fail
+// a short time ago, since any of them is better than none.
+func (r *Router) reach(all []Candidate, layers int) (g graph, why string) {
+	for _, w := range []struct {
+		why   string
+		takes func(c Candidate) bool
+	}{
+		{"own hall", func(c Candidate) bool { return c.Hall == r.hall && !c.Shunned }},
+		{"other halls too", func(c Candidate) bool { return !c.Shunned }},
+		{"failed a short time ago too", func(Candidate) bool { return true }},
+	} {
+		g = newGraph(filter(all, w.takes), layers)
+		if g.complete() {
+			return g, w.why
+		}
+	}
+
+	return g, ""
+}
+
+func filter(list []Candidate, takes func(c Candidate) bool) []Candidate {
+	var out []Candidate
+	for _, c := range list {
+		if takes(c) {
+			out = append(out, c)
+		}
+	}
+
+	return out
+}
+
 // keep returns a pick that prefers the stages of the previous pipeline.
 func (r *Router) keep(previous slatebridge.Pipeline, avoid stream.Avoid) Pick {
 	return func(list []Candidate) Candidate {
@@ -145,14 +171,15 @@
 			continue
 		}
 		s, ok := r.snapshot.Server(l.Server)
-		if !ok || s.State != slatebridge.Live || r.isShunned(s.ID, now) {
+		if !ok || s.State != slatebridge.Live {
 			continue
 		}
 		list = append(list, Candidate{
-			Stage: slatebridge.Stage{Server: s.ID, URL: s.URL, Layers: l.Layers},
-			Hall:  s.Hall,
-			Speed: s.Speed,
-			Load:  max(0, l.Load+r.open[s.ID]-r.openAtReport[s.ID]),
+			Stage:   slatebridge.Stage{Server: s.ID, URL: s.URL, Layers: l.Layers},
+			Hall:    s.Hall,
+			Speed:   s.Speed,
+			Load:    max(0, l.Load+r.open[s.ID]-r.openAtReport[s.ID]),
+			Shunned: r.isShunned(s.ID, now),
 		})
 	}
 
@@ -171,27 +198,26 @@
 }
 
 // PlainServers returns the servers of a plain service in the order in which
-// they are tried: those of the own hall first, each time from another one.
+// they are tried: those of the own hall first, each time from another one, and
+// those that this box has seen fail a short time ago last.
 func (r *Router) PlainServers(service string) ([]slatebridge.BackendServer, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	var near, far []slatebridge.BackendServer
+	var near, far, failed []slatebridge.BackendServer
 	for _, s := range r.snapshot.Servers {
-		if s.Kind != slatebridge.PlainServer || s.Service != service || s.State != slatebridge.Live {
-			continue
-		}
-		if r.isShunned(s.ID, now) {
-			continue
-		}
-		if s.Hall == r.hall {
+		switch {
+		case s.Kind != slatebridge.PlainServer || s.Service != service || s.State != slatebridge.Live:
+		case r.isShunned(s.ID, now):
+			failed = append(failed, s)
+		case s.Hall == r.hall:
 			near = append(near, s)
-		} else {
+		default:
 			far = append(far, s)
 		}
 	}
 	r.nextPlain++
-	list := append(rotate(near, r.nextPlain), rotate(far, r.nextPlain)...)
+	list := slices.Concat(rotate(near, r.nextPlain), rotate(far, r.nextPlain), rotate(failed, r.nextPlain))
 	if len(list) == 0 {
 		return nil, ErrNoServer
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -18,6 +18,8 @@
 	// Load is the number of streams: the last report, and what this box has
 	// opened and closed since.
 	Load int
+	// Shunned says that this box has seen the server fail a short time ago.
+	Shunned bool
 }
 
 // Cost returns how long a token waits for the candidate, in milliseconds, if
--- a/stream/session.go
+++ b/stream/session.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		s.mayHaveRun = s.mayHaveRun || !errors.Is(err, engine.ErrRefused)
 
-		return &attemptError{cause: watch.explain(err), server: p[0].Server}
+		return openError(watch.explain(err), p)
 	}
 	s.mayHaveRun = true
 	defer frames.Close()
@@ -225,6 +225,16 @@
 	return s.read(frames, watch, started)
 }
 
+// openError blames the first stage for an open that has failed, but not for
+// silence: the first stage may be waiting for any other.
+func openError(err error, p slatebridge.Pipeline) *attemptError {
+	if errors.Is(err, errSilent) {
+		return &attemptError{cause: err}
+	}
+
+	return &attemptError{cause: err, server: p[0].Server}
+}
+
 func (s *session) read(frames *engine.Frames, watch *watchdog, last time.Time) *attemptError {
 	pace := s.runner.first
 	for {
