Prove configuration under faults, and name controllers by box and boot

The fold, the relay and readiness had no check.

Lease records are appended by one worker that ends with the controller (the old goroutine outlived it). The log stand-in returns at most 200 records a read.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -55,6 +55,8 @@
 	polled atomic.Pointer[pollTargets]
 	// folded is the newest configuration state, for peers.
 	folded atomic.Pointer[config.State]
+	// leaseDue holds a lease record that is to be appended.
+	leaseDue chan lease.Record
 	// snapshotDue holds a state that is to be written to the log.
 	snapshotDue chan config.State
 }
@@ -102,6 +104,7 @@
 		board:       newBoard(),
 		relay:       newRelay(),
 		orders:      make(chan []place.Order, 1),
+		leaseDue:    make(chan lease.Record, 1),
 		snapshotDue: make(chan config.State, 1),
 	}
 	WithHTTPClient(http.DefaultClient)(c)
@@ -115,6 +118,11 @@
 	return c
 }
 
+// identity names this boot of this box's controller.
+func (c *Controller) identity() string {
+	return string(c.box) + "/" + c.boot
+}
+
 // Run does the controller's work until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
@@ -131,6 +139,7 @@
 		c.pollServers,
 		c.pollHalls,
 		c.sendOrders,
+		c.appendLeases,
 		c.writeSnapshots,
 		c.tick,
 	} {
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -195,14 +195,25 @@
 	}.Run(ctx)
 }
 
-// appendLease appends a claim or a renewal. Whether it has landed is learned
+// appendLeases appends claims and renewals. Whether one has landed is learned
 // from the stream, so an answer that is lost does no harm.
-func (c *Controller) appendLease(rec lease.Record) {
+func (c *Controller) appendLeases(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case rec := <-c.leaseDue:
+			c.appendLease(ctx, rec)
+		}
+	}
+}
+
+func (c *Controller) appendLease(ctx context.Context, rec lease.Record) {
 	data, err := json.Marshal(rec)
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, _ = c.log.Append(ctx, lease.Stream(c.hall), data)
 }
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -47,7 +47,7 @@
 	s.sequence++
 	s.shown = snap.WithRevision(slatebridge.Revision{
 		Applied:    s.config.Applied(),
-		Controller: s.c.boot,
+		Controller: s.c.identity(),
 		Sequence:   s.sequence,
 	})
 	s.c.board.show(s.shown)
--- a/controller/state.go
+++ b/controller/state.go
@@ -155,7 +155,7 @@
 func (s *state) onTick() {
 	now := time.Now()
 	if rec, due := s.keeper.Due(now); due {
-		go s.c.appendLease(rec)
+		s.offerLease(rec)
 	}
 	hold, leading := s.keeper.Held(now)
 	s.noteLeading(hold, leading)
@@ -166,6 +166,15 @@
 	s.offerSnapshot()
 }
 
+// offerLease hands a claim or a renewal to the appender. While the appender is
+// busy with an older one, the next tick offers another.
+func (s *state) offerLease(rec lease.Record) {
+	select {
+	case s.c.leaseDue <- rec:
+	default:
+	}
+}
+
 func (s *state) noteLeading(hold lease.Hold, leading bool) {
 	if leading {
 		s.c.hold.Store(&hold)
--- /dev/null
+++ b/internal/proof/control.go
@@ -0,0 +1,57 @@
+package proof
+
+// Names of the steps of a configuration change.
+const (
+	StepPublish  = "publish"
+	StepInLog    = "in-log"
+	StepInForce  = "in-force"
+	StepRenewal  = "renewal"
+	StepClaim    = "claim"
+	StepHeld     = "held"
+	StepTakeover = "takeover"
+)
+
+// Names of the faults of control.
+const (
+	FreezeController  = "freeze-controller"
+	RestartController = "restart-controller"
+	CutHallLog        = "cut-hall-from-log"
+	CutHallAll        = "cut-hall-from-all"
+	CutOthersLog      = "cut-others-from-log"
+	DropRecords       = "drop-records"
+	StaleSnapshot     = "stale-snapshot"
+	RacingOperator    = "racing-operator"
+)
+
+// Config returns the matrix of configuration changes, in two halls of two
+// boxes. The fault strikes the first box or its hall.
+func Config() Matrix {
+	return Matrix{
+		Name: "config",
+		Test: "fleet.TestConfigMatrix",
+		Steps: []Step{
+			{StepPublish, "before a change is published"},
+			{StepInLog, "when the change is in the log, and before boxes have read it"},
+			{StepInForce, "when the change is in force on every box"},
+		},
+		Faults: []Fault{
+			{LogDown, "the log is out for 10 s"},
+			{LogSlow, "the log takes 1 s longer for 10 s"},
+			{AnswerLost, "the log's answers to appends are lost for 10 s"},
+			{KillController, "the first box's controller stops for good"},
+			{FreezeController, "the first box's controller is silent for 12 s"},
+			{RestartController, "the first box's controller restarts"},
+			{CutHallLog, "the first hall cannot reach the log for 12 s, but its peers"},
+			{CutHallAll, "the first hall can reach neither the log nor the other hall for 12 s"},
+			{CutOthersLog, "the other hall cannot reach the log for 12 s"},
+			{DropRecords, "the log keeps only its newest record"},
+			{StaleSnapshot, "a paused writer adds an old snapshot of the configuration to the log"},
+			{RacingOperator, "another operator changes the same object"},
+			{RestartController + "+" + LogDown, bothAtOnce},
+			{RestartController + "+" + DropRecords, bothAtOnce},
+			{KillController + "+" + CutHallLog, bothAtOnce},
+			{FreezeController + "+" + AnswerLost, bothAtOnce},
+		},
+		Left: map[Cell]string{},
+	}
+}
--- a/internal/proof/matrix.go
+++ b/internal/proof/matrix.go
@@ -53,7 +53,7 @@
 
 // Matrices returns all parts of the fault matrix.
 func Matrices() []Matrix {
-	return []Matrix{Claim(), Stream()}
+	return []Matrix{Claim(), Stream(), Config()}
 }
 
 // Names of faults that more than one matrix has.
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 // appendBurst is how many appends may come at once.
 const appendBurst = 20
 
+// maxRead is how many records one read returns.
+const maxRead = 200
+
 // Faults says what is wrong with the log at the moment.
 type Faults struct {
 	// Down makes every call fail before it takes effect.
@@ -42,11 +46,15 @@
 	streams map[string]*stream
 	limit   *rate.Limiter
 	appends int
+	// hook is called after an append has taken effect, before its answer.
+	hook func(stream string)
 }
 
 type stream struct {
 	oldest  int64
 	records []platform.Record
+	// all holds the records that are no longer kept too, for tests.
+	all []platform.Record
 	// grown is closed, and replaced, when a record is added.
 	grown chan struct{}
 }
@@ -95,20 +103,51 @@
 	if err := s.limit.Wait(ctx); err != nil {
 		return 0, errors.Mark(err, platform.ErrUnreachable)
 	}
+	offset, lost := s.add(name, data)
+	if lost {
+		return 0, errLost
+	}
+
+	return offset, nil
+}
+
+// add makes an append take effect, and says whether its answer is lost.
+func (s *Service) add(name string, data json.RawMessage) (offset int64, lost bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	hook := s.hook
 	st := s.stream(name)
-	offset := st.next()
-	st.records = append(st.records, platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	offset = st.next()
+	record := platform.Record{Offset: offset, Time: time.Now(), Data: data}
+	st.records = append(st.records, record)
+	st.all = append(st.all, record)
 	st.trim(s.faults.Keep)
 	s.appends++
 	close(st.grown)
 	st.grown = make(chan struct{})
-	if s.faults.LoseAnswers {
-		return 0, errLost
+	s.mu.Unlock()
+	if hook != nil {
+		hook(name)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 
-	return offset, nil
+	return offset, s.faults.LoseAnswers
+}
+
+// OnAppend sets what is called with the stream after an append has taken
+// effect, before its answer; nil calls nothing.
+func (s *Service) OnAppend(hook func(stream string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hook = hook
+}
+
+// All returns every record that the stream has ever had.
+func (s *Service) All(name string) []platform.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.stream(name).all)
 }
 
 // Read returns the records from the offset on and waits for a first one.
@@ -140,7 +179,8 @@
 	b := platform.Batch{Oldest: st.oldest, Next: st.next()}
 	skip := max(from-st.oldest, 0)
 	if skip < int64(len(st.records)) {
-		b.Records = append(b.Records, st.records[skip:]...)
+		end := min(skip+maxRead, int64(len(st.records)))
+		b.Records = append(b.Records, st.records[skip:end]...)
 	}
 
 	return b, st.grown
--- a/snapshot.go
+++ b/snapshot.go
@@ -5,7 +5,8 @@
 	// Applied is the offset up to which the configuration log was folded. It
 	// never falls, whichever controller the snapshot comes from.
 	Applied int64 `json:"applied"`
-	// Controller is the boot ID of the controller that made the snapshot.
+	// Controller names the box and the boot of the controller that made the
+	// snapshot.
 	Controller string `json:"controller"`
 	// Sequence counts the snapshots of that controller since its boot.
 	Sequence int64 `json:"sequence"`
