--- a/internal/proof/control.go
+++ b/internal/proof/control.go
@@ -55,3 +55,30 @@
 		Left: map[Cell]string{},
 	}
 }
+
+// Lease returns the matrix of leases: three boxes of one hall, and a fault
+// that strikes the holder, or the box that is about to be.
+func Lease() Matrix {
+	return Matrix{
+		Name: "lease",
+		Test: "lease.TestFaultMatrix",
+		Steps: []Step{
+			{StepClaim, "a box is about to append its claim"},
+			{StepTakeover, "a box's claim is in the log, and it has not read it"},
+			{StepHeld, "a box has read that it holds the lease"},
+			{StepRenewal, "the holder is about to append a renewal"},
+		},
+		Faults: []Fault{
+			{Kill, "the box stops for good"},
+			{Pause, "the box is paused for 30 s and goes on"},
+			{LogDown, "the log is out for 10 s"},
+			{LogSlow, "the log takes 3 s longer for 10 s"},
+			{AnswerLost, "the log's answers to appends are lost for 10 s"},
+			{Kill + "+" + LogDown, bothAtOnce},
+			{Pause + "+" + LogDown, bothAtOnce},
+			{Pause + "+" + LogSlow, bothAtOnce},
+			{Pause + "+" + AnswerLost, bothAtOnce},
+		},
+		Left: map[Cell]string{},
+	}
+}
--- a/internal/proof/matrix.go
+++ b/internal/proof/matrix.go
@@ -53,7 +53,7 @@
 
 // Matrices returns all parts of the fault matrix.
 func Matrices() []Matrix {
-	return []Matrix{Claim(), Stream(), Config()}
+	return []Matrix{Claim(), Stream(), Config(), Lease()}
 }
 
 // Names of faults that more than one matrix has.
