--- a/stream/session.go
+++ b/stream/session.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// WithoutResume makes an answer end as cut when an attempt fails behind its
+// first token. It is there as the baseline that the measurements compare with.
+func WithoutResume() Option {
+	return func(r *Runner) { r.resume = false }
+}
+
 // Defaults of the retry budget.
 const (
 	defaultRetryShare = 0.2
