--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,10 @@
 	@mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
 
-# demo runs the whole system on this machine and checks every answer.
+# demo runs the whole system on this machine and checks every answer. With
+# KEEP=1 the system then stays until enter is pressed.
 demo: build
-	bash scripts/demo.sh $(BIN)
+	KEEP=$(KEEP) bash scripts/demo.sh $(BIN)
 
 # test runs every test with the race detector.
 test:
--- a/admit/limits.go
+++ b/admit/limits.go
@@ -73,20 +73,21 @@
 }
 
 func (l *Limiter) setAccount(cfg slatebridge.Account, boxes int) {
+	share := cfg.RequestsPerSecond / float64(boxes)
+	// One second's worth may come at once, and never less than one request.
+	burst := max(int(share), 1)
 	a := l.accounts[cfg.Name]
 	if a == nil {
-		a = &account{limit: rate.NewLimiter(0, 0)}
+		// A new limiter starts full, so the first request is not refused.
+		a = &account{limit: rate.NewLimiter(rate.Limit(share), burst)}
 		l.accounts[cfg.Name] = a
 	}
-	if a.config == cfg && a.boxes == boxes {
-		return
-	}
 	a.config = cfg
 	a.boxes = boxes
-	share := cfg.RequestsPerSecond / float64(boxes)
-	a.limit.SetLimit(rate.Limit(share))
-	// One second's worth may come at once, and never less than one request.
-	a.limit.SetBurst(max(int(share), 1))
+	if a.limit.Limit() != rate.Limit(share) || a.limit.Burst() != burst {
+		a.limit.SetLimit(rate.Limit(share))
+		a.limit.SetBurst(burst)
+	}
 }
 
 // concurrency is the box's share of the account's requests in flight.
--- a/cmd/slatebridge/commands.go
+++ b/cmd/slatebridge/commands.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/slatebridge/slatebridge/config"
@@ -25,6 +26,7 @@
 		{"delete", "delete an object", &deleteCommand{base: base{opts: opts}}},
 		{"stop", "announce the stop of a box or a backend server", &stopCommand{base: base{opts: opts}}},
 		{"status", "show what is in force", &statusCommand{base: base{opts: opts}}},
+		{"key", "print a new Idempotency-Key", &keyCommand{}},
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
@@ -186,3 +188,16 @@
 
 	return nil
 }
+
+type keyCommand struct{}
+
+// Execute prints a version 7 UUID, as calls that may not be repeated need.
+func (c *keyCommand) Execute([]string) error {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "key")
+	}
+	fmt.Println(id)
+
+	return nil
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,8 +54,28 @@
 		return nil, slatebridge.Service{}, result.New(result.Malformed, "the body is not JSON")
 	}
 	svc, err := g.service(q, name, slatebridge.PlainService)
+	if err != nil {
+		return nil, svc, err
+	}
+
+	return body, svc, checkKey(q, svc)
+}
+
+// checkKey refuses a call that may not be repeated and has no fitting key.
+func checkKey(q *request, svc slatebridge.Service) error {
+	switch svc.Template.Duplicates {
+	case slatebridge.Repeatable:
+	case slatebridge.CheckedByRouter:
+		if _, err := claim.ParseKeyID(q.key); err != nil {
+			return result.New(result.KeyRequired, "%s %q is not a version 7 UUID", keyHeader, q.key)
+		}
+	case slatebridge.CheckedByService:
+		if q.key == "" {
+			return result.New(result.KeyRequired, "%s is missing", keyHeader)
+		}
+	}
 
-	return body, svc, err
+	return nil
 }
 
 // call makes the call in the way that its service needs.
@@ -64,9 +84,8 @@
 	switch svc.Template.Duplicates {
 	case slatebridge.CheckedByRouter:
 		return g.callClaimed(ctx, q, svc, c)
-	case slatebridge.CheckedByService:
-		return g.callChecked(ctx, c)
 	default:
+		// A service that checks for itself runs a repeated key once.
 		return g.callRepeatable(ctx, c)
 	}
 }
@@ -89,15 +108,6 @@
 	})
 }
 
-// callChecked passes the key to a service that refuses duplicates itself.
-func (g *Gateway) callChecked(ctx context.Context, c engine.Call) (claim.Answer, error) {
-	if c.Key == "" {
-		return claim.Answer{}, result.New(result.KeyRequired, "%s is missing", keyHeader)
-	}
-
-	return g.callRepeatable(ctx, c)
-}
-
 // maxTries is how often a call that may be repeated is sent.
 const maxTries = 3
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,9 @@
 finish() {
   # Only the processes that this script has started are ended.
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    while kill -0 "$pid" 2>/dev/null; do sleep 0.1; done
+  done
   rm -rf "$work"
 }
 trap finish EXIT
@@ -23,6 +25,8 @@
   local name=$1
   shift
   "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  # A process that is killed on purpose is not reported by the shell.
+  disown $!
   pids+=($!)
   last=$!
 }
@@ -161,4 +165,7 @@
 status=0
 wait "$load_pid" || status=$?
 cat "$work/load.out"
+if [ -n "${KEEP:-}" ]; then
+  read -r -p "the system stays until you press enter " || true
+fi
 exit $status
