--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -25,6 +25,7 @@
 	"github.com/slatebridge/slatebridge/internal/standin/plainservice"
 	"github.com/slatebridge/slatebridge/operator"
 	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/route"
 	"github.com/slatebridge/slatebridge/stream"
 )
 
@@ -241,7 +242,7 @@
 		gateway.WithLog(platform.NewLog("http://"+LogHost+":80", client)),
 		gateway.WithHTTPClient(client),
 		gateway.WithDial(f.Net.Dialer(host)),
-		gateway.WithPolicy("two-choices", 1),
+		gateway.WithPolicy(route.DefaultPolicy, 1),
 		gateway.WithStreamOptions(f.size.StreamOptions...),
 		gateway.WithClaimOptions(claim.WithClaimTimeout(2*time.Second)),
 	)
--- a/route/registry.go
+++ b/route/registry.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,11 +14,13 @@
 type Pick func(list []Candidate) Candidate
 
 // DefaultPolicy is the policy that is used when the settings name none.
-const DefaultPolicy = "two-choices"
+const DefaultPolicy = "two-by-speed"
 
 // policies has a constructor for each policy by its name.
 var policies = map[string]func(seed uint64) Pick{
 	"two-choices":    newTwoChoices,
+	"two-by-speed":   newTwoBySpeed,
+	"cheapest":       newCheapest,
 	"random":         newRandom,
 	"round-robin":    newRoundRobin,
 	"least-reported": newLeastReported,
@@ -84,6 +87,51 @@
 	}
 }
 
+// newTwoBySpeed takes the cheaper of two candidates that are drawn in
+// proportion to their speeds, so that a fast one is looked at more often.
+func newTwoBySpeed(seed uint64) Pick {
+	rnd := newLockedRand(seed)
+
+	return func(list []Candidate) Candidate {
+		a := rnd.bySpeed(list)
+		b := rnd.bySpeed(list)
+		if b.Cost() < a.Cost() {
+			return b
+		}
+
+		return a
+	}
+}
+
+// bySpeed draws a candidate in proportion to its speed.
+func (r *lockedRand) bySpeed(list []Candidate) Candidate {
+	sum := 0.0
+	for _, c := range list {
+		sum += c.speed()
+	}
+	r.mu.Lock()
+	at := r.rnd.Float64() * sum
+	r.mu.Unlock()
+	for _, c := range list {
+		at -= c.speed()
+		if at < 0 {
+			return c
+		}
+	}
+
+	return list[len(list)-1]
+}
+
+// newCheapest takes the cheapest of all. Boxes with the same old reports all
+// take the same one.
+func newCheapest(uint64) Pick {
+	return func(list []Candidate) Candidate {
+		return slices.MinFunc(list, func(a, b Candidate) int {
+			return cmp.Compare(a.Cost(), b.Cost())
+		})
+	}
+}
+
 func newRandom(seed uint64) Pick {
 	rnd := newLockedRand(seed)
 
--- a/route/table.go
+++ b/route/table.go
@@ -25,12 +25,16 @@
 // Cost returns how long a token waits for the candidate, in milliseconds, if
 // one more stream is opened on it.
 func (c Candidate) Cost() float64 {
-	speed := c.Speed
-	if speed <= 0 {
-		speed = 1
+	return float64(c.Load+1) * float64(c.Stage.Layers.Len()) / c.speed()
+}
+
+// speed returns the speed, or 1 for a server whose speed is not known.
+func (c Candidate) speed() float64 {
+	if c.Speed <= 0 {
+		return 1
 	}
 
-	return float64(c.Load+1) * float64(c.Stage.Layers.Len()) / speed
+	return c.Speed
 }
 
 // need is what the stages of a pipeline must hold.
