--- a/gateway/call.go
+++ b/gateway/call.go
@@ -27,22 +27,15 @@
 
 		return
 	}
-	release, err := g.limiter.Admit(q.account)
-	if err != nil {
-		g.refuse(q, err)
+	g.admitted(q, svc, func(ctx context.Context) {
+		answer, err := g.call(ctx, q, svc, body)
+		if err != nil {
+			g.refuse(q, err)
 
-		return
-	}
-	defer release()
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(svc.Template.Timeout))
-	defer cancel()
-	answer, err := g.call(ctx, q, svc, body)
-	if err != nil {
-		g.refuse(q, err)
-
-		return
-	}
-	g.reply(q, answer)
+			return
+		}
+		g.reply(q, answer)
+	})
 }
 
 func (g *Gateway) readCall(q *request, name string) ([]byte, slatebridge.Service, error) {
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
@@ -90,21 +89,14 @@
 
 		return
 	}
-	release, err := g.limiter.Admit(q.account)
-	if err != nil {
-		g.refuse(q, err)
-
-		return
-	}
-	defer release()
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(svc.Template.Timeout))
-	defer cancel()
-	if chat.Stream {
-		g.streamChat(ctx, q, chat, svc)
+	g.admitted(q, svc, func(ctx context.Context) {
+		if chat.Stream {
+			g.streamChat(ctx, q, chat, svc)
 
-		return
-	}
-	g.wholeChat(ctx, q, chat, svc)
+			return
+		}
+		g.wholeChat(ctx, q, chat, svc)
+	})
 }
 
 func (g *Gateway) readChat(q *request) (ChatRequest, slatebridge.Service, error) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -118,6 +119,21 @@
 	return svc, nil
 }
 
+// admitted calls handle within the service's timeout if the request is
+// admitted, and refuses it if not.
+func (g *Gateway) admitted(q *request, svc slatebridge.Service, handle func(ctx context.Context)) {
+	release, err := g.limiter.Admit(q.account)
+	if err != nil {
+		g.refuse(q, err)
+
+		return
+	}
+	defer release()
+	ctx, cancel := context.WithTimeout(q.r.Context(), time.Duration(svc.Template.Timeout))
+	defer cancel()
+	handle(ctx)
+}
+
 // readBody reads the body of a request, up to the limit of bytes.
 func readBody(q *request, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
