Draw pairs of faults by a fixed seed, and hold the glossary to the code

Change: each matrix draws further pairs from its single faults (20 claims, 16 streams, 12 changes, 12 leases); docs/MATRIX.md lists them. A test finds each term of the glossary in the code (it failed for 'duplicate window' first, which the code now uses).

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -72,7 +72,8 @@
 // Option changes one setting of a Claimer.
 type Option func(c *Claimer)
 
-// WithWindow sets for how long a key is known. An older key is refused.
+// WithWindow sets the duplicate window: for how long a key is known. An older
+// key is refused.
 func WithWindow(d time.Duration) Option {
 	return func(c *Claimer) { c.window = d }
 }
--- a/internal/docs/docs.go
+++ b/internal/docs/docs.go
@@ -80,6 +80,11 @@
 	for _, f := range m.Faults {
 		fmt.Fprintf(b, "- *%s*: %s\n", f.Name, f.Text)
 	}
+	b.WriteString("- pairs drawn by a fixed seed:")
+	for _, c := range m.DrawnPairs() {
+		fmt.Fprintf(b, " `%s`", c)
+	}
+	b.WriteString("\n")
 	for _, s := range m.Steps {
 		for _, f := range m.Faults {
 			c := proof.Cell{Step: s.Name, Fault: f.Name}
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -82,3 +83,50 @@
 		t.Errorf("KNOWN-RED.txt has %d lines; three at most", len(lines))
 	}
 }
+
+// TestGlossaryTermsAreUsed holds each term of the glossary to the code.
+func TestGlossaryTermsAreUsed(t *testing.T) {
+	page, err := os.ReadFile("../../docs/GLOSSARY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	code := readCode(t, "../..")
+	terms := 0
+	for line := range strings.SplitSeq(string(page), "\n") {
+		cells := strings.Split(line, "|")
+		if len(cells) != 4 || strings.Contains(cells[1], "---") || strings.TrimSpace(cells[1]) == "term" {
+			continue
+		}
+		terms++
+		term := strings.NewReplacer("(data) ", "", "-", " ").Replace(strings.TrimSpace(cells[1]))
+		if !strings.Contains(code, strings.ToLower(term)) {
+			t.Errorf("the code does not use the term %q", term)
+		}
+	}
+	if terms == 0 {
+		t.Error("the page has no terms")
+	}
+}
+
+// readCode returns all Go code below the folder in lower case, with hyphens
+// and the marks of wrapped comments as spaces.
+func readCode(t *testing.T, dir string) string {
+	t.Helper()
+	var all strings.Builder
+	err := filepath.WalkDir(dir, func(path string, _ os.DirEntry, err error) error {
+		if err != nil || filepath.Ext(path) != ".go" {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		all.Write(data)
+
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.ToLower(all.String())
+	text = strings.NewReplacer("-", " ", "//", " ", "\n", " ", "\t", " ").Replace(text)
+
+	return strings.Join(strings.Fields(text), " ")
+}
--- a/internal/proof/control.go
+++ b/internal/proof/control.go
@@ -52,7 +52,8 @@
 			{KillController + "+" + CutHallLog, bothAtOnce},
 			{FreezeController + "+" + AnswerLost, bothAtOnce},
 		},
-		Left: map[Cell]string{},
+		Left:  map[Cell]string{},
+		Pairs: 12,
 	}
 }
 
@@ -79,6 +80,7 @@
 			{Pause + "+" + LogSlow, bothAtOnce},
 			{Pause + "+" + AnswerLost, bothAtOnce},
 		},
-		Left: map[Cell]string{},
+		Left:  map[Cell]string{},
+		Pairs: 12,
 	}
 }
--- a/internal/proof/matrix.go
+++ b/internal/proof/matrix.go
@@ -2,6 +2,12 @@
 // every fault. One table drives the generated subtests and docs/PROOF.md.
 package proof
 
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
 // Matrix is one duty's part of the fault matrix.
 type Matrix struct {
 	// Name is the duty, and Test the test that runs the cells.
@@ -11,6 +17,8 @@
 	Faults []Fault
 	// Left names the cells that are not proved, with the reason.
 	Left map[Cell]string
+	// Pairs is how many pairs of faults are drawn beside those in Faults.
+	Pairs int
 }
 
 // Step is a step at which a fault may strike.
@@ -36,9 +44,48 @@
 	return c.Step + "/" + c.Fault
 }
 
+// pairSeed is the seed of the drawn pairs.
+const pairSeed = 20261202
+
+// DrawnPairs returns cells with two faults at once, drawn by a fixed seed from
+// the faults that stand alone.
+func (m Matrix) DrawnPairs() []Cell {
+	var single []string
+	for _, f := range m.Faults {
+		if !strings.Contains(f.Name, "+") {
+			single = append(single, f.Name)
+		}
+	}
+	rnd := rand.New(rand.NewPCG(pairSeed, uint64(len(m.Name))))
+	var list []Cell
+	for len(list) < m.Pairs {
+		two := rnd.Perm(len(single))[:2]
+		c := Cell{
+			Step:  m.Steps[rnd.IntN(len(m.Steps))].Name,
+			Fault: single[min(two[0], two[1])] + "+" + single[max(two[0], two[1])],
+		}
+		if !slices.Contains(list, c) && !m.lists(c.Fault) {
+			list = append(list, c)
+		}
+	}
+
+	return list
+}
+
+// lists reports whether the fault is one of the matrix's columns.
+func (m Matrix) lists(fault string) bool {
+	for _, f := range m.Faults {
+		if f.Name == fault {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Cells returns the cells that the matrix's test runs.
 func (m Matrix) Cells() []Cell {
-	var list []Cell
+	list := m.DrawnPairs()
 	for _, s := range m.Steps {
 		for _, f := range m.Faults {
 			c := Cell{Step: s.Name, Fault: f.Name}
@@ -104,6 +151,7 @@
 			{Pause + "+" + PeerCut, bothAtOnce},
 			{AnswerLost + "+" + PeerCut, bothAtOnce},
 		},
-		Left: map[Cell]string{},
+		Left:  map[Cell]string{},
+		Pairs: 20,
 	}
 }
--- a/internal/proof/stream.go
+++ b/internal/proof/stream.go
@@ -59,6 +59,7 @@
 			{KillTail + "+" + KillController, bothAtOnce},
 			{FreezeTail + "+" + LogDown, bothAtOnce},
 		},
-		Left: map[Cell]string{},
+		Left:  map[Cell]string{},
+		Pairs: 16,
 	}
 }
