--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -331,7 +331,7 @@
 	c.healthy = false
 	c.mu.Unlock()
 	if changed {
-		event.Log(c.logger, event.LogUnreachable, zap.String("stream", Stream), zap.Error(err))
+		event.Log(c.logger, event.LogUnreachable, zap.String("stream", Stream), event.Error(err))
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -164,7 +164,7 @@
 	go func() {
 		err := srv.Serve(ln)
 		if !errors.Is(err, http.ErrServerClosed) {
-			event.Log(s.logger, event.ListenerFailed, zap.String("listener", l.Name), zap.Error(err))
+			event.Log(s.logger, event.ListenerFailed, zap.String("listener", l.Name), event.Error(err))
 		}
 	}()
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(cfg.Drain.Timeout))
 	defer cancel()
 	err := g.Drain(ctx)
-	event.Log(logger, event.Stopped, zap.Error(err))
+	event.Log(logger, event.Stopped, event.Error(err))
 }
 
 func newGateway(cfg settings.Gateway, logger *zap.Logger, reg *prometheus.Registry) (*gateway.Gateway, error) {
--- a/event/event.go
+++ b/event/event.go
@@ -83,6 +83,16 @@
 	ce.Write(append([]zap.Field{zap.Int("event", int(id))}, fields...)...)
 }
 
+// Error returns the field for an error: its message alone, so that a line for
+// a routing decision stays a line. zap.Error would add a stack trace.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+
+	return zap.String("error", err.Error())
+}
+
 func mustLoad() []Entry {
 	var file struct {
 		Event []Entry `toml:"event"`
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/event"
@@ -30,7 +29,7 @@
 			continue
 		}
 		if reachable && ctx.Err() == nil {
-			event.Log(g.logger, event.ControllerUnreachable, zap.Error(err))
+			event.Log(g.logger, event.ControllerUnreachable, event.Error(err))
 		}
 		reachable = false
 		select {
--- a/place/order.go
+++ b/place/order.go
@@ -90,7 +90,7 @@
 		Adapters: o.Assignment.Adapters,
 	})
 	if err != nil {
-		event.Log(s.Logger, event.OrderFailed, append(orderFields(o), zap.Error(err))...)
+		event.Log(s.Logger, event.OrderFailed, append(orderFields(o), event.Error(err))...)
 	}
 
 	return err == nil
--- a/stream/session.go
+++ b/stream/session.go
@@ -268,7 +268,7 @@
 		return false, &attemptError{cause: errors.Newf("engine: %s", f.Failure), server: f.FailedServer}
 	}
 	if err := s.check(f); err != nil && s.runner.verify {
-		event.Log(s.runner.logger, event.FrameRefused, zap.String("stream", s.req.Open.Stream), zap.Error(err))
+		event.Log(s.runner.logger, event.FrameRefused, zap.String("stream", s.req.Open.Stream), event.Error(err))
 
 		return false, &attemptError{cause: err}
 	}
@@ -305,7 +305,7 @@
 		zap.Int("tokens", len(s.delivered)),
 		zap.Stringer("pipeline", p),
 		zap.String("server", string(failure.server)),
-		zap.Error(failure.cause))
+		event.Error(failure.cause))
 	if failure.caller {
 		return
 	}
