--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -212,6 +213,7 @@
 			missing = append(missing, id)
 		}
 	}
+	slices.Sort(missing)
 
 	return n, missing
 }
