--- a/stream/session.go
+++ b/stream/session.go
@@ -49,7 +49,6 @@
 	gap     *Pace
 	budget  *Budget
 	resume  bool
-	verify  bool
 	// Lost is called with each server that an attempt has failed on.
 	lost func(id slatebridge.ServerID, err error)
 }
@@ -97,7 +96,6 @@
 		gap:     &Pace{Initial: gapInitial, Floor: gapFloor, Ceiling: gapCeiling},
 		budget:  NewBudget(defaultRetryShare, defaultRetryLimit),
 		resume:  true,
-		verify:  true,
 		lost:    func(slatebridge.ServerID, error) {},
 	}
 	for _, opt := range opts {
@@ -267,7 +265,7 @@
 	if f.Failure != "" {
 		return false, &attemptError{cause: errors.Newf("engine: %s", f.Failure), server: f.FailedServer}
 	}
-	if err := s.check(f); err != nil && s.runner.verify {
+	if err := s.check(f); err != nil {
 		event.Log(s.runner.logger, event.FrameRefused, zap.String("stream", s.req.Open.Stream), event.Error(err))
 
 		return false, &attemptError{cause: err}
