--- /dev/null
+++ b/box/box.go
@@ -0,0 +1,194 @@
+// Package box runs one entry box as one program: it follows the store, tells
+// the other boxes what it does, takes its turn in giving orders to backend
+// servers, and serves callers.
+//
+// All control state belongs to one actor. Requests read an immutable State and
+// the fleet, and never wait for the actor.
+package box
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/exp/zapslog"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/follow"
+	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/logstore"
+	"github.com/slatebridge/slatebridge/mesh"
+)
+
+// Platform is what a box needs of the platform. An adapter fills it in.
+type Platform struct {
+	Config   logstore.Keyed
+	Servers  logstore.Keyed
+	Election logstore.Guarded
+	// DecodeConfig returns the configuration among the entries, and its bytes;
+	// nil if there is none.
+	DecodeConfig func(entries []logstore.Entry) (*catalog.Catalog, []byte, error)
+	// EncodeConfig returns an entry that DecodeConfig understands.
+	EncodeConfig func(raw []byte) logstore.Entry
+	DecodeServer func(e logstore.Entry) (catalog.Server, error)
+	Wire         forward.Wire
+	Calls        forward.ServerCalls
+	// Load orders a server to hold the layers. It fails with place.ErrFenced
+	// if the server has seen a newer token.
+	Load func(ctx context.Context, s catalog.Server, layers slatebridge.LayerRange, token int64) error
+}
+
+// Box is one entry box.
+type Box struct {
+	settings Settings
+	platform Platform
+	logger   *zap.Logger
+	client   *http.Client
+	boot     string
+	started  time.Time
+
+	fleet   *fleet.Fleet
+	handler *forward.Handler
+	metrics *metrics
+
+	system *actor.ActorSystem
+	pid    *actor.PID
+	socket *mesh.Socket
+
+	state atomic.Pointer[forward.State]
+	help  atomic.Pointer[mesh.Help]
+	ready atomic.Bool
+	// status is what operators see.
+	status atomic.Pointer[Status]
+}
+
+// proofMargin is the part of the bound on revocations that the proof of the
+// configuration may use. The rest is for the way of a request to its server.
+const proofMargin = 0.9
+
+// New returns a Box. Requests to servers go through client.
+func New(s Settings, p Platform, client *http.Client, logger *zap.Logger, reg prometheus.Registerer) *Box {
+	b := &Box{
+		settings: s, platform: p, logger: logger, client: client,
+		boot: uuid.NewString(), started: time.Now(),
+		fleet: fleet.New(s.Hall), metrics: newMetrics(reg),
+	}
+	b.state.Store(&forward.State{Boxes: 1})
+	b.help.Store(&mesh.Help{})
+	b.status.Store(&Status{})
+	b.handler = forward.New(forward.Config{
+		Wire: p.Wire, Fleet: b.fleet, Client: client, Servers: p.Calls,
+		State: func() forward.State { return *b.state.Load() },
+		Bounds: forward.Bounds{
+			Proof:      time.Duration(proofMargin * float64(s.Bounds.Revocation)),
+			RetryShare: s.Bounds.RetryShare, RetryExtra: s.Bounds.RetryExtra, RetryWindow: s.Bounds.RetryWindow,
+		},
+		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
+	})
+
+	return b
+}
+
+// Handler serves callers.
+func (b *Box) Handler() *forward.Handler { return b.handler }
+
+// HelpHandler serves other boxes that cannot reach the store.
+func (b *Box) HelpHandler() http.Handler {
+	return mesh.HelpHandler(func() mesh.Help { return *b.help.Load() })
+}
+
+// Ready reports whether the box can serve callers.
+func (b *Box) Ready() bool { return b.ready.Load() }
+
+// Status returns what operators see of the box.
+func (b *Box) Status() Status { return *b.status.Load() }
+
+// Run runs the box until ctx ends. The socket is closed at the end.
+func (b *Box) Run(ctx context.Context, socket *mesh.Socket) {
+	b.socket = socket
+	b.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(zapslog.NewHandler(b.logger.Core()))
+	}))
+	c := newControl(b, ctx)
+	b.pid = b.system.Root.Spawn(actor.PropsFromFunc(c.receive))
+	go socket.Receive(
+		func(m mesh.Message) { b.tell(&heard{message: m, at: time.Now()}) },
+		func(err error) { b.metrics.meshError(err) },
+	)
+	go b.followConfig().Run(ctx)
+	go b.followServers().Run(ctx)
+	go b.handler.Watch(ctx)
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = b.system.Root.StopFuture(b.pid).Wait()
+			b.system.Shutdown()
+			_ = socket.Close()
+
+			return
+		case <-ticks.C:
+			b.tell(&tick{})
+		}
+	}
+}
+
+// StopSoon makes the box tell the platform and the other boxes that it leaves.
+func (b *Box) StopSoon() {
+	b.ready.Store(false)
+	b.handler.StopSoon()
+	b.tell(&stopping{})
+}
+
+// tell sends a message to the control actor.
+func (b *Box) tell(m any) {
+	b.system.Root.Send(b.pid, m)
+}
+
+func (b *Box) followConfig() *follow.Follower {
+	take := func(entries []logstore.Entry, _ bool) {
+		c, raw, err := b.platform.DecodeConfig(entries)
+		if err != nil {
+			b.tell(&storeFailed{topic: topicConfig, err: err})
+		}
+		if c != nil {
+			b.tell(&configFound{catalog: c, raw: raw, from: "store"})
+		}
+	}
+
+	return &follow.Follower{
+		Topic: b.platform.Config, OnNewest: take, OnChanges: take,
+		OnCurrent: func(at time.Time) { b.tell(&configCurrent{at: at}); b.tell(&storeAnswered{topicConfig}) },
+		OnError:   func(err error) { b.tell(&storeFailed{topic: topicConfig, err: err}) },
+	}
+}
+
+func (b *Box) followServers() *follow.Follower {
+	take := func(whole bool) func([]logstore.Entry, bool) {
+		return func(entries []logstore.Entry, afterOutage bool) {
+			b.tell(&serversFound{entries: entries, whole: whole, afterOutage: afterOutage})
+		}
+	}
+
+	return &follow.Follower{
+		Topic: b.platform.Servers, OnNewest: take(true), OnChanges: take(false),
+		OnCurrent: func(at time.Time) { b.tell(&serversCurrent{at: at}); b.tell(&storeAnswered{topicServers}) },
+		OnError:   func(err error) { b.tell(&storeFailed{topic: topicServers, err: err}) },
+	}
+}
+
+// Names of what the box follows, for logs and metrics.
+const (
+	topicConfig  = "configuration"
+	topicServers = "servers"
+)
--- /dev/null
+++ b/box/control.go
@@ -0,0 +1,255 @@
+package box
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/elect"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/logstore"
+	"github.com/slatebridge/slatebridge/mesh"
+)
+
+const (
+	// tickEvery is the pause between two rounds of control work, and between
+	// two messages to the boxes of the same hall.
+	tickEvery = 250 * time.Millisecond
+	// returnTime is how long a server whose entry lapsed while the store was
+	// away has to come back; the platform's servers need two seconds.
+	returnTime = 2 * time.Second
+)
+
+// control is the state of the control actor. Only the actor uses it.
+type control struct {
+	box *Box
+	ctx context.Context
+
+	catalog *catalog.Catalog
+	raw     []byte
+	current time.Time
+	// entries are the entries of the servers as the store has them.
+	entries   map[string][]byte
+	digest    uint64
+	serversAt time.Time
+	// newServer is when the last new server appeared.
+	newServer time.Time
+	// storeDown says, by topic, that the last call failed.
+	storeDown map[string]bool
+
+	peers   map[slatebridge.BoxID]*otherBox
+	helping bool
+	round   int
+	leaving bool
+	// wasComplete says that at some time every model had all its layers.
+	wasComplete bool
+
+	term     elect.Term
+	standing bool
+	// absent is since when the box that gives orders is not heard.
+	absent time.Time
+	// pending are the orders that servers have not yet shown to be done.
+	pending  map[slatebridge.ServerID]pendingOrder
+	ordering bool
+	// lacking is since when some hall lacks layers.
+	lacking time.Time
+}
+
+func newControl(b *Box, ctx context.Context) *control {
+	return &control{
+		box: b, ctx: ctx,
+		entries:   make(map[string][]byte),
+		storeDown: make(map[string]bool),
+		peers:     make(map[slatebridge.BoxID]*otherBox),
+		pending:   make(map[slatebridge.ServerID]pendingOrder),
+		absent:    time.Now(),
+	}
+}
+
+// receive handles one message.
+func (c *control) receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *tick:
+		c.tick()
+	case *configFound:
+		c.onConfig(m)
+	case *configCurrent:
+		c.onCurrent(m.at)
+	case *serversFound:
+		c.onServers(m)
+	case *serversCurrent:
+		c.serversAt = later(c.serversAt, m.at)
+	case *storeFailed:
+		c.onStoreFailed(m)
+	case *storeAnswered:
+		c.onStoreAnswered(m)
+	case *heard:
+		c.onHeard(m)
+	case *helped:
+		c.onHelped(m)
+	case *stood:
+		c.onStood(m)
+	case *verified:
+		c.onVerified(m)
+	case *ordered:
+		c.onOrdered(m)
+	case *stopping:
+		c.leaving = true
+		c.gossip(true)
+	}
+}
+
+func (c *control) tick() {
+	now := time.Now()
+	for _, id := range c.box.fleet.Expire() {
+		event.Log(c.box.logger, event.ServerRemoved, zap.String("server", string(id)), zap.String("why", "its entry did not come back"))
+	}
+	c.expirePeers(now)
+	c.gossip(false)
+	c.askForHelp(now)
+	c.elect(now)
+	c.place(now)
+	c.publish()
+	c.judgeReady(now)
+}
+
+func (c *control) onConfig(m *configFound) {
+	if c.catalog != nil && m.catalog.Version <= c.catalog.Version {
+		if m.catalog.Version < c.catalog.Version {
+			event.Log(c.box.logger, event.CatalogRefused, zap.Int64("version", m.catalog.Version),
+				zap.Int64("have", c.catalog.Version), zap.String("from", m.from))
+		}
+
+		return
+	}
+	c.catalog, c.raw = m.catalog, m.raw
+	c.box.fleet.SetCatalog(m.catalog)
+	c.box.metrics.configVersion(m.catalog.Version)
+	event.Log(c.box.logger, event.CatalogTaken, zap.Int64("version", m.catalog.Version), zap.String("from", m.from))
+	c.publish()
+	c.publishHelp()
+}
+
+// onCurrent takes up a proof that the configuration was the newest at a time.
+func (c *control) onCurrent(at time.Time) {
+	if c.catalog == nil || !at.After(c.current) {
+		return
+	}
+	c.current = at
+	c.publish()
+}
+
+// publish makes the state known to requests.
+func (c *control) publish() {
+	c.box.state.Store(&forward.State{Catalog: c.catalog, Current: c.current, Boxes: c.boxesForBudget()})
+}
+
+func (c *control) publishHelp() {
+	h := mesh.Help{Config: c.raw, Servers: make(map[string][]byte, len(c.entries))}
+	for k, v := range c.entries {
+		h.Servers[k] = v
+	}
+	c.box.help.Store(&h)
+}
+
+func (c *control) onServers(m *serversFound) {
+	seen := make(map[string]bool, len(m.entries))
+	for _, e := range m.entries {
+		seen[e.Key] = !e.Removed()
+		if e.Removed() {
+			c.removeServer(e.Key, m.afterOutage)
+		} else {
+			c.setServer(e)
+		}
+	}
+	if m.whole {
+		for key := range c.entries {
+			if !seen[key] {
+				c.removeServer(key, m.afterOutage)
+			}
+		}
+	}
+	c.digest = digest(c.entries)
+	c.publishHelp()
+}
+
+func (c *control) setServer(e logstore.Entry) {
+	if string(c.entries[e.Key]) == string(e.Value) {
+		return
+	}
+	s, err := c.box.platform.DecodeServer(e)
+	if err != nil {
+		c.onStoreFailed(&storeFailed{topic: topicServers, err: err})
+
+		return
+	}
+	if _, known := c.entries[e.Key]; !known {
+		c.newServer = time.Now()
+	}
+	c.entries[e.Key] = e.Value
+	c.box.fleet.Set(s)
+	if p, ok := c.pending[s.ID]; ok && p.layers == s.Layers {
+		delete(c.pending, s.ID)
+	}
+	event.Log(c.box.logger, event.ServerChanged, zap.String("server", string(s.ID)), zap.String("service", s.Service),
+		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset))
+}
+
+// removeServer drops a server. Entries also lapse while the store is away, so
+// after an outage a server has some time to come back.
+func (c *control) removeServer(key string, afterOutage bool) {
+	if _, known := c.entries[key]; !known {
+		return
+	}
+	delete(c.entries, key)
+	at := time.Now()
+	if afterOutage {
+		at = at.Add(returnTime)
+	}
+	c.box.fleet.Remove(slatebridge.ServerID(key), at)
+	event.Log(c.box.logger, event.ServerRemoved, zap.String("server", key), zap.Bool("after_outage", afterOutage))
+}
+
+func (c *control) onStoreFailed(m *storeFailed) {
+	c.box.metrics.storeCall(m.topic, m.err)
+	if !c.storeDown[m.topic] {
+		event.Log(c.box.logger, event.StoreLost, zap.String("topic", m.topic), event.Error(m.err))
+	}
+	c.storeDown[m.topic] = true
+}
+
+func (c *control) onStoreAnswered(m *storeAnswered) {
+	c.box.metrics.storeCall(m.topic, nil)
+	if c.storeDown[m.topic] {
+		event.Log(c.box.logger, event.StoreRegained, zap.String("topic", m.topic))
+	}
+	c.storeDown[m.topic] = false
+}
+
+// digest returns a number that tells two sets of entries apart.
+func digest(entries map[string][]byte) uint64 {
+	var sum uint64
+	for k, v := range entries {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(k))
+		_, _ = h.Write(v)
+		// Addition makes the order of the map irrelevant.
+		sum += h.Sum64()
+	}
+
+	return sum
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
--- /dev/null
+++ b/box/messages.go
@@ -0,0 +1,71 @@
+package box
+
+import (
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/elect"
+	"github.com/slatebridge/slatebridge/logstore"
+	"github.com/slatebridge/slatebridge/mesh"
+)
+
+// Messages of the control actor.
+type (
+	// tick comes at regular times.
+	tick struct{}
+	// configFound carries a configuration from the store or another box.
+	configFound struct {
+		catalog *catalog.Catalog
+		raw     []byte
+		from    string
+	}
+	// configCurrent says that everything in the store at the time is known.
+	configCurrent struct{ at time.Time }
+	// serversFound carries entries of servers. whole says that there are no
+	// others.
+	serversFound struct {
+		entries     []logstore.Entry
+		whole       bool
+		afterOutage bool
+	}
+	// serversCurrent is configCurrent for the entries of servers.
+	serversCurrent struct{ at time.Time }
+	// storeFailed reports a call to the store that failed.
+	storeFailed struct {
+		topic string
+		err   error
+	}
+	// storeAnswered reports the time of an answer.
+	storeAnswered struct{ topic string }
+	// heard carries a message of another box.
+	heard struct {
+		message mesh.Message
+		at      time.Time
+	}
+	// helped carries another box's state, or the error of asking for it.
+	helped struct {
+		from slatebridge.BoxID
+		help mesh.Help
+		err  error
+	}
+	// stood reports the end of an election.
+	stood struct {
+		term elect.Term
+		err  error
+	}
+	// ordered reports the end of an order.
+	ordered struct {
+		server slatebridge.ServerID
+		layers slatebridge.LayerRange
+		err    error
+	}
+	// verified reports whether this box's term still stands, before orders.
+	verified struct {
+		term   elect.Term
+		err    error
+		orders []order
+	}
+	// stopping says that the box has been told to stop.
+	stopping struct{}
+)
--- /dev/null
+++ b/box/metrics.go
@@ -0,0 +1,88 @@
+package box
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/slatebridge/slatebridge/logstore"
+)
+
+// metrics are the figures of the control side.
+type metrics struct {
+	version  prometheus.Gauge
+	age      prometheus.Gauge
+	servers  prometheus.Gauge
+	suspects prometheus.Gauge
+	boxes    prometheus.Gauge
+	token    prometheus.Gauge
+	ready    prometheus.Gauge
+	inFlight prometheus.Gauge
+	store    *prometheus.CounterVec
+	mesh     prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Name: "slatebridge_" + name, Help: help})
+		reg.MustRegister(g)
+
+		return g
+	}
+	m := &metrics{
+		version:  gauge("config_version", "Version of the configuration in force."),
+		age:      gauge("config_age_seconds", "Time since the configuration was last proved current."),
+		servers:  gauge("servers", "Backend servers that are listed."),
+		suspects: gauge("servers_suspected", "Backend servers that are taken as dead."),
+		boxes:    gauge("boxes", "Boxes that are heard, with this one."),
+		token:    gauge("election_token", "Fencing token of the newest election known."),
+		ready:    gauge("ready", "1 if the box takes callers."),
+		inFlight: gauge("requests_in_flight", "Requests that are being served."),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_store_calls_total", Help: "Calls to the platform's store, by topic and result.",
+		}, []string{"topic", "result"}),
+		mesh: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "slatebridge_mesh_errors_total", Help: "Messages between boxes that could not be sent or read.",
+		}),
+	}
+	reg.MustRegister(m.store, m.mesh)
+
+	return m
+}
+
+func (m *metrics) configVersion(v int64) { m.version.Set(float64(v)) }
+
+func (m *metrics) meshError(error) { m.mesh.Inc() }
+
+func (m *metrics) storeCall(topic string, err error) {
+	m.store.WithLabelValues(topic, storeResult(err)).Inc()
+}
+
+func storeResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, logstore.ErrUnreachable):
+		return "no answer"
+	case errors.Is(err, logstore.ErrNotDone):
+		return "refused"
+	case errors.Is(err, logstore.ErrGone):
+		return "gone"
+	case errors.Is(err, logstore.ErrConflict):
+		return "conflict"
+	default:
+		return "error"
+	}
+}
+
+func (m *metrics) status(s Status) {
+	m.age.Set(s.ConfigAge.Seconds())
+	m.servers.Set(float64(s.Servers))
+	m.suspects.Set(float64(len(s.Suspects)))
+	m.boxes.Set(float64(s.Boxes))
+	m.token.Set(float64(s.Token))
+	m.inFlight.Set(float64(s.InFlight))
+	m.ready.Set(0)
+	if s.Ready {
+		m.ready.Set(1)
+	}
+}
--- /dev/null
+++ b/box/orders.go
@@ -0,0 +1,254 @@
+package box
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/elect"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/place"
+)
+
+const (
+	// electTime bounds the calls of one election.
+	electTime = 2 * time.Second
+	// settleTime is how long no new server must have appeared before layers
+	// are assigned: servers of a start appear within three seconds, and a plan
+	// over all of them is better than one for each.
+	settleTime = time.Second
+	// lackTime is how long a hall lacks layers before a server that holds
+	// other layers is moved there. A restarted server or one that is still
+	// loading may fill the gap before.
+	lackTime = 2 * time.Second
+	// orderTime bounds one order.
+	orderTime = time.Second
+	// orderAgain is when an order that was not seen to be done is given again.
+	// Loading takes up to 14 s times the share of the layers, and longer when
+	// many load.
+	orderAgain = 8 * time.Second
+)
+
+// order is what one server shall hold.
+type order struct {
+	server catalog.Server
+	layers slatebridge.LayerRange
+}
+
+// pendingOrder is an order that the server has not yet shown to be done.
+type pendingOrder struct {
+	layers slatebridge.LayerRange
+	until  time.Time
+}
+
+// adopt takes up a newer term.
+func (c *control) adopt(t elect.Term) {
+	if !t.Newer(c.term) {
+		return
+	}
+	if c.elected() {
+		event.Log(c.box.logger, event.ElectionLost, zap.Int64("token", c.term.Token), zap.Int64("newer", t.Token), zap.String("to", string(t.Box)))
+	}
+	c.term = t
+	c.absent = time.Now()
+	if c.elected() {
+		event.Log(c.box.logger, event.ElectionWon, zap.Int64("token", t.Token))
+		clear(c.pending)
+	}
+}
+
+// elected reports whether this box gives the orders.
+func (c *control) elected() bool {
+	return c.term.Token > 0 && c.term.Box == c.box.settings.Box && c.term.Boot == c.box.boot
+}
+
+// holderPresent reports whether the box that gives orders is heard and goes on.
+func (c *control) holderPresent() bool {
+	if c.elected() {
+		return true
+	}
+	o, ok := c.peers[c.term.Box]
+
+	return ok && o.live() && o.boot == c.term.Boot && !o.last.Leaving && o.last.Ready
+}
+
+// ready reports whether this box could give orders.
+func (c *control) ready() bool {
+	return c.catalog != nil && len(c.entries) > 0 && !c.leaving && !c.storeDown[topicServers]
+}
+
+// elect stands for election when nobody gives orders.
+func (c *control) elect(now time.Time) {
+	if c.holderPresent() {
+		c.absent = now
+
+		return
+	}
+	if c.standing || !c.ready() || now.Sub(c.absent) < elect.Delay(c.rank()) {
+		return
+	}
+	c.standing = true
+	known := c.term
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, electTime)
+		defer cancel()
+		t, err := elect.Stand(ctx, c.box.platform.Election, known, c.box.settings.Box, c.box.boot)
+		c.box.tell(&stood{term: t, err: err})
+	}()
+}
+
+// rank returns how many live boxes come before this one.
+func (c *control) rank() int {
+	n := 0
+	for id, o := range c.peers {
+		if o.live() && o.last.Ready && id < c.box.settings.Box {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (c *control) onStood(m *stood) {
+	c.standing = false
+	if m.err != nil {
+		c.box.metrics.storeCall("election", m.err)
+	}
+	c.absent = time.Now()
+	c.adopt(m.term)
+}
+
+// place gives orders if this box is elected and something is to be done.
+func (c *control) place(now time.Time) {
+	if !c.elected() || c.ordering || c.catalog == nil || c.leaving || now.Sub(c.newServer) < settleTime {
+		return
+	}
+	for id, p := range c.pending {
+		if now.After(p.until) {
+			delete(c.pending, id)
+		}
+	}
+	var orders []order
+	for i := range c.catalog.Services {
+		s := &c.catalog.Services[i]
+		if s.Model != nil {
+			orders = append(orders, c.ordersFor(s, now)...)
+		}
+	}
+	if len(orders) == 0 {
+		return
+	}
+	// A box that was paused may have been replaced meanwhile, so the store is
+	// asked right before the orders.
+	c.ordering = true
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, electTime)
+		defer cancel()
+		t, _, err := elect.Current(ctx, c.box.platform.Election)
+		c.box.tell(&verified{term: t, err: err, orders: orders})
+	}()
+}
+
+func (c *control) ordersFor(s *catalog.Service, now time.Time) []order {
+	servers := make(map[slatebridge.ServerID]catalog.Server)
+	var holders []place.Holder
+	for _, v := range c.box.fleet.Servers() {
+		if v.Service != s.Name || v.Leaving {
+			continue
+		}
+		layers := v.Layers
+		if p, ok := c.pending[v.ID]; ok {
+			layers = p.layers
+		}
+		servers[v.ID] = v
+		holders = append(holders, place.Holder{ID: v.ID, Hall: v.Hall, Card: v.Card, Layers: layers})
+	}
+	slices.SortFunc(holders, func(a, b place.Holder) int { return compareIDs(a.ID, b.ID) })
+	todo := place.Cover(s.Model, holders)
+	if len(todo) == 0 {
+		todo = c.mend(s.Model, holders, now)
+	}
+	orders := make([]order, 0, len(todo))
+	for _, h := range todo {
+		orders = append(orders, order{server: servers[h.ID], layers: h.Layers})
+	}
+
+	return orders
+}
+
+func compareIDs(a, b slatebridge.ServerID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// mend moves one server when a hall has lacked layers for some time.
+func (c *control) mend(m *catalog.Model, holders []place.Holder, now time.Time) []place.Holder {
+	h, ok := place.Mend(m, holders)
+	if !ok {
+		c.lacking = time.Time{}
+
+		return nil
+	}
+	if c.lacking.IsZero() {
+		c.lacking = now
+	}
+	if now.Sub(c.lacking) < lackTime {
+		return nil
+	}
+	c.lacking = time.Time{}
+
+	return []place.Holder{h}
+}
+
+func (c *control) onVerified(m *verified) {
+	c.ordering = false
+	if m.err != nil {
+		c.box.metrics.storeCall("election", m.err)
+
+		return
+	}
+	c.adopt(m.term)
+	if !c.elected() || m.term != c.term {
+		return
+	}
+	for _, o := range m.orders {
+		c.pending[o.server.ID] = pendingOrder{layers: o.layers, until: time.Now().Add(orderAgain)}
+		event.Log(c.box.logger, event.PlacementPlanned, zap.String("server", string(o.server.ID)),
+			zap.String("card", o.server.Card), zap.String("hall", string(o.server.Hall)),
+			zap.Stringer("from", o.server.Layers), zap.Stringer("to", o.layers), zap.Int64("token", c.term.Token))
+		go c.give(o, c.term.Token)
+	}
+}
+
+func (c *control) give(o order, token int64) {
+	ctx, cancel := context.WithTimeout(c.ctx, orderTime)
+	defer cancel()
+	err := c.box.platform.Load(ctx, o.server, o.layers, token)
+	c.box.tell(&ordered{server: o.server.ID, layers: o.layers, err: err})
+}
+
+func (c *control) onOrdered(m *ordered) {
+	if m.err == nil {
+		event.Log(c.box.logger, event.OrderSent, zap.String("server", string(m.server)), zap.Stringer("layers", m.layers))
+
+		return
+	}
+	event.Log(c.box.logger, event.OrderFailed, zap.String("server", string(m.server)), zap.Stringer("layers", m.layers), event.Error(m.err))
+	if errors.Is(m.err, place.ErrFenced) && c.elected() {
+		// Another box has won since. Its term will be heard of; until then this
+		// one gives no more orders.
+		event.Log(c.box.logger, event.ElectionLost, zap.Int64("token", c.term.Token), zap.String("why", "a server has seen a newer token"))
+		c.term = elect.Term{Token: c.term.Token}
+	}
+}
--- /dev/null
+++ b/box/ready.go
@@ -0,0 +1,79 @@
+package box
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/event"
+)
+
+// completeTime is how long after its start a box waits until every model has
+// all its layers. Later it takes callers all the same: a refusal tells them
+// more than no answer.
+const completeTime = 9 * time.Second
+
+// Status is what operators see of a box.
+type Status struct {
+	Box       slatebridge.BoxID  `json:"box"`
+	Hall      slatebridge.HallID `json:"hall"`
+	Ready     bool               `json:"ready"`
+	Config    int64              `json:"config"`
+	ConfigAge time.Duration      `json:"config_age"`
+	Servers   int                `json:"servers"`
+	Complete  bool               `json:"complete"`
+	// Orders is the box that gives orders, and Token its fencing token.
+	Orders slatebridge.BoxID `json:"orders"`
+	Token  int64             `json:"token"`
+	Boxes  int               `json:"boxes"`
+	// Suspects are the servers taken as dead.
+	Suspects []slatebridge.ServerID `json:"suspects"`
+	InFlight int64                  `json:"in_flight"`
+}
+
+// judgeReady decides whether the box takes callers, and notes the status.
+func (c *control) judgeReady(now time.Time) {
+	b := c.box
+	s := Status{
+		Box: b.settings.Box, Hall: b.settings.Hall, Servers: len(c.entries), Complete: c.complete(),
+		Orders: c.term.Box, Token: c.term.Token, Boxes: c.liveBoxes(),
+		Suspects: b.fleet.Suspects(), InFlight: b.handler.InFlight(),
+	}
+	if c.catalog != nil {
+		s.Config, s.ConfigAge = c.catalog.Version, now.Sub(c.current)
+	}
+	c.wasComplete = c.wasComplete || s.Complete
+	fresh := c.catalog != nil && now.Sub(c.current) < b.settings.Bounds.Revocation
+	s.Ready = !c.leaving && fresh && s.Servers > 0 && (c.wasComplete || now.Sub(b.started) > completeTime)
+	if b.ready.Swap(s.Ready) != s.Ready {
+		event.Log(b.logger, event.Ready, zap.Any("status", s))
+	}
+	b.status.Store(&s)
+	b.metrics.status(s)
+}
+
+// complete reports whether every model has all its layers somewhere.
+func (c *control) complete() bool {
+	if c.catalog == nil {
+		return false
+	}
+	for _, s := range c.catalog.Services {
+		if s.Model != nil && !c.box.fleet.Complete(s.Name) {
+			return false
+		}
+	}
+
+	return true
+}
+
+func (c *control) liveBoxes() int {
+	n := 1
+	for _, o := range c.peers {
+		if o.live() {
+			n++
+		}
+	}
+
+	return n
+}
--- /dev/null
+++ b/box/settings.go
@@ -0,0 +1,45 @@
+package box
+
+import (
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+// Settings tell a box where it is and what bounds hold there.
+type Settings struct {
+	Box  slatebridge.BoxID
+	Hall slatebridge.HallID
+	// Listen has the addresses, each as host and port.
+	Listen Listen
+	// Store is the address of the platform's store.
+	Store string
+	// Seeds are mesh addresses of other boxes to begin with; they may be gone.
+	Seeds  []string
+	Bounds Bounds
+}
+
+// Listen has the addresses of a box's listeners.
+type Listen struct {
+	// Callers is where requests come in.
+	Callers string
+	// Ready is where the platform asks whether the box takes callers.
+	Ready string
+	// Mesh is where other boxes are heard, by UDP and TCP.
+	Mesh string
+	// Operators is where metrics and the status are served.
+	Operators string
+}
+
+// Bounds are the limits that the installation sets.
+type Bounds struct {
+	// Revocation is how long after its removal a key may still be used.
+	Revocation time.Duration
+	// Grace is how long a box may run after it was told to stop.
+	Grace time.Duration
+	// RetryShare, RetryExtra and RetryWindow bound the retries of all boxes
+	// together: a share of the requests and a fixed number in any window.
+	RetryShare  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,265 @@
+// Package catalog holds one version of the configuration in force: routes,
+// services, client accounts and their keys. A Catalog never changes; a new
+// version is a new Catalog.
+package catalog
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+// CallKind says what may be done with a request once it has been sent.
+type CallKind int
+
+// The kinds of calls.
+const (
+	// Once is a call that runs at most once.
+	Once CallKind = iota
+	// Repeatable is a call that may run any number of times.
+	Repeatable
+	// Stream is a call answered by a series of numbered events.
+	Stream
+)
+
+// String returns the kind's name, as logs and metrics show it.
+func (k CallKind) String() string {
+	switch k {
+	case Once:
+		return "once"
+	case Repeatable:
+		return "repeatable"
+	case Stream:
+		return "stream"
+	default:
+		return "unknown"
+	}
+}
+
+// Share is a service's part of the requests of a route.
+type Share struct {
+	Service string
+	// Weight is relative to the weights of the route's other shares.
+	Weight int
+}
+
+// Route says how requests for one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   CallKind
+	// Timeout is the longest time for which a request is held.
+	Timeout time.Duration
+	// Objective is the time within which an answer is worth most; for a
+	// stream, the time to its first event.
+	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that is
+	// still in time; zero when the route does not say.
+	MaxPause time.Duration
+	// MaxServers is on how many servers one request may run.
+	MaxServers int
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Anonymous says that no key is needed.
+	Anonymous bool
+	// Resumable says that a broken stream may be taken up by another server.
+	Resumable bool
+	Shares    []Share
+}
+
+// MayRepeat reports whether a request may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Account is a client account with its keys.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority replaces the route's priority if HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Card is one kind of accelerator.
+type Card struct {
+	Name string
+	// MemoryMB is what layers and requests share, in MB.
+	MemoryMB float64
+	// Pace multiplies the model's step time.
+	Pace float64
+	// ReadPace multiplies the model's time to read a prompt.
+	ReadPace float64
+}
+
+// Model describes the model that the servers of a service run.
+type Model struct {
+	Name string
+	// Layers is the number of layers of the whole model.
+	Layers int
+	// LayerMB is the size of one layer in MB.
+	LayerMB float64
+	// TokenBytes is the memory that one token takes in all layers together.
+	TokenBytes float64
+	// StepTime is the time of one step of the whole model at pace 1.
+	StepTime time.Duration
+	// ReadPerSecond is how many prompt tokens are read a second at pace 1.
+	ReadPerSecond float64
+	// LoadTime is the time to load all layers on an idle weight store.
+	LoadTime time.Duration
+	// Slots is how many requests a server receives at once.
+	Slots int
+	// UsualAnswer is the mean number of tokens of an answer.
+	UsualAnswer int
+	Cards       []Card
+}
+
+// Card returns the kind of accelerator with the name.
+func (m *Model) Card(name string) (Card, bool) {
+	for _, c := range m.Cards {
+		if c.Name == name {
+			return c, true
+		}
+	}
+
+	return Card{}, false
+}
+
+// TokenLayers returns how many tokens times layers of requests fit beside n
+// layers into a card.
+func (m *Model) TokenLayers(c Card, n int) float64 {
+	free := c.MemoryMB - float64(n)*m.LayerMB
+	if free <= 0 || m.TokenBytes <= 0 {
+		return 0
+	}
+	const bytesPerMB = 1e6
+
+	return free * bytesPerMB * float64(m.Layers) / m.TokenBytes
+}
+
+// Service is a group of like servers.
+type Service struct {
+	Name string
+	// MaxConnections is how many connections one server accepts in all.
+	MaxConnections int
+	// HealthPath is where a server tells its health.
+	HealthPath string
+	// Model is set for services whose servers hold layers of a model.
+	Model *Model
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	// Version rises with each change, in uneven steps.
+	Version  int64
+	Limits   Limits
+	Services []Service
+	// KeysNeeded says that the configuration has client accounts, so that
+	// requests need a key unless their route is anonymous.
+	KeysNeeded bool
+
+	byHost    map[string][]*Route
+	byKey     map[string]*Account
+	byService map[string]*Service
+}
+
+// New returns a Catalog of the parts.
+func New(version int64, limits Limits, routes []Route, services []Service, accounts []Account, keysNeeded bool) *Catalog {
+	c := &Catalog{
+		Version: version, Limits: limits, Services: services, KeysNeeded: keysNeeded,
+		byHost:    make(map[string][]*Route),
+		byKey:     make(map[string]*Account),
+		byService: make(map[string]*Service, len(services)),
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		c.byHost[host] = append(c.byHost[host], &routes[i])
+	}
+	for _, list := range c.byHost {
+		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range accounts {
+		for _, k := range accounts[i].Keys {
+			c.byKey[k] = &accounts[i]
+		}
+	}
+	for i := range services {
+		c.byService[services[i].Name] = &c.Services[i]
+	}
+
+	return c
+}
+
+// Route returns the route of the host with the longest prefix of the path, or
+// nil if there is none.
+func (c *Catalog) Route(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// Account returns the client account that holds the key, or nil.
+func (c *Catalog) Account(key string) *Account {
+	return c.byKey[key]
+}
+
+// Service returns the service, or nil if there is none of the name.
+func (c *Catalog) Service(name string) *Service {
+	return c.byService[name]
+}
+
+// Pick returns the service for a request on the route. at is a number from 0
+// to 1 that places the request among the shares.
+func (r *Route) Pick(at float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	left := at * float64(total)
+	for _, s := range r.Shares {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+
+	return r.Shares[0].Service
+}
+
+// Server is a backend server as the directory of servers lists it.
+type Server struct {
+	ID      slatebridge.ServerID
+	Service string
+	// Address is host and port.
+	Address string
+	Hall    slatebridge.HallID
+	// Leaving says that the server finishes its work and takes no more.
+	Leaving bool
+	Slots   int
+	// Card names its kind of accelerator; empty for plain servers.
+	Card string
+	// Layers is what the server holds of the model; empty if it holds none.
+	Layers slatebridge.LayerRange
+	// ModelVersion is the version of the weights that it holds.
+	ModelVersion int
+	// Model names the weights.
+	Model string
+}
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/internal/proof"
 	"github.com/slatebridge/slatebridge/internal/standin/logservice"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // How long faults last in virtual time.
@@ -72,7 +72,7 @@
 // start starts a box, or starts it again with another boot.
 func (b *bench) start(id slatebridge.BoxID, boot string, opts ...Option) {
 	box := &testBox{b: b, id: id}
-	log := platform.Log{Append: box.append, Read: box.read}
+	log := logstore.Log{Append: box.append, Read: box.read}
 	box.Claimer = New(log, zap.NewNop(), id, boot, b.ask, opts...)
 	b.mu.Lock()
 	b.boxes[id] = box
@@ -153,24 +153,24 @@
 
 func (x *testBox) append(ctx context.Context, stream string, data json.RawMessage) (int64, error) {
 	if err := x.reach(ctx, proof.StepAppend); err != nil {
-		return 0, errors.Mark(err, platform.ErrUnreachable)
+		return 0, errors.Mark(err, logstore.ErrUnreachable)
 	}
 	offset, err := x.b.log.Append(ctx, stream, data)
 	if held := x.reach(ctx, proof.StepAppended); held != nil {
-		return 0, errors.Mark(held, platform.ErrUnreachable)
+		return 0, errors.Mark(held, logstore.ErrUnreachable)
 	}
 
 	return offset, err
 }
 
-func (x *testBox) read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Batch, error) {
+func (x *testBox) read(ctx context.Context, stream string, from int64, wait time.Duration) (logstore.Batch, error) {
 	batch, err := x.b.log.Read(ctx, stream, from, wait)
 	step := ""
 	if len(batch.Records) > 0 {
 		step = proof.StepFold
 	}
 	if held := x.reach(ctx, step); held != nil {
-		return platform.Batch{}, errors.Mark(held, platform.ErrUnreachable)
+		return logstore.Batch{}, errors.Mark(held, logstore.ErrUnreachable)
 	}
 
 	return batch, err
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -10,7 +10,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/event"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -43,7 +43,7 @@
 // Claimer makes and follows claims for one gateway. It is safe for concurrent
 // use.
 type Claimer struct {
-	log    platform.Log
+	log    logstore.Log
 	logger *zap.Logger
 	ask    AskPeer
 	box    slatebridge.BoxID
@@ -99,7 +99,7 @@
 }
 
 // New returns a Claimer. The boot must differ at each start of the box.
-func New(log platform.Log, logger *zap.Logger, box slatebridge.BoxID, boot string, ask AskPeer, opts ...Option) *Claimer {
+func New(log logstore.Log, logger *zap.Logger, box slatebridge.BoxID, boot string, ask AskPeer, opts ...Option) *Claimer {
 	c := &Claimer{
 		log:          log,
 		logger:       logger,
@@ -128,7 +128,7 @@
 func (c *Claimer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		platform.Tail{Log: c.log, Stream: Stream, OnBatch: c.onBatch, OnError: c.onError}.Run(ctx)
+		logstore.Tail{Log: c.log, Stream: Stream, OnBatch: c.onBatch, OnError: c.onError}.Run(ctx)
 	})
 	wg.Go(func() { c.appendBatches(ctx) })
 	wg.Go(func() { c.forgetOld(ctx) })
@@ -336,7 +336,7 @@
 }
 
 // onBatch folds one reading of the stream and decides this box's claims.
-func (c *Claimer) onBatch(_ int64, b platform.Batch) {
+func (c *Claimer) onBatch(_ int64, b logstore.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	unreadable, whole := c.table.Fold(b, time.Now())
@@ -363,7 +363,7 @@
 
 // decideOwn tells this box's calls whether their claims have won. Once a
 // claim of this box was folded and does not own its key, it has lost.
-func (c *Claimer) decideOwn(b platform.Batch) {
+func (c *Claimer) decideOwn(b logstore.Batch) {
 	for _, r := range b.Records {
 		for _, id := range claimIDs(r) {
 			own := c.calls[id]
--- a/claim/queue.go
+++ b/claim/queue.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // appendTimeout is how long one append may take.
@@ -108,7 +108,7 @@
 }
 
 // claimIDs returns the IDs of the claims in a record.
-func claimIDs(r platform.Record) []ID {
+func claimIDs(r logstore.Record) []ID {
 	var b Batch
 	if json.Unmarshal(r.Data, &b) != nil {
 		return nil
--- a/claim/table.go
+++ b/claim/table.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/slatebridge/slatebridge"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // Claim is one claim as it stands in the log.
@@ -86,7 +86,7 @@
 // longer kept records that the table has not seen; the horizon then moves up
 // to the oldest record that it does keep. now stands in for that record's
 // time when the reading has none.
-func (t *Table) Fold(b platform.Batch, now time.Time) (unreadable int, whole bool) {
+func (t *Table) Fold(b logstore.Batch, now time.Time) (unreadable int, whole bool) {
 	whole = b.Oldest <= t.next
 	if !whole {
 		t.horizon = now
@@ -108,7 +108,7 @@
 	return unreadable, whole
 }
 
-func (t *Table) foldRecord(r platform.Record) bool {
+func (t *Table) foldRecord(r logstore.Record) bool {
 	var b Batch
 	if err := json.Unmarshal(r.Data, &b); err != nil {
 		return false
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/slatebridge/slatebridge/internal/golden"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // TestGoldenTable folds the records of each file, a line each, and prints the
@@ -20,8 +20,8 @@
 		var out strings.Builder
 		for i, line := range strings.Split(strings.TrimSpace(string(input)), "\n") {
 			offset := int64(i)
-			record := platform.Record{Offset: offset, Time: time.Unix(offset, 0), Data: json.RawMessage(line)}
-			unreadable, _ := table.Fold(platform.Batch{Next: offset + 1, Records: []platform.Record{record}}, time.Unix(0, 0))
+			record := logstore.Record{Offset: offset, Time: time.Unix(offset, 0), Data: json.RawMessage(line)}
+			unreadable, _ := table.Fold(logstore.Batch{Next: offset + 1, Records: []logstore.Record{record}}, time.Unix(0, 0))
 			fmt.Fprintf(&out, "%d: unreadable=%d", offset, unreadable)
 			for _, a := range table.order {
 				e, _ := table.Lookup(a.key)
@@ -40,7 +40,7 @@
 	f.Add([]byte(`{"given_up":[{"id":"A/1/1","key":""}]}`))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		table := NewTable()
-		table.Fold(platform.Batch{Next: 1, Records: []platform.Record{{Data: data}}}, time.Unix(0, 0))
+		table.Fold(logstore.Batch{Next: 1, Records: []logstore.Record{{Data: data}}}, time.Unix(0, 0))
 	})
 }
 
@@ -83,8 +83,8 @@
 		if err != nil {
 			panic(err)
 		}
-		record := platform.Record{Offset: int64(offset), Time: time.Unix(int64(offset), 0), Data: data}
-		table.Fold(platform.Batch{Next: record.Offset + 1, Records: []platform.Record{record}}, time.Unix(0, 0))
+		record := logstore.Record{Offset: int64(offset), Time: time.Unix(int64(offset), 0), Data: data}
+		table.Fold(logstore.Batch{Next: record.Offset + 1, Records: []logstore.Record{record}}, time.Unix(0, 0))
 	}
 
 	return table
--- a/cmd/slatebridge-standin/commands.go
+++ b/cmd/slatebridge-standin/commands.go
@@ -16,7 +16,7 @@
 	"github.com/slatebridge/slatebridge/internal/standin/logservice"
 	"github.com/slatebridge/slatebridge/internal/standin/memberlist"
 	"github.com/slatebridge/slatebridge/internal/standin/plainservice"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 type logCommand struct {
@@ -36,7 +36,7 @@
 
 // Execute runs the list.
 func (c *membersCommand) Execute([]string) error {
-	m, err := readJSON[platform.Members](c.File)
+	m, err := readJSON[logstore.Members](c.File)
 	if err != nil {
 		return err
 	}
--- a/cmd/slatebridge/commands.go
+++ b/cmd/slatebridge/commands.go
@@ -11,8 +11,8 @@
 
 	"github.com/slatebridge/slatebridge/config"
 	"github.com/slatebridge/slatebridge/daemon"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/operator"
-	"github.com/slatebridge/slatebridge/platform"
 	"github.com/slatebridge/slatebridge/settings"
 )
 
@@ -48,7 +48,7 @@
 	}
 	client := daemon.NewHTTPClient()
 
-	return operator.New(cfg.Name, platform.NewLog(cfg.Platform.Log, client), client, cfg.Controllers...), nil
+	return operator.New(cfg.Name, logstore.NewLog(cfg.Platform.Log, client), client, cfg.Controllers...), nil
 }
 
 // publish makes the changes, prints what became of each, and waits until they
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/slatebridge/slatebridge/internal/golden"
 	"github.com/slatebridge/slatebridge/internal/standin/logservice"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 func requireSameState(t testFailer, want, got State) {
@@ -43,10 +43,10 @@
 	return string(data)
 }
 
-func asRecords(lines [][]byte) []platform.Record {
-	records := make([]platform.Record, 0, len(lines))
+func asRecords(lines [][]byte) []logstore.Record {
+	records := make([]logstore.Record, 0, len(lines))
 	for i, line := range lines {
-		records = append(records, platform.Record{Offset: int64(i), Data: line})
+		records = append(records, logstore.Record{Offset: int64(i), Data: line})
 	}
 
 	return records
@@ -72,7 +72,7 @@
 
 // drawRecords draws a history in which operators race, records come twice and
 // some are nonsense.
-func drawRecords(t *rapid.T) []platform.Record {
+func drawRecords(t *rapid.T) []logstore.Record {
 	n := rapid.IntRange(1, 60).Draw(t, "records")
 	var lines [][]byte
 	for i := range n {
@@ -140,7 +140,7 @@
 		var s State
 		for _, r := range drawRecords(t) {
 			before := s
-			next, outcomes := s.WithRecords([]platform.Record{r})
+			next, outcomes := s.WithRecords([]logstore.Record{r})
 			s = next
 			for _, o := range outcomes {
 				checkOutcome(t, before, s, r, o)
@@ -149,7 +149,7 @@
 	})
 }
 
-func checkOutcome(t *rapid.T, before, after State, r platform.Record, o Outcome) {
+func checkOutcome(t *rapid.T, before, after State, r logstore.Record, o Outcome) {
 	old, _ := before.Object(o.Object)
 	now, exists := after.Object(o.Object)
 	if !o.Accepted {
@@ -211,7 +211,7 @@
 	})
 }
 
-func race(t *testing.T, log platform.Log, operator, rounds int) []porcupine.Operation {
+func race(t *testing.T, log logstore.Log, operator, rounds int) []porcupine.Operation {
 	t.Helper()
 	var ops []porcupine.Operation
 	id := ObjectID{Kind: AccountObject, Name: "a"}
@@ -237,7 +237,7 @@
 	return ops
 }
 
-func readAll(t *testing.T, log platform.Log) State {
+func readAll(t *testing.T, log logstore.Log) State {
 	t.Helper()
 	b, err := log.Read(t.Context(), Stream, 0, 0)
 	if err != nil {
@@ -286,7 +286,7 @@
 			client.Append = func(context.Context, string, json.RawMessage) (int64, error) {
 				log.SetFaults(logservice.Faults{Down: true})
 
-				return 0, platform.ErrUnreachable
+				return 0, logstore.ErrUnreachable
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
@@ -301,7 +301,7 @@
 	f.Add([]byte(`{"id":"r","action":"put","object":{"kind":"account","name":"a"},"base":0,"value":{}}`))
 	f.Add([]byte(`{"id":"r","action":"delete","object":{"kind":"stop","name":"a"},"base":1}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		s, _ := State{}.WithRecords([]platform.Record{{Data: data}})
+		s, _ := State{}.WithRecords([]logstore.Record{{Data: data}})
 		if s.Applied() != 1 {
 			t.Errorf("applied = %d", s.Applied())
 		}
@@ -322,11 +322,11 @@
 	}
 }
 
-func accountRecords(from, n int) []platform.Record {
-	records := make([]platform.Record, 0, n)
+func accountRecords(from, n int) []logstore.Record {
+	records := make([]logstore.Record, 0, n)
 	for i := from; i < from+n; i++ {
 		data := fmt.Sprintf(`{"id":"r%d","action":"put","object":{"kind":"account","name":"a%d"},"base":0,"by":"x","value":{"name":"a%d","requests_per_second":1,"concurrency":1}}`, i, i, i)
-		records = append(records, platform.Record{Offset: int64(i), Data: json.RawMessage(data)})
+		records = append(records, logstore.Record{Offset: int64(i), Data: json.RawMessage(data)})
 	}
 
 	return records
--- a/config/publish.go
+++ b/config/publish.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // publishPause is the pause between two tries of a publish.
@@ -21,7 +21,7 @@
 // was lost is looked for by the record's ID, and appended again when it is
 // not there; a record that lands twice folds once. Publish gives up when ctx
 // ends.
-func Publish(ctx context.Context, log platform.Log, rec Record) (int64, error) {
+func Publish(ctx context.Context, log logstore.Log, rec Record) (int64, error) {
 	data, err := json.Marshal(rec)
 	if err != nil {
 		return 0, errors.Wrap(err, "config: publish")
@@ -47,7 +47,7 @@
 }
 
 // end returns the offset that the next record of the stream will get.
-func end(ctx context.Context, log platform.Log) (int64, error) {
+func end(ctx context.Context, log logstore.Log) (int64, error) {
 	const beyond = 1 << 62
 	b, err := log.Read(ctx, Stream, beyond, 0)
 
@@ -55,7 +55,7 @@
 }
 
 // find looks for the record's ID from the offset on.
-func find(ctx context.Context, log platform.Log, from int64, id string) (int64, bool) {
+func find(ctx context.Context, log logstore.Log, from int64, id string) (int64, bool) {
 	b, err := log.Read(ctx, Stream, from, 0)
 	if err != nil {
 		return 0, false
--- a/config/state.go
+++ b/config/state.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // OutcomeWindow is for how many offsets the fold remembers a record's ID and
@@ -72,7 +72,7 @@
 // WithRecords returns the state after the records, and their outcomes.
 // Records before the state's offset are passed over, and records must not
 // leave a gap: the caller checks that with the log's oldest offset.
-func (s State) WithRecords(records []platform.Record) (State, []Outcome) {
+func (s State) WithRecords(records []logstore.Record) (State, []Outcome) {
 	next := State{
 		applied:  s.applied,
 		objects:  cloneOrMake(s.objects),
@@ -95,7 +95,7 @@
 
 // fold applies one record in place. It returns false for a record that was
 // folded before.
-func (s *State) fold(r platform.Record) (Outcome, bool) {
+func (s *State) fold(r logstore.Record) (Outcome, bool) {
 	rec, err := decodeStrict[Record](r.Data)
 	if err != nil {
 		return Outcome{Offset: r.Offset, Why: "unreadable record: " + err.Error()}, true
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/member"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // benchTime is when the servers were polled.
@@ -25,7 +25,7 @@
 	s.current = true
 	cfg, _ := stateWith(n / 5)
 	s.setConfig(cfg)
-	var m platform.Members
+	var m logstore.Members
 	contacts := make(member.Contacts)
 	for i := range n {
 		id := slatebridge.ServerID(fmt.Sprintf("engine-%04d", i))
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,9 +25,9 @@
 	"github.com/slatebridge/slatebridge/config"
 	"github.com/slatebridge/slatebridge/engine"
 	"github.com/slatebridge/slatebridge/lease"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/peer"
 	"github.com/slatebridge/slatebridge/place"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // Controller is the control side of one box.
@@ -36,8 +36,8 @@
 	hall    slatebridge.HallID
 	boot    string
 	logger  *zap.Logger
-	log     platform.Log
-	list    platform.List
+	log     logstore.Log
+	list    logstore.List
 	engines engine.Engines
 	plain   func(ctx context.Context, url string) error
 	// dialPeer returns a client of another controller.
@@ -70,7 +70,7 @@
 }
 
 // WithPlatform sets the platform's log and list.
-func WithPlatform(log platform.Log, list platform.List) Option {
+func WithPlatform(log logstore.Log, list logstore.List) Option {
 	return func(c *Controller) {
 		c.log = log
 		c.list = list
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -16,8 +16,8 @@
 	"github.com/slatebridge/slatebridge/internal/standin/logservice"
 	"github.com/slatebridge/slatebridge/internal/standin/memberlist"
 	"github.com/slatebridge/slatebridge/lease"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/peer"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // fakePeer is another box's controller.
@@ -47,11 +47,11 @@
 
 // stateWith returns a state after n changes of client accounts.
 func stateWith(n int) (config.State, []json.RawMessage) {
-	var records []platform.Record
+	var records []logstore.Record
 	var data []json.RawMessage
 	for i := range n {
 		text := fmt.Sprintf(`{"id":"r%d","action":"put","object":{"kind":"account","name":"a%d"},"base":0,"by":"x","value":{"name":"a%d","requests_per_second":1,"concurrency":1}}`, i, i, i)
-		records = append(records, platform.Record{Offset: int64(i), Data: json.RawMessage(text)})
+		records = append(records, logstore.Record{Offset: int64(i), Data: json.RawMessage(text)})
 		data = append(data, json.RawMessage(text))
 	}
 	s, _ := config.State{}.WithRecords(records)
@@ -62,7 +62,7 @@
 // boot runs a controller of box b1 whose only peer is b2, and calls f.
 func boot(t *testing.T, log *logservice.Service, other peer.Controller, f func(c *Controller)) {
 	t.Helper()
-	list := memberlist.New(platform.Members{Boxes: []slatebridge.Box{
+	list := memberlist.New(logstore.Members{Boxes: []slatebridge.Box{
 		{ID: "b1", Hall: "h", State: slatebridge.Live},
 		{ID: "b2", Hall: "h", State: slatebridge.Live, ControllerPeerURL: "http://b2"},
 	}}, 0)
@@ -170,10 +170,10 @@
 
 func TestRelayKeepsNoGap(t *testing.T) {
 	r := newRelay()
-	at := func(offsets ...int64) []platform.Record {
-		var list []platform.Record
+	at := func(offsets ...int64) []logstore.Record {
+		var list []logstore.Record
 		for _, o := range offsets {
-			list = append(list, platform.Record{Offset: o})
+			list = append(list, logstore.Record{Offset: o})
 		}
 
 		return list
--- a/controller/follow.go
+++ b/controller/follow.go
@@ -11,8 +11,8 @@
 	"github.com/slatebridge/slatebridge/config"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/lease"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/peer"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // SnapshotStream is the stream in which snapshots of the configuration stand.
@@ -50,7 +50,7 @@
 	}
 }
 
-func (c *Controller) readConfig(ctx context.Context) (platform.Batch, error) {
+func (c *Controller) readConfig(ctx context.Context) (logstore.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+appendTimeout)
 	defer cancel()
 
@@ -59,7 +59,7 @@
 
 // onConfigRead hands a reading to the actor and waits until it is folded, so
 // that the next reading asks for what comes after.
-func (c *Controller) onConfigRead(ctx context.Context, b platform.Batch) {
+func (c *Controller) onConfigRead(ctx context.Context, b logstore.Batch) {
 	before := c.folded.Load().Applied()
 	if b.Oldest > before {
 		c.loadSnapshot(ctx)
@@ -153,7 +153,7 @@
 	switch {
 	case reply.Applied <= have:
 	case len(reply.Records) > 0:
-		c.tell(configBatch{batch: platform.Batch{Oldest: have, Next: reply.Applied, Records: fromPeer(reply.Records)}})
+		c.tell(configBatch{batch: logstore.Batch{Oldest: have, Next: reply.Applied, Records: fromPeer(reply.Records)}})
 	default:
 		c.takeState(ctx, client, b, have)
 	}
@@ -172,10 +172,10 @@
 	}
 }
 
-func fromPeer(list []*peer.Record) []platform.Record {
-	records := make([]platform.Record, 0, len(list))
+func fromPeer(list []*peer.Record) []logstore.Record {
+	records := make([]logstore.Record, 0, len(list))
 	for _, r := range list {
-		records = append(records, platform.Record{
+		records = append(records, logstore.Record{
 			Offset: r.Offset,
 			Time:   time.Unix(0, r.TimeUnixNano),
 			Data:   r.Data,
@@ -187,10 +187,10 @@
 
 // followLease reads the hall's lease stream.
 func (c *Controller) followLease(ctx context.Context) {
-	platform.Tail{
+	logstore.Tail{
 		Log:     c.log,
 		Stream:  lease.Stream(c.hall),
-		OnBatch: func(_ int64, b platform.Batch) { c.tell(leaseBatch{batch: b}) },
+		OnBatch: func(_ int64, b logstore.Batch) { c.tell(leaseBatch{batch: b}) },
 		OnError: func(error) { c.tell(leaseUnreadable{}) },
 	}.Run(ctx)
 }
--- a/controller/messages.go
+++ b/controller/messages.go
@@ -3,14 +3,14 @@
 import (
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/config"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/member"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // configBatch is a reading of the configuration stream, from the log or from
 // a peer.
 type configBatch struct {
-	batch platform.Batch
+	batch logstore.Batch
 	// fromLog says that it was read from the log itself.
 	fromLog bool
 }
@@ -34,7 +34,7 @@
 
 // leaseBatch is a reading of the hall's lease stream.
 type leaseBatch struct {
-	batch platform.Batch
+	batch logstore.Batch
 }
 
 // leaseUnreadable tells that the lease stream could not be read.
@@ -42,7 +42,7 @@
 
 // listRead is a reading of the platform's list.
 type listRead struct {
-	members platform.Members
+	members logstore.Members
 }
 
 // serversPolled is the result of a round of polls.
--- a/controller/publish.go
+++ b/controller/publish.go
@@ -8,7 +8,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/config"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // Status is what a controller tells operators.
@@ -167,14 +167,14 @@
 // relay keeps the newest configuration records for peers.
 type relay struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []logstore.Record
 }
 
 func newRelay() *relay {
 	return &relay{}
 }
 
-func (r *relay) add(records []platform.Record) {
+func (r *relay) add(records []logstore.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rec := range records {
@@ -195,7 +195,7 @@
 
 // from returns the records from the offset on, or false if some of them are
 // not kept.
-func (r *relay) from(offset int64) ([]platform.Record, bool) {
+func (r *relay) from(offset int64) ([]logstore.Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.records) == 0 || r.records[0].Offset > offset {
--- /dev/null
+++ b/daemon/box.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge/box"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/platform"
+)
+
+const (
+	// noticeTime is how long a stopping box still takes new connections: the
+	// platform asks every second and takes two refusals for an answer.
+	noticeTime = 2500 * time.Millisecond
+	// endMargin is left of the time to stop when the last streams are cut off.
+	endMargin = 700 * time.Millisecond
+	// serverIdle is how long a connection to a server is kept without use.
+	serverIdle = 10 * time.Second
+	// callerIdle is how long a connection of a caller is kept without use. The
+	// platform allows 15 s.
+	callerIdle = 20 * time.Second
+	// serverConnections bounds the idle connections to one server.
+	serverConnections = 64
+)
+
+// RunBox runs one entry box with the settings until ctx ends, and then lets
+// its requests finish.
+func RunBox(ctx context.Context, s box.Settings) error {
+	logger := NewLogger("info").With(zap.String("box", string(s.Box)))
+	reg := newRegistry()
+	client := newServerClient()
+	b := box.New(s, platform.New(platform.NewStore(s.Store, newStoreClient()), client), client, logger, reg)
+	socket, err := mesh.Listen(ctx, s.Listen.Mesh)
+	if err != nil {
+		return err
+	}
+	operators := OperatorMux(reg, b.Ready)
+	operators.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		// A failed write means that the operator has gone.
+		_ = json.NewEncoder(w).Encode(b.Status())
+	})
+	control, err := Listen(ctx, logger,
+		Listener{Name: "boxes", Addr: s.Listen.Mesh, Handler: b.HelpHandler()},
+		Listener{Name: "operators", Addr: s.Listen.Operators, Handler: operators},
+		Listener{Name: "ready", Addr: s.Listen.Ready, Handler: readyHandler(b)},
+	)
+	if err != nil {
+		return err
+	}
+	defer control.Close()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go b.Run(work, socket)
+	callers := &http.Server{
+		Handler:           b.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxCallerHeader,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+	}
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	go func() { _ = callers.Serve(ln) }()
+	event.Log(logger, event.Started, zap.String("version", Version), zap.String("hall", string(s.Hall)))
+	<-ctx.Done()
+	drainBox(s, b, callers, logger)
+
+	return nil
+}
+
+// maxCallerHeader is the largest header of a request, in bytes; the platform
+// allows 16 KiB.
+const maxCallerHeader = 64 << 10
+
+// readyHandler tells the platform whether the box takes callers.
+func readyHandler(b *box.Box) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !b.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// drainBox stops a box so that no request is cut off that ends in time.
+func drainBox(s box.Settings, b *box.Box, callers *http.Server, logger *zap.Logger) {
+	end := time.Now().Add(s.Bounds.Grace - endMargin)
+	event.Log(logger, event.Stopping, zap.Int64("in_flight", b.Handler().InFlight()))
+	b.StopSoon()
+	time.Sleep(noticeTime)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	_ = callers.Close()
+	event.Log(logger, event.Stopped, event.Error(err), zap.Int64("in_flight", b.Handler().InFlight()))
+}
+
+func newServerClient() *http.Client {
+	return &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DialContext:           (&net.Dialer{Timeout: forward.ConnectTime(), KeepAlive: -1}).DialContext,
+			DisableCompression:    true,
+			MaxIdleConnsPerHost:   serverConnections,
+			IdleConnTimeout:       serverIdle,
+			ExpectContinueTimeout: time.Second,
+		},
+	}
+}
+
+func newStoreClient() *http.Client {
+	const connections = 4
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -9,7 +9,7 @@
 
 	"github.com/slatebridge/slatebridge/controller"
 	"github.com/slatebridge/slatebridge/event"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/settings"
 )
 
@@ -19,7 +19,7 @@
 	client := NewHTTPClient()
 	c := controller.New(cfg.Box, cfg.Hall,
 		controller.WithLogger(logger),
-		controller.WithPlatform(platform.NewLog(cfg.Platform.Log, client), platform.NewList(cfg.Platform.List, client)),
+		controller.WithPlatform(logstore.NewLog(cfg.Platform.Log, client), logstore.NewList(cfg.Platform.List, client)),
 		controller.WithHTTPClient(client),
 	)
 	reg := newRegistry()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,10 +39,22 @@
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
 
+// MainOption changes what Main does.
+type MainOption func(*Flags)
+
+// WithSettingsFile takes the settings file from the environment variable if
+// the command line names none.
+func WithSettingsFile(variable string) MainOption {
+	return func(f *Flags) { f.Settings = os.Getenv(variable) }
+}
+
 // Main parses the command line, reads the settings with load, and calls run
 // with them. It returns the exit code.
-func Main[T any](name string, load func(file string) (T, error), run func(ctx context.Context, cfg T) error) int {
+func Main[T any](name string, load func(file string) (T, error), run func(ctx context.Context, cfg T) error, opts ...MainOption) int {
 	var f Flags
+	for _, o := range opts {
+		o(&f)
+	}
 	parser := flags.NewNamedParser(name, flags.Default)
 	_, err := parser.AddGroup("Options", "", &f)
 	if err != nil {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -13,7 +13,7 @@
 	"github.com/slatebridge/slatebridge/claim"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/gateway"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/settings"
 )
 
@@ -65,7 +65,7 @@
 		gateway.WithLogger(logger),
 		gateway.WithRegisterer(reg),
 		gateway.WithControllers(cfg.Controllers...),
-		gateway.WithLog(platform.NewLog(cfg.Platform.Log, client)),
+		gateway.WithLog(logstore.NewLog(cfg.Platform.Log, client)),
 		gateway.WithHTTPClient(client),
 		gateway.WithDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		gateway.WithPolicy(cfg.Routing.Policy, cfg.Routing.Seed),
--- /dev/null
+++ b/fleet/member.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+)
+
+// member is one backend server as this box knows it.
+type member struct {
+	catalog.Server
+	model *catalog.Model
+	card  catalog.Card
+	// own is the work that this box has in flight at the server.
+	own Load
+	// peers is what the other boxes said last of their work there.
+	peers map[slatebridge.BoxID]Load
+	// removeAt is when an entry that lapsed is dropped; zero while it stands.
+	removeAt time.Time
+	// suspectUntil is until when the server is taken as dead.
+	suspectUntil time.Time
+	// fullUntil is until when the server is taken as full, since it has just
+	// turned a request away.
+	fullUntil time.Time
+	// lacksUntil is until when the server is taken not to hold its layers.
+	lacksUntil time.Time
+	// failures and latency are moving averages over this box's own requests.
+	failures float64
+	latency  time.Duration
+}
+
+// Load is work in flight at one server.
+type Load struct {
+	// Requests counts requests.
+	Requests int `json:"n"`
+	// TokenLayers is the memory they need, in tokens times layers.
+	TokenLayers float64 `json:"t"`
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{Requests: l.Requests + o.Requests, TokenLayers: l.TokenLayers + o.TokenLayers}
+}
+
+func (m *member) load() Load {
+	sum := m.own
+	for _, l := range m.peers {
+		sum = sum.plus(l)
+	}
+
+	return sum
+}
+
+// capacity returns how many tokens times layers of requests the server holds.
+func (m *member) capacity() float64 {
+	if m.model == nil {
+		return 0
+	}
+
+	return m.model.TokenLayers(m.card, m.Layers.Len())
+}
+
+// usable reports whether the server may get new work.
+func (m *member) usable(now time.Time) bool {
+	return !m.Leaving && now.After(m.suspectUntil)
+}
+
+const (
+	// failureWeight is the weight of the newest request in the average of
+	// failures: five requests or so decide.
+	failureWeight = 0.2
+	// latencyWeight is the same for the time of answers.
+	latencyWeight = 0.2
+	// usualLatency is assumed of a server that has not answered yet.
+	usualLatency = 50 * time.Millisecond
+)
+
+func (m *member) noteAnswer(ok bool, took time.Duration) {
+	bad := 1.0
+	if ok {
+		bad = 0
+	}
+	m.failures += failureWeight * (bad - m.failures)
+	if m.latency == 0 {
+		m.latency = usualLatency
+	}
+	m.latency += time.Duration(latencyWeight * float64(took-m.latency))
+}
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,155 @@
+// Package follow keeps a process up to date with a keyed topic of the store,
+// and says since when what it has is proved to be current.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge/logstore"
+)
+
+// Timing of a Follower.
+const (
+	// defaultWait is how long one read waits for news. It is the age of the
+	// proof just before the next answer, so it stays well below the shortest
+	// bound on revocations (5 s).
+	defaultWait = 1500 * time.Millisecond
+	// answerTime is what an answer may take beyond the wait. The store takes
+	// about 4 ms, and on slow days 50 times as long.
+	answerTime = 700 * time.Millisecond
+	// pause is between two reads while the store refuses them. Each call has a
+	// price, and the bounds on news after an outage are two seconds and more.
+	pause = 300 * time.Millisecond
+	// outage is the time without an answer after which the next answer counts
+	// as the end of an outage.
+	outage = 2500 * time.Millisecond
+)
+
+// Follower follows one topic. Its functions are called by one goroutine.
+type Follower struct {
+	Topic logstore.Keyed
+	// Wait is how long one read waits for news; zero stands for the default.
+	Wait time.Duration
+	// OnNewest receives the whole content: at the start, and again after
+	// records were lost. afterOutage says that the store had been away.
+	OnNewest func(entries []logstore.Entry, afterOutage bool)
+	// OnChanges receives records in order.
+	OnChanges func(entries []logstore.Entry, afterOutage bool)
+	// OnCurrent is told that everything written before the time is known.
+	OnCurrent func(at time.Time)
+	// OnError receives the error of each call that failed.
+	OnError func(err error)
+
+	answered time.Time
+}
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	if f.Wait == 0 {
+		f.Wait = defaultWait
+	}
+	f.answered = time.Now()
+	next, whole := int64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if whole {
+			next, err = f.read(ctx, next)
+		} else {
+			next, err = f.newest(ctx)
+		}
+		whole = err == nil || (whole && !errors.Is(err, logstore.ErrGone))
+		if err != nil {
+			f.failed(ctx, err)
+		}
+	}
+}
+
+func (f *Follower) newest(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout(answerTime))
+	defer cancel()
+	sent := time.Now()
+	c, err := f.Topic.Newest(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.OnNewest(c.Entries, f.noteAnswer())
+	f.OnCurrent(sent)
+
+	return c.Next, nil
+}
+
+func (f *Follower) read(ctx context.Context, next int64) (int64, error) {
+	wait := f.Wait
+	if f.lapsed() {
+		// After a failure the reader wants to know at once how far it is behind.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timeout(wait+answerTime))
+	defer cancel()
+	sent := time.Now()
+	c, err := f.Topic.Read(ctx, next, wait)
+	if err != nil {
+		return next, err
+	}
+	after := f.noteAnswer()
+	if len(c.Entries) > 0 {
+		f.OnChanges(c.Entries, after)
+		f.OnCurrent(sent)
+
+		return c.Next, nil
+	}
+	// The store held an empty answer for the whole wait, so it is as young as
+	// the wait allows.
+	f.OnCurrent(earlier(sent.Add(wait), time.Now()))
+
+	return c.Next, nil
+}
+
+// timeout returns the time for one call; it grows while the store is slow, so
+// that a slow store can still be followed.
+func (f *Follower) timeout(d time.Duration) time.Duration {
+	if f.lapsed() {
+		return d + answerTime
+	}
+
+	return d
+}
+
+// lapsed reports whether the last call got no answer for longer than one read
+// takes.
+func (f *Follower) lapsed() bool {
+	return time.Since(f.answered) > f.Wait+answerTime
+}
+
+// noteAnswer notes an answer, and reports whether it ends an outage.
+func (f *Follower) noteAnswer() bool {
+	after := time.Since(f.answered) > outage
+	f.answered = time.Now()
+
+	return after
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.OnError(err)
+	if errors.Is(err, logstore.ErrGone) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,135 @@
+// Package forward takes callers' requests, chooses backend servers for them,
+// and brings the answers back. It knows no wire names: a Wire translates
+// headers.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+// Request is what a caller's headers say.
+type Request struct {
+	// ID names this try of the caller; a later try has another ID.
+	ID string
+	// Key is the caller's key; empty if it sent none.
+	Key string
+	// Deadline is how long the caller waits; zero if it did not say.
+	Deadline time.Duration
+	// LastEvent is the ID of the last event that the caller has, when it takes
+	// up a stream; zero otherwise.
+	LastEvent int64
+	// PromptTokens and MaxTokens are the sizes of the prompt and of the
+	// longest answer.
+	PromptTokens int
+	MaxTokens    int
+	// GuessedTokens is the caller's guess of the answer; zero if it has none.
+	GuessedTokens int
+}
+
+// Attempt is what a server is told of one attempt besides the caller's own
+// headers.
+type Attempt struct {
+	Server catalog.Server
+	// Path is empty for servers without a model.
+	Path fleet.Path
+	// Left is how long the caller still waits.
+	Left time.Duration
+	// Account names the client account; empty for anonymous requests.
+	Account string
+	// LastEvent is the ID of the last event that was passed on; zero if none.
+	LastEvent int64
+}
+
+// Answer is what the head of a server's answer says beside its status.
+type Answer struct {
+	// ID is the request that it answers; empty if it does not say.
+	ID string
+	// Sealed says that a server vouches for the answer.
+	Sealed bool
+	// NotRun says that the server did not run the request and never will.
+	NotRun bool
+	// Misdirected says that the server is not the one that was meant, or does
+	// not hold the layers that it was to run.
+	Misdirected bool
+	// Fault is the address of the server at fault; empty if the answer does
+	// not say.
+	Fault string
+}
+
+// Wire translates between headers and the types of this package.
+type Wire struct {
+	Request func(r *http.Request) (Request, error)
+	// Prepare changes the caller's headers to those of one attempt.
+	Prepare func(h http.Header, a Attempt)
+	Answer  func(resp *http.Response) Answer
+	// Refuse sends an answer of the router's own.
+	Refuse func(w http.ResponseWriter, id string, e *result.Error)
+}
+
+// State is what the router believes at one moment.
+type State struct {
+	// Catalog is nil as long as no configuration is known.
+	Catalog *catalog.Catalog
+	// Current is the time of the last proof that the configuration is current.
+	Current time.Time
+	// Boxes is how many boxes share the work and the retry budget.
+	Boxes int
+}
+
+// Bounds are the limits that the installation sets.
+type Bounds struct {
+	// Proof is how old the proof of the configuration may be for requests
+	// with a key.
+	Proof time.Duration
+	// RetryShare and RetryExtra bound what all boxes together send again in
+	// any RetryWindow: the share of the requests, and a fixed number.
+	RetryShare  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+// Handler serves callers.
+type Handler struct {
+	wire    Wire
+	fleet   *fleet.Fleet
+	client  *http.Client
+	servers ServerCalls
+	state   func() State
+	bounds  Bounds
+	random  func() float64
+	logger  *zap.Logger
+	metrics *Metrics
+	budget  *budget
+	runs    *runs
+	drain   drainState
+}
+
+// Config is what a Handler needs.
+type Config struct {
+	Wire    Wire
+	Fleet   *fleet.Fleet
+	Client  *http.Client
+	Servers ServerCalls
+	State   func() State
+	Bounds  Bounds
+	// Random returns numbers from 0 to 1.
+	Random  func() float64
+	Logger  *zap.Logger
+	Metrics *Metrics
+}
+
+// New returns a Handler.
+func New(c Config) *Handler {
+	return &Handler{
+		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
+		bounds: c.Bounds, random: c.Random, logger: c.Logger, metrics: c.Metrics,
+		budget: newBudget(c.Bounds), runs: newRuns(),
+	}
+}
--- /dev/null
+++ b/forward/handler.go
@@ -0,0 +1,214 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+// call is one request of a caller with what was decided for it.
+type call struct {
+	Request
+	method string
+	// target is the path and query, byte for byte as the caller sent them.
+	target  string
+	host    string
+	header  http.Header
+	body    []byte
+	began   time.Time
+	until   time.Time
+	route   *catalog.Route
+	service string
+	account string
+	state   State
+	// servers counts the servers to which the request was sent.
+	servers int
+	// tried lists what was tried, for the log line.
+	tried []string
+}
+
+// drainState counts requests in flight and says whether the box is stopping.
+type drainState struct {
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// StopSoon makes every answer ask its caller to close the connection.
+func (h *Handler) StopSoon() {
+	h.drain.stopping.Store(true)
+}
+
+// InFlight returns how many requests are being served.
+func (h *Handler) InFlight() int64 {
+	return h.drain.inFlight.Load()
+}
+
+// ServeHTTP serves one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.drain.inFlight.Add(1)
+	defer h.drain.inFlight.Add(-1)
+	if h.drain.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, e := h.admit(w, r)
+	if e != nil {
+		h.refuse(w, c, e)
+
+		return
+	}
+	h.budget.request(c.service, c.began)
+	ctx, cancel := context.WithDeadline(r.Context(), c.until)
+	defer cancel()
+	if c.route.Kind == catalog.Stream && h.hasModel(c) {
+		h.serveStream(ctx, w, c)
+
+		return
+	}
+	h.servePlain(ctx, w, c)
+}
+
+func (h *Handler) hasModel(c *call) bool {
+	s := c.state.Catalog.Service(c.service)
+
+	return s != nil && s.Model != nil
+}
+
+// comeBack is when a caller that was refused for want of knowledge may come
+// back: a box learns the configuration within about a second of its start.
+const comeBack = 500 * time.Millisecond
+
+// admit decides whether and how a request is served. It always returns a call,
+// so that a refusal can be logged.
+func (h *Handler) admit(w http.ResponseWriter, r *http.Request) (*call, *result.Error) {
+	c := &call{
+		method: r.Method, target: target(r), host: r.Host, began: time.Now(), state: h.state(),
+	}
+	var err error
+	if c.Request, err = h.wire.Request(r); err != nil {
+		return c, result.New(result.Malformed, "%s", err.Error())
+	}
+	if c.state.Catalog == nil {
+		return c, result.New(result.NotReady, "no configuration is known yet").WithRetryAfter(comeBack)
+	}
+	path, _, _ := strings.Cut(c.target, "?")
+	if c.route = c.state.Catalog.Route(r.Host, path); c.route == nil {
+		return c, result.New(result.UnknownRoute, "no route for host %s and path %s", r.Host, path)
+	}
+	if e := h.checkKey(c); e != nil {
+		return c, e
+	}
+	c.until = c.began.Add(c.route.Timeout)
+	if c.Deadline > 0 && c.Deadline < c.route.Timeout {
+		c.until = c.began.Add(c.Deadline)
+	}
+	c.service = c.route.Pick(h.random())
+	c.header = passedOn(r.Header)
+
+	return c, h.readBody(w, r, c)
+}
+
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+
+	return r.URL.RequestURI()
+}
+
+// checkKey finds the client account, and refuses while it cannot be told
+// whether the key is still good.
+func (h *Handler) checkKey(c *call) *result.Error {
+	cat := c.state.Catalog
+	acc := cat.Account(c.Key)
+	if acc != nil {
+		c.account = acc.Name
+	}
+	if !cat.KeysNeeded || c.route.Anonymous {
+		return nil
+	}
+	if age := c.began.Sub(c.state.Current); age > h.bounds.Proof {
+		return result.New(result.NotCurrent, "the configuration was last proved current %s ago", age).WithRetryAfter(comeBack)
+	}
+	if acc == nil {
+		return result.New(result.UnknownKey, "the key is not known")
+	}
+
+	return nil
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *result.Error {
+	limit := c.state.Catalog.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if r.ContentLength > limit {
+		return result.New(result.TooLarge, "the body has %d bytes; the limit is %d", r.ContentLength, limit)
+	}
+	// The deadline holds for the body only; a slow caller must not keep the
+	// request open for ever.
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(c.until)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.New(result.TooLarge, "the body is larger than the limit of %d bytes", limit)
+	}
+	if err != nil {
+		return result.New(result.Malformed, "the body could not be read: %s", err.Error())
+	}
+	c.body = body
+
+	return nil
+}
+
+// defaultBody is the limit of bodies when the configuration has none.
+const defaultBody = 4 << 20
+
+// refuse answers a request for the router itself, and logs why.
+func (h *Handler) refuse(w http.ResponseWriter, c *call, e *result.Error) {
+	h.metrics.done(c, e.Code)
+	event.Log(h.logger, event.RequestRefused, append(h.fields(c),
+		zap.Int("code", int(e.Code)), zap.String("ran", string(e.Ran)), zap.String("why", e.Detail),
+		zap.Duration("retry_after", e.RetryAfter))...)
+	h.wire.Refuse(w, c.ID, e)
+}
+
+// fields returns what every log line on a request has.
+func (h *Handler) fields(c *call) []zap.Field {
+	f := []zap.Field{zap.String("request", c.ID), zap.Duration("took", time.Since(c.began))}
+	if c.state.Catalog != nil {
+		f = append(f, zap.Int64("config", c.state.Catalog.Version), zap.Duration("config_age", c.began.Sub(c.state.Current)))
+	}
+	if c.route != nil {
+		f = append(f, zap.String("route", c.route.Name), zap.Stringer("kind", c.route.Kind), zap.String("service", c.service),
+			zap.String("account", c.account), zap.Strings("tried", c.tried))
+	}
+
+	return f
+}
+
+// shortage returns the refusal for a request for which there is no server.
+func shortage(s fleet.Shortage) *result.Error {
+	if s == fleet.NoMemory {
+		return result.New(result.Overloaded, "no path has memory left for the request").WithRetryAfter(comeBack)
+	}
+
+	return result.New(result.NoPipeline, "some layers are on no server that can be used").WithRetryAfter(comeBack)
+}
+
+// gone reports whether the caller has left.
+func gone(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled)
+}
--- /dev/null
+++ b/forward/metrics.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/slatebridge/slatebridge/result"
+)
+
+// Metrics counts requests and attempts.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	empty    *prometheus.CounterVec
+	streams  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// NewMetrics returns metrics that are registered with reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_requests_total", Help: "Requests that ended, by kind of call and result code.",
+		}, []string{"kind", "code"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_attempts_total", Help: "Attempts at servers, by kind of call and what became of them.",
+		}, []string{"kind", "fate"}),
+		empty: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_retry_budget_empty_total", Help: "Retries that were not made for want of budget, by service.",
+		}, []string{"service"}),
+		streams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_stream_moves_total", Help: "Streams that went on elsewhere, by how (resumed, moved).",
+		}, []string{"how"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "slatebridge_request_seconds", Help: "Time from the request to the end of its answer, by kind of call.",
+			Buckets: []float64{.01, .025, .05, .1, .2, .3, .5, 1, 2, 5, 10, 20},
+		}, []string{"kind"}),
+	}
+	reg.MustRegister(m.requests, m.attempts, m.empty, m.streams, m.latency)
+
+	return m
+}
+
+func (m *Metrics) done(c *call, code result.Code) {
+	kind := "none"
+	if c.route != nil {
+		kind = c.route.Kind.String()
+		m.latency.WithLabelValues(kind).Observe(time.Since(c.began).Seconds())
+	}
+	m.requests.WithLabelValues(kind, strconv.Itoa(int(code))).Inc()
+}
+
+func (m *Metrics) attempt(c *call, f fate) {
+	m.attempts.WithLabelValues(c.route.Kind.String(), f.String()).Inc()
+}
+
+func (m *Metrics) budgetEmpty(service string) {
+	m.empty.WithLabelValues(service).Inc()
+}
+
+func (m *Metrics) moved(how string) {
+	m.streams.WithLabelValues(how).Inc()
+}
--- /dev/null
+++ b/forward/plain.go
@@ -0,0 +1,287 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+const (
+	// maxRefusals bounds to how many servers a request is offered that turn it
+	// away.
+	maxRefusals = 3
+	// maxWhole is the largest answer that is read whole before it is passed
+	// on, in bytes. Larger answers are passed on as they come, and can't be
+	// asked for again.
+	maxWhole = 1 << 20
+	// hedgeFactor is after how many usual answer times a second server is
+	// asked, and hedgeLeast and hedgeMost bound that time.
+	hedgeFactor = 4
+	hedgeLeast  = 100 * time.Millisecond
+	// hedgeShare is the part of the route's objective after which a second
+	// server is asked in any case.
+	hedgeShare = 0.5
+)
+
+// outcome is what came of one attempt at a server without a model.
+type outcome struct {
+	reply
+	server catalog.Server
+	hold   *fleet.Hold
+	// body is the whole answer, unless rest is set.
+	body []byte
+	// rest is what follows body of an answer too large to be kept.
+	rest   io.ReadCloser
+	took   time.Duration
+	cancel context.CancelFunc
+}
+
+// good reports whether the outcome is an answer that is worth passing on while
+// others may still come.
+func (o *outcome) good() bool {
+	return o.fate == answered && o.resp.StatusCode < http.StatusInternalServerError
+}
+
+// servePlain serves a request at servers without a model.
+func (h *Handler) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
+	t := &plainTry{h: h, c: c, ctx: ctx, results: make(chan *outcome, maxRefusals+c.route.MaxServers)}
+	best := t.run()
+	defer t.stop(best)
+	if best != nil && best.fate == answered {
+		h.pass(w, c, best)
+
+		return
+	}
+	h.refuse(w, c, t.failure())
+}
+
+// plainTry is the state of one request while servers are asked.
+type plainTry struct {
+	h       *Handler
+	c       *call
+	ctx     context.Context
+	results chan *outcome
+	open    []*outcome
+	avoid   []slatebridge.ServerID
+	refused int
+	// mayHaveRun says that some server may have run the request.
+	mayHaveRun bool
+	broken     bool
+}
+
+// run asks servers until one gives a good answer, and returns the best answer.
+func (t *plainTry) run() *outcome {
+	if !t.ask() {
+		return nil
+	}
+	hedge := time.NewTimer(t.hedgeAfter())
+	defer hedge.Stop()
+	var best *outcome
+	for len(t.open) > 0 {
+		select {
+		case <-t.ctx.Done():
+			return best
+		case <-hedge.C:
+			if t.c.route.MayRepeat() {
+				t.again()
+			}
+		case o := <-t.results:
+			t.closed(o)
+			if o.good() {
+				return o
+			}
+			if o.fate == answered {
+				best = o
+			}
+			if t.mayAskAgain(o) {
+				t.again()
+			}
+		}
+	}
+
+	return best
+}
+
+// hedgeAfter returns when a second server is asked, should none answer.
+func (t *plainTry) hedgeAfter() time.Duration {
+	most := time.Duration(hedgeShare * float64(t.c.route.Objective))
+	usual := hedgeFactor * t.h.fleet.Latency(t.c.service)
+
+	return max(hedgeLeast, min(usual, most))
+}
+
+// ask sends the request to one more server.
+func (t *plainTry) ask() bool {
+	s, hold, ok := t.h.fleet.Pick(t.c.service, t.avoid)
+	if !ok {
+		return false
+	}
+	t.avoid = append(t.avoid, s.ID)
+	t.c.servers++
+	t.c.tried = append(t.c.tried, string(s.ID))
+	ctx, cancel := context.WithCancel(t.ctx)
+	o := &outcome{server: s, hold: hold, cancel: cancel}
+	t.open = append(t.open, o)
+	go func() {
+		t.h.askServer(ctx, t.c, o)
+		t.results <- o
+	}()
+
+	return true
+}
+
+// again asks one more server if the budget allows it.
+func (t *plainTry) again() {
+	if t.c.servers-t.refused >= t.c.route.MaxServers || t.refused >= maxRefusals {
+		return
+	}
+	if !t.h.budget.retry(t.c.service, t.c.state.Boxes, time.Now()) {
+		t.h.metrics.budgetEmpty(t.c.service)
+
+		return
+	}
+	t.ask()
+}
+
+// mayAskAgain reports whether another server may be asked after the outcome.
+func (t *plainTry) mayAskAgain(o *outcome) bool {
+	switch o.fate {
+	case unsent, notRun:
+		t.refused++
+
+		return true
+	case mayHaveRun:
+		t.mayHaveRun, t.broken = true, true
+	case answered:
+		t.mayHaveRun = true
+	}
+
+	return t.c.route.MayRepeat()
+}
+
+func (t *plainTry) closed(o *outcome) {
+	for i, v := range t.open {
+		if v == o {
+			t.open = append(t.open[:i], t.open[i+1:]...)
+		}
+	}
+	t.h.noteOutcome(t.c, o)
+}
+
+// stop ends what is still open; keep is passed on by the caller.
+func (t *plainTry) stop(keep *outcome) {
+	for _, o := range t.open {
+		o.cancel()
+	}
+	if keep != nil {
+		keep.cancel()
+	}
+}
+
+// failure returns the answer for a request that no server answered.
+func (t *plainTry) failure() *result.Error {
+	sent := t.mayHaveRun || len(t.open) > 0
+	switch {
+	case gone(t.ctx):
+		return result.New(result.MayHaveRun, "the caller has left")
+	case !sent && t.ctx.Err() != nil:
+		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(comeBack)
+	case !sent:
+		return result.New(result.NoServer, "no server takes the request").WithRetryAfter(comeBack)
+	case t.ctx.Err() != nil:
+		return result.New(result.DeadlineExceeded, "no answer within %s", t.c.until.Sub(t.c.began))
+	case t.broken:
+		return result.New(result.BrokenAnswer, "the answer broke off or was not one to this request")
+	default:
+		return result.New(result.AttemptsExhausted, "no server answered")
+	}
+}
+
+// askServer makes one attempt and reads the answer.
+func (h *Handler) askServer(ctx context.Context, c *call, o *outcome) {
+	began := time.Now()
+	defer func() { o.took = time.Since(began) }()
+	defer o.hold.Release()
+	o.reply = h.send(ctx, c, Attempt{Server: o.server, Left: time.Until(c.until), Account: c.account})
+	if o.fate != answered {
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(o.resp.Body, maxWhole))
+	o.body = body
+	if err == nil && len(body) == maxWhole {
+		o.rest = o.resp.Body
+
+		return
+	}
+	_ = o.resp.Body.Close()
+	if err != nil {
+		o.reply = reply{fate: mayHaveRun, err: errors.Wrap(err, "the answer broke off")}
+	}
+}
+
+// noteOutcome tells the fleet how the server did, and logs a failed attempt.
+func (h *Handler) noteOutcome(c *call, o *outcome) {
+	h.metrics.attempt(c, o.fate)
+	if o.good() {
+		h.fleet.NoteAnswer(o.server.ID, true, o.took)
+
+		return
+	}
+	if o.fate == mayHaveRun && errors.Is(o.err, context.Canceled) {
+		return
+	}
+	h.fleet.NoteAnswer(o.server.ID, false, o.took)
+	switch o.fate {
+	case notRun:
+		h.fleet.NoteFull(o.server.ID)
+	case unsent:
+		h.fleet.Suspect(o.server.ID, time.Now().Add(unreachablePause))
+	default:
+	}
+	h.logAttempt(c, o.server, o.reply)
+}
+
+// unreachablePause is how long a server to which no connection could be opened
+// gets no work from this box.
+const unreachablePause = 500 * time.Millisecond
+
+func (h *Handler) logAttempt(c *call, s catalog.Server, r reply) {
+	status := 0
+	if r.resp != nil {
+		status = r.resp.StatusCode
+	}
+	event.Log(h.logger, event.AttemptEnded, append(h.fields(c), zap.String("server", string(s.ID)),
+		zap.Stringer("fate", r.fate), zap.Int("status", status), event.Error(r.err))...)
+}
+
+// pass passes a server's answer on.
+func (h *Handler) pass(w http.ResponseWriter, c *call, o *outcome) {
+	copyHead(w, o.resp)
+	if o.rest == nil && c.method != http.MethodHead {
+		setLength(w, len(o.body))
+	}
+	w.WriteHeader(o.resp.StatusCode)
+	_, err := w.Write(o.body)
+	if o.rest != nil {
+		if err == nil {
+			_, err = io.Copy(w, o.rest)
+		}
+		_ = o.rest.Close()
+	}
+	h.metrics.done(c, result.OK)
+	event.Log(h.logger, event.RequestAnswered, append(h.fields(c), zap.Int("status", o.resp.StatusCode), event.Error(err))...)
+	if err != nil {
+		// The answer is not whole, and must not look so.
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,356 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/result"
+)
+
+const (
+	// maxAttempts bounds how often one stream is started or taken up.
+	maxAttempts = 6
+	// guessMargin is by how much answers are taken to be longer than the
+	// caller guesses: the guess is right in the middle and often far off.
+	guessMargin = 1.25
+	// noEvent is the number before the first event.
+	noEvent int64 = -1
+)
+
+// Reasons for which an attempt of a stream ends early.
+var (
+	errStalled = errors.New("the stream made no progress")
+	errGap     = errors.New("the events do not follow each other")
+)
+
+// streamTry is the state of one stream over its attempts.
+type streamTry struct {
+	h   *Handler
+	c   *call
+	ctx context.Context
+	w   http.ResponseWriter
+	// last is the number of the last event passed on.
+	last     int64
+	events   int
+	headSent bool
+	first    time.Duration
+	attempts int
+	rejected int
+	// ran are the first servers of the attempts that may have run.
+	ran []slatebridge.ServerID
+	// avoid are servers that failed this stream.
+	avoid []slatebridge.ServerID
+}
+
+// serveStream serves a request that is answered by events.
+func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
+	t := &streamTry{h: h, c: c, ctx: ctx, w: w, last: noEvent}
+	if c.LastEvent > 0 {
+		t.last = c.LastEvent
+	}
+	for {
+		path, hold, e := t.choose()
+		if e != nil {
+			t.fail(e)
+
+			return
+		}
+		if t.attempt(path, hold) {
+			return
+		}
+		if e := t.mayGoOn(); e != nil {
+			t.fail(e)
+
+			return
+		}
+	}
+}
+
+// tokens returns the size of the request in the memory of the servers.
+func (t *streamTry) tokens() float64 {
+	c := t.c
+	answer := float64(c.GuessedTokens) * guessMargin
+	if c.GuessedTokens == 0 {
+		answer = float64(t.model().UsualAnswer)
+	}
+	if c.MaxTokens > 0 {
+		answer = min(answer, float64(c.MaxTokens))
+	}
+
+	return float64(c.PromptTokens) + answer
+}
+
+func (t *streamTry) model() *catalog.Model {
+	return t.c.state.Catalog.Service(t.c.service).Model
+}
+
+// choose finds a path for the next attempt.
+func (t *streamTry) choose() (fleet.Path, *fleet.Hold, *result.Error) {
+	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: t.avoid}
+	if len(t.ran) >= t.c.route.MaxServers {
+		return t.chooseAmongUsed(q)
+	}
+	path, hold, short := t.h.fleet.Path(q)
+	if path == nil && len(t.avoid) > 0 {
+		// A server that failed once is better than none.
+		q.Avoid = nil
+		path, hold, short = t.h.fleet.Path(q)
+	}
+	if path == nil {
+		return nil, nil, shortage(short)
+	}
+
+	return path, hold, nil
+}
+
+// chooseAmongUsed finds a path that begins at a server that has had the
+// request already, since no more servers may get it. Servers that are taken as
+// dead do not count.
+func (t *streamTry) chooseAmongUsed(q fleet.Query) (fleet.Path, *fleet.Hold, *result.Error) {
+	dead := t.h.fleet.Suspects()
+	alive := 0
+	for _, id := range t.ran {
+		if _, known := t.h.fleet.Server(id); !known || slices.Contains(dead, id) {
+			continue
+		}
+		alive++
+		q.First = id
+		if path, hold, _ := t.h.fleet.Path(q); path != nil {
+			return path, hold, nil
+		}
+	}
+	if alive >= t.c.route.MaxServers {
+		return nil, nil, result.New(result.AttemptsExhausted, "the request was sent to %d servers", alive)
+	}
+	q.First = ""
+	path, hold, short := t.h.fleet.Path(q)
+	if path == nil {
+		return nil, nil, shortage(short)
+	}
+
+	return path, hold, nil
+}
+
+// attempt makes one attempt and reports whether the request is done with.
+func (t *streamTry) attempt(path fleet.Path, hold *fleet.Hold) bool {
+	t.attempts++
+	t.c.tried = append(t.c.tried, path.String())
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	defer cancel(nil)
+	run := t.h.runs.add(&run{id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel})
+	defer t.h.runs.remove(run)
+	first := path[0].Server
+	r := t.h.send(ctx, t.c, Attempt{
+		Server: first, Path: path, Left: time.Until(t.c.until), Account: t.c.account, LastEvent: max(0, t.last),
+	})
+	t.h.metrics.attempt(t.c, r.fate)
+	if r.fate != answered {
+		return t.noteUnanswered(ctx, path, r)
+	}
+	defer func() { _ = r.resp.Body.Close() }()
+	t.noteRan(first.ID)
+	if r.resp.StatusCode != http.StatusOK {
+		return t.passFailure(first, r)
+	}
+	err := t.relay(run, r)
+	if errors.Is(err, io.EOF) {
+		t.done()
+
+		return true
+	}
+	t.noteBroken(ctx, path, r, err)
+
+	return gone(t.ctx)
+}
+
+func (t *streamTry) noteRan(id slatebridge.ServerID) {
+	if !slices.Contains(t.ran, id) {
+		t.ran = append(t.ran, id)
+	}
+}
+
+// noteUnanswered handles an attempt to which no server answered.
+func (t *streamTry) noteUnanswered(ctx context.Context, path fleet.Path, r reply) bool {
+	first := path[0].Server
+	switch r.fate {
+	case notRun:
+		t.rejected++
+		t.blame(path, r.answer)
+	case unsent:
+		t.rejected++
+		t.h.fleet.Suspect(first.ID, time.Now().Add(unreachablePause))
+		t.avoid = append(t.avoid, first.ID)
+	default:
+		t.noteRan(first.ID)
+		t.avoid = append(t.avoid, first.ID)
+	}
+	if gone(t.ctx) {
+		t.h.logAttempt(t.c, first, r)
+
+		return true
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		r.err = cause
+	}
+	t.h.logAttempt(t.c, first, r)
+
+	return false
+}
+
+// blame notes which server of the path turned the request away.
+func (t *streamTry) blame(path fleet.Path, a Answer) {
+	id := path[0].Server.ID
+	for _, s := range path {
+		if s.Server.Address == a.Fault {
+			id = s.Server.ID
+		}
+	}
+	if a.Misdirected {
+		t.h.fleet.NoteLacking(id)
+	} else {
+		t.h.fleet.NoteFull(id)
+	}
+	t.avoid = append(t.avoid, id)
+}
+
+// passFailure passes a server's own failure on, unless another server may do
+// better.
+func (t *streamTry) passFailure(first catalog.Server, r reply) bool {
+	t.h.logAttempt(t.c, first, r)
+	t.avoid = append(t.avoid, first.ID)
+	if t.headSent || (r.resp.StatusCode >= http.StatusInternalServerError && t.c.route.MayRepeat() && t.mayGoOn() == nil) {
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(r.resp.Body, maxWhole))
+	if err != nil {
+		return false
+	}
+	t.h.pass(t.w, t.c, &outcome{reply: r, body: body})
+
+	return true
+}
+
+// relay passes events on until the stream ends; io.EOF says that it is whole.
+func (t *streamTry) relay(run *run, r reply) error {
+	events := newEventReader(r.resp.Body)
+	for {
+		ev, err := events.next()
+		if err != nil {
+			return err
+		}
+		run.progress()
+		if ev.id > 0 && t.last != noEvent {
+			if ev.id <= t.last {
+				continue
+			}
+			if ev.id != t.last+1 {
+				return errGap
+			}
+		}
+		if err := t.write(r.resp, ev, !events.buffered()); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *streamTry) write(resp *http.Response, ev streamEvent, flush bool) error {
+	if !t.headSent {
+		// The head waits for the first event, so that until then another
+		// server can still give the whole answer.
+		copyHead(t.w, resp)
+		t.w.Header().Del("Content-Length")
+		t.w.WriteHeader(resp.StatusCode)
+		t.headSent = true
+		t.first = time.Since(t.c.began)
+	}
+	if _, err := t.w.Write(ev.raw); err != nil {
+		return err
+	}
+	t.events++
+	if ev.id > 0 || t.last == noEvent {
+		t.last = ev.id
+	}
+	if !flush {
+		return nil
+	}
+
+	return http.NewResponseController(t.w).Flush()
+}
+
+func (t *streamTry) noteBroken(ctx context.Context, path fleet.Path, r reply, err error) {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	r.err, r.fate = err, mayHaveRun
+	if !errors.Is(err, errStalled) {
+		t.avoid = append(t.avoid, path[0].Server.ID)
+	}
+	t.h.logAttempt(t.c, path[0].Server, r)
+}
+
+// mayGoOn returns nil if another attempt may be made.
+func (t *streamTry) mayGoOn() *result.Error {
+	c := t.c
+	ran := len(t.ran) > 0
+	switch {
+	case t.ctx.Err() != nil && !ran:
+		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(comeBack)
+	case t.ctx.Err() != nil:
+		return result.New(result.DeadlineExceeded, "no whole answer within %s", c.until.Sub(c.began))
+	case ran && !c.route.MayRepeat():
+		return result.New(result.MayHaveRun, "the server gave no whole answer")
+	case t.rejected > maxRefusals && !ran:
+		return result.New(result.Overloaded, "%d paths turned the request away", t.rejected).WithRetryAfter(comeBack)
+	case t.attempts >= maxAttempts || t.rejected > maxRefusals:
+		return result.New(result.AttemptsExhausted, "%d attempts brought no whole answer", t.attempts)
+	case !t.h.budget.retry(c.service, c.state.Boxes, time.Now()):
+		t.h.metrics.budgetEmpty(c.service)
+		if !ran {
+			return result.New(result.Overloaded, "the budget for retries is used up").WithRetryAfter(comeBack)
+		}
+
+		return result.New(result.AttemptsExhausted, "the budget for retries is used up")
+	}
+	if ran {
+		t.h.metrics.moved("resumed")
+		event.Log(t.h.logger, event.StreamResumed, append(t.h.fields(c), zap.Int64("after_event", t.last))...)
+	}
+
+	return nil
+}
+
+func (t *streamTry) done() {
+	t.h.metrics.done(t.c, result.OK)
+	event.Log(t.h.logger, event.RequestAnswered, append(t.h.fields(t.c),
+		zap.Int("events", t.events), zap.Duration("first_event", t.first))...)
+	if !t.headSent {
+		t.w.WriteHeader(http.StatusOK)
+	}
+}
+
+// fail ends a request that no server answered whole. What was passed on is
+// broken off, so that it does not look complete.
+func (t *streamTry) fail(e *result.Error) {
+	if len(t.ran) > 0 && e.Ran == result.RanNo {
+		e = result.New(result.AttemptsExhausted, "%s", e.Detail)
+	}
+	if !t.headSent {
+		t.h.refuse(t.w, t.c, e)
+
+		return
+	}
+	t.h.metrics.done(t.c, e.Code)
+	event.Log(t.h.logger, event.RequestBroken, append(t.h.fields(t.c),
+		zap.Int("code", int(e.Code)), zap.String("why", e.Detail), zap.Int("events", t.events))...)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/forward/watch.go
@@ -0,0 +1,323 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// Report is what a server says of the streams that started at it.
+type Report struct {
+	// Stalled gives the address of the server that a request waits for, by
+	// the request's ID.
+	Stalled map[string]string
+}
+
+// ServerCalls are the calls to servers beside requests.
+type ServerCalls struct {
+	Report func(ctx context.Context, s catalog.Server) (Report, error)
+	// Move lets a running stream go on over another path with the same first
+	// server.
+	Move func(ctx context.Context, first catalog.Server, id string, p fleet.Path) error
+}
+
+const (
+	// watchEvery is the pause between two looks at the streams in flight.
+	watchEvery = 40 * time.Millisecond
+	// silence is how long a running stream may be silent before its servers
+	// are asked. Events come every 15 to 30 ms, and a pause of 200 ms makes
+	// an answer late.
+	silence = 120 * time.Millisecond
+	// firstSilence is the same for the first event, which takes 45 ms in the
+	// middle and 150 ms for the slowest hundredth.
+	firstSilence = 250 * time.Millisecond
+	// checkPause is between two checks of the same stream.
+	checkPause = 150 * time.Millisecond
+	// hopeless is after how long a silent stream is taken up elsewhere without
+	// a reason found: callers leave after two seconds.
+	hopeless = 1200 * time.Millisecond
+	// reportTime bounds how long a server may take to report. It answers in
+	// about a millisecond.
+	reportTime = 100 * time.Millisecond
+	// suspectTime is for how long a server that does not report is taken as
+	// dead; it is asked again before.
+	suspectTime = 1500 * time.Millisecond
+	// askAgainEvery is the pause between two questions to a suspected server.
+	askAgainEvery = 500 * time.Millisecond
+)
+
+// run is one attempt of a stream in flight.
+type run struct {
+	id      string
+	service string
+	tokens  float64
+	cancel  context.CancelCauseFunc
+
+	mu      sync.Mutex
+	path    fleet.Path
+	hold    *fleet.Hold
+	lastAt  time.Time
+	started bool
+	// checkAt is the earliest time of the next check.
+	checkAt time.Time
+}
+
+// progress notes an event.
+func (r *run) progress() {
+	r.mu.Lock()
+	r.lastAt, r.started = time.Now(), true
+	r.mu.Unlock()
+}
+
+// due reports whether the run has been silent for so long that its servers
+// should be asked.
+func (r *run) due(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := firstSilence
+	if r.started {
+		limit = silence
+	}
+	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
+		return false
+	}
+	r.checkAt = now.Add(checkPause)
+
+	return true
+}
+
+func (r *run) state() (path fleet.Path, started bool, silent time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.path, r.started, time.Since(r.lastAt)
+}
+
+// replace takes up another path.
+func (r *run) replace(p fleet.Path, hold *fleet.Hold) {
+	r.mu.Lock()
+	old := r.hold
+	r.path, r.hold, r.lastAt = p, hold, time.Now()
+	r.mu.Unlock()
+	old.Release()
+}
+
+// runs are the attempts of streams in flight at this box.
+type runs struct {
+	mu   sync.Mutex
+	list map[*run]bool
+	// dead are the servers that this box has found dead.
+	dead map[slatebridge.ServerID]bool
+}
+
+func newRuns() *runs {
+	return &runs{list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]bool)}
+}
+
+// setDead notes whether a server is dead, and reports whether that is news.
+func (r *runs) setDead(id slatebridge.ServerID, dead bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dead[id] == dead {
+		return false
+	}
+	if dead {
+		r.dead[id] = true
+	} else {
+		delete(r.dead, id)
+	}
+
+	return true
+}
+
+func (r *runs) add(v *run) *run {
+	v.lastAt = time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list[v] = true
+
+	return v
+}
+
+func (r *runs) remove(v *run) {
+	r.mu.Lock()
+	delete(r.list, v)
+	r.mu.Unlock()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hold.Release()
+}
+
+func (r *runs) all() []*run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return slices.Collect(maps.Keys(r.list))
+}
+
+// Watch looks after the streams in flight until ctx ends: those that make no
+// progress are moved away from servers that are dead.
+func (h *Handler) Watch(ctx context.Context) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, r := range h.runs.all() {
+				if r.due(now) {
+					go h.check(ctx, r)
+				}
+			}
+		}
+	}
+}
+
+// check finds out why a stream makes no progress, and acts on it.
+func (h *Handler) check(ctx context.Context, r *run) {
+	path, started, silent := r.state()
+	dead := h.deadOn(ctx, r, path)
+	event.Log(h.logger, event.StreamStalled, zap.String("request", r.id), zap.Duration("silent", silent),
+		zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", dead))
+	if len(dead) == 0 {
+		if silent > hopeless {
+			r.cancel(errStalled)
+		}
+
+		return
+	}
+	if !started || slices.Contains(dead, path[0].Server.ID) || !h.move(ctx, r, path, dead) {
+		r.cancel(errStalled)
+	}
+}
+
+// deadOn returns the servers of the path that are dead.
+func (h *Handler) deadOn(ctx context.Context, r *run, path fleet.Path) []slatebridge.ServerID {
+	var dead []slatebridge.ServerID
+	known := h.fleet.Suspects()
+	for _, s := range path {
+		if _, listed := h.fleet.Server(s.Server.ID); !listed || slices.Contains(known, s.Server.ID) {
+			dead = append(dead, s.Server.ID)
+		}
+	}
+	if len(dead) > 0 {
+		return dead
+	}
+	silent, stalled := h.askAll(ctx, path)
+	if address, ok := stalled[r.id]; ok {
+		for _, s := range path {
+			if s.Server.Address == address && !slices.Contains(silent, s.Server.ID) {
+				silent = append(silent, s.Server.ID)
+			}
+		}
+	}
+	if len(silent) > len(path)/2 {
+		// A box that reaches hardly any server is cut off itself.
+		return nil
+	}
+	for _, id := range silent {
+		h.suspect(ctx, id, "it does not answer, or others wait for it")
+	}
+
+	return silent
+}
+
+// askAll asks every server of the path for a report, and returns those that
+// did not answer, and what the first said of stalled requests.
+func (h *Handler) askAll(ctx context.Context, path fleet.Path) (silent []slatebridge.ServerID, stalled map[string]string) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	reports := make([]Report, len(path))
+	errs := make([]error, len(path))
+	var wg sync.WaitGroup
+	for i, s := range path {
+		wg.Go(func() { reports[i], errs[i] = h.servers.Report(ctx, s.Server) })
+	}
+	wg.Wait()
+	for i, err := range errs {
+		if err != nil {
+			silent = append(silent, path[i].Server.ID)
+		}
+	}
+
+	return silent, reports[0].Stalled
+}
+
+// Dead returns the servers that this box has found dead itself.
+func (h *Handler) Dead() []slatebridge.ServerID {
+	h.runs.mu.Lock()
+	defer h.runs.mu.Unlock()
+
+	return slices.Collect(maps.Keys(h.runs.dead))
+}
+
+// suspect takes a server as dead, and asks it until it answers or has left.
+func (h *Handler) suspect(ctx context.Context, id slatebridge.ServerID, why string) {
+	h.fleet.Suspect(id, time.Now().Add(suspectTime))
+	if !h.runs.setDead(id, true) {
+		return
+	}
+	event.Log(h.logger, event.ServerSuspected, zap.String("server", string(id)), zap.String("why", why))
+	go h.askAgain(ctx, id)
+}
+
+func (h *Handler) askAgain(ctx context.Context, id slatebridge.ServerID) {
+	defer h.runs.setDead(id, false)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(askAgainEvery):
+		}
+		s, ok := h.fleet.Server(id)
+		if !ok {
+			return
+		}
+		asking, cancel := context.WithTimeout(ctx, reportTime)
+		_, err := h.servers.Report(asking, s)
+		cancel()
+		if err == nil {
+			h.fleet.Trust(id)
+			event.Log(h.logger, event.ServerTrusted, zap.String("server", string(id)))
+
+			return
+		}
+		h.fleet.Suspect(id, time.Now().Add(suspectTime))
+	}
+}
+
+// move lets a stream go on without the dead servers, and reports whether it
+// does.
+func (h *Handler) move(ctx context.Context, r *run, path fleet.Path, dead []slatebridge.ServerID) bool {
+	first := path[0].Server
+	next, hold, _ := h.fleet.Path(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: dead, First: first.ID})
+	if next == nil || next[0].Layers != path[0].Layers {
+		hold.Release()
+
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	err := h.servers.Move(ctx, first, r.id, next)
+	event.Log(h.logger, event.StreamMoved, zap.String("request", r.id), zap.Stringer("from", path),
+		zap.Stringer("to", next), event.Error(err))
+	if err != nil {
+		hold.Release()
+
+		return false
+	}
+	r.replace(next, hold)
+	h.metrics.moved("moved")
+
+	return true
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,8 +23,8 @@
 	"github.com/slatebridge/slatebridge/claim"
 	"github.com/slatebridge/slatebridge/engine"
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/peer"
-	"github.com/slatebridge/slatebridge/platform"
 	"github.com/slatebridge/slatebridge/route"
 	"github.com/slatebridge/slatebridge/stream"
 )
@@ -35,7 +35,7 @@
 	hall   slatebridge.HallID
 	boot   string
 	logger *zap.Logger
-	log    platform.Log
+	log    logstore.Log
 
 	controllers   []string
 	client        *http.Client
@@ -73,7 +73,7 @@
 }
 
 // WithLog sets the platform's log, in which calls are claimed.
-func WithLog(log platform.Log) Option {
+func WithLog(log logstore.Log) Option {
 	return func(g *Gateway) { g.log = log }
 }
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -23,8 +23,8 @@
 	"github.com/slatebridge/slatebridge/internal/standin/memberlist"
 	"github.com/slatebridge/slatebridge/internal/standin/memnet"
 	"github.com/slatebridge/slatebridge/internal/standin/plainservice"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/operator"
-	"github.com/slatebridge/slatebridge/platform"
 	"github.com/slatebridge/slatebridge/route"
 	"github.com/slatebridge/slatebridge/stream"
 )
@@ -64,7 +64,7 @@
 	Plain   map[slatebridge.ServerID]*plainservice.Server
 	Engines map[slatebridge.ServerID]*engines.Engine
 	Boxes   map[slatebridge.BoxID]*Box
-	Members platform.Members
+	Members logstore.Members
 
 	ctx  context.Context
 	size Size
@@ -120,8 +120,8 @@
 	return f
 }
 
-func (f *Fleet) members() platform.Members {
-	var m platform.Members
+func (f *Fleet) members() logstore.Members {
+	var m logstore.Members
 	for h := range f.size.Halls {
 		hall := slatebridge.HallID(fmt.Sprintf("h%d", h+1))
 		for b := range f.size.Boxes {
@@ -215,7 +215,7 @@
 	c := controller.New(id, b.Hall,
 		controller.WithBoot(boot),
 		controller.WithLogger(f.size.Logger(host)),
-		controller.WithPlatform(platform.NewLog("http://"+LogHost+":80", client), platform.NewList("http://"+ListHost+":80", client)),
+		controller.WithPlatform(logstore.NewLog("http://"+LogHost+":80", client), logstore.NewList("http://"+ListHost+":80", client)),
 		controller.WithHTTPClient(client),
 	)
 	ctx, cancel := context.WithCancel(f.ctx)
@@ -239,7 +239,7 @@
 		gateway.WithBoot(boot),
 		gateway.WithLogger(f.size.Logger(host)),
 		gateway.WithControllers(urls...),
-		gateway.WithLog(platform.NewLog("http://"+LogHost+":80", client)),
+		gateway.WithLog(logstore.NewLog("http://"+LogHost+":80", client)),
 		gateway.WithHTTPClient(client),
 		gateway.WithDial(f.Net.Dialer(host)),
 		gateway.WithPolicy(route.DefaultPolicy, 1),
@@ -287,7 +287,7 @@
 	}
 	client := f.Net.Client(CallerHost)
 
-	return operator.New(name, platform.NewLog("http://"+LogHost+":80", client), client, urls...)
+	return operator.New(name, logstore.NewLog("http://"+LogHost+":80", client), client, urls...)
 }
 
 // Publish appends records that make the objects, and waits until every box
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // AppendRate is how many appends a second the log takes, over all streams.
@@ -52,16 +52,16 @@
 
 type stream struct {
 	oldest  int64
-	records []platform.Record
+	records []logstore.Record
 	// all holds the records that are no longer kept too, for tests.
-	all []platform.Record
+	all []logstore.Record
 	// grown is closed, and replaced, when a record is added.
 	grown chan struct{}
 }
 
 var (
-	errDown = errors.Mark(errors.New("log stand-in: down"), platform.ErrUnreachable)
-	errLost = errors.Mark(errors.New("log stand-in: answer lost"), platform.ErrUnreachable)
+	errDown = errors.Mark(errors.New("log stand-in: down"), logstore.ErrUnreachable)
+	errLost = errors.Mark(errors.New("log stand-in: answer lost"), logstore.ErrUnreachable)
 )
 
 // New returns an empty log without faults.
@@ -73,8 +73,8 @@
 }
 
 // Client returns the log as the product sees it, without a network between.
-func (s *Service) Client() platform.Log {
-	return platform.Log{Append: s.Append, Read: s.Read}
+func (s *Service) Client() logstore.Log {
+	return logstore.Log{Append: s.Append, Read: s.Read}
 }
 
 // SetFaults switches the faults.
@@ -101,7 +101,7 @@
 		return 0, err
 	}
 	if err := s.limit.Wait(ctx); err != nil {
-		return 0, errors.Mark(err, platform.ErrUnreachable)
+		return 0, errors.Mark(err, logstore.ErrUnreachable)
 	}
 	offset, lost := s.add(name, data)
 	if lost {
@@ -117,7 +117,7 @@
 	hook := s.hook
 	st := s.stream(name)
 	offset = st.next()
-	record := platform.Record{Offset: offset, Time: time.Now(), Data: data}
+	record := logstore.Record{Offset: offset, Time: time.Now(), Data: data}
 	st.records = append(st.records, record)
 	st.all = append(st.all, record)
 	st.trim(s.faults.Keep)
@@ -143,7 +143,7 @@
 }
 
 // All returns every record that the stream has ever had.
-func (s *Service) All(name string) []platform.Record {
+func (s *Service) All(name string) []logstore.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -151,9 +151,9 @@
 }
 
 // Read returns the records from the offset on and waits for a first one.
-func (s *Service) Read(ctx context.Context, name string, from int64, wait time.Duration) (platform.Batch, error) {
+func (s *Service) Read(ctx context.Context, name string, from int64, wait time.Duration) (logstore.Batch, error) {
 	if err := s.enter(ctx); err != nil {
-		return platform.Batch{}, err
+		return logstore.Batch{}, err
 	}
 	if wait <= 0 {
 		// Go's race detector crashes when a select meets a timer that was made
@@ -174,16 +174,16 @@
 		case <-timer.C:
 			return b, nil
 		case <-ctx.Done():
-			return platform.Batch{}, errors.Mark(ctx.Err(), platform.ErrUnreachable)
+			return logstore.Batch{}, errors.Mark(ctx.Err(), logstore.ErrUnreachable)
 		}
 	}
 }
 
-func (s *Service) look(name string, from int64) (platform.Batch, <-chan struct{}) {
+func (s *Service) look(name string, from int64) (logstore.Batch, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
-	b := platform.Batch{Oldest: st.oldest, Next: st.next()}
+	b := logstore.Batch{Oldest: st.oldest, Next: st.next()}
 	skip := max(from-st.oldest, 0)
 	if skip < int64(len(st.records)) {
 		end := min(skip+maxRead, int64(len(st.records)))
@@ -201,7 +201,7 @@
 		select {
 		case <-time.After(f.Delay):
 		case <-ctx.Done():
-			return errors.Mark(ctx.Err(), platform.ErrUnreachable)
+			return errors.Mark(ctx.Err(), logstore.ErrUnreachable)
 		}
 	}
 	if f.Down {
--- a/internal/standin/processes/bench_test.go
+++ b/internal/standin/processes/bench_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/controller"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // patience is how long a test waits for what must come. No test depends on
@@ -52,7 +52,7 @@
 	log     string
 	list    string
 	plain   string
-	members platform.Members
+	members logstore.Members
 	callers map[string]string
 	ops     map[string]string
 	procs   map[string]*exec.Cmd
--- a/internal/system/session/leave_test.go
+++ b/internal/system/session/leave_test.go
@@ -12,8 +12,8 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
 	"github.com/slatebridge/slatebridge/internal/standin/fleet"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/operator"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // leaveTime is within what a leaving server receives no new work.
@@ -68,7 +68,7 @@
 }
 
 // withLeaving returns the members with the server leaving.
-func withLeaving(m platform.Members, id slatebridge.ServerID) platform.Members {
+func withLeaving(m logstore.Members, id slatebridge.ServerID) logstore.Members {
 	m.Servers = slices.Clone(m.Servers)
 	for i, s := range m.Servers {
 		if s.ID == id {
--- a/internal/system/session/member_test.go
+++ b/internal/system/session/member_test.go
@@ -10,8 +10,8 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
 	"github.com/slatebridge/slatebridge/internal/standin/fleet"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/operator"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // requireChats asks every box and wants whole answers.
@@ -25,7 +25,7 @@
 }
 
 // without returns the members without one server.
-func without(m platform.Members, id slatebridge.ServerID) platform.Members {
+func without(m logstore.Members, id slatebridge.ServerID) logstore.Members {
 	m.Servers = slices.DeleteFunc(slices.Clone(m.Servers), func(s slatebridge.BackendServer) bool { return s.ID == id })
 
 	return m
--- a/internal/system/session/operator_test.go
+++ b/internal/system/session/operator_test.go
@@ -11,8 +11,8 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/config"
 	"github.com/slatebridge/slatebridge/internal/standin/fleet"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/operator"
-	"github.com/slatebridge/slatebridge/platform"
 )
 
 // limit is a change of the client account's limits.
@@ -98,7 +98,7 @@
 		if err == nil {
 			t.Error("published without a controller")
 		}
-		if slices.ContainsFunc(f.Log.All(config.Stream), func(r platform.Record) bool { return r.Offset > 4 }) {
+		if slices.ContainsFunc(f.Log.All(config.Stream), func(r logstore.Record) bool { return r.Offset > 4 }) {
 			t.Error("something was appended")
 		}
 	})
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // Timing of leases.
@@ -80,7 +80,7 @@
 }
 
 // OnBatch folds one reading of the stream.
-func (k *Keeper) OnBatch(b platform.Batch, now time.Time) {
+func (k *Keeper) OnBatch(b logstore.Batch, now time.Time) {
 	if !k.readable {
 		k.readable = true
 		k.quietSince = now
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -15,7 +15,7 @@
 	"github.com/slatebridge/slatebridge/internal/golden"
 	"github.com/slatebridge/slatebridge/internal/proof"
 	"github.com/slatebridge/slatebridge/internal/standin/logservice"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 const (
@@ -35,8 +35,8 @@
 		var f Fold
 		var out strings.Builder
 		for i, line := range lines[1:] {
-			r := platform.Record{Offset: oldest + int64(i), Data: json.RawMessage(line)}
-			f = f.WithBatch(platform.Batch{Oldest: oldest, Next: r.Offset + 1, Records: []platform.Record{r}})
+			r := logstore.Record{Offset: oldest + int64(i), Data: json.RawMessage(line)}
+			f = f.WithBatch(logstore.Batch{Oldest: oldest, Next: r.Offset + 1, Records: []logstore.Record{r}})
 			rec, offset, known := f.Current()
 			fmt.Fprintf(&out, "%d: current=%d holder=%s known=%t\n", r.Offset, offset, rec.Holder.Box, known)
 		}
@@ -137,10 +137,10 @@
 }
 
 func (c *contender) follow() {
-	platform.Tail{
+	logstore.Tail{
 		Log:    c.b.log.Client(),
 		Stream: Stream("h"),
-		OnBatch: func(_ int64, batch platform.Batch) {
+		OnBatch: func(_ int64, batch logstore.Batch) {
 			if c.wrote(batch) && !c.reach(proof.StepTakeover) {
 				return
 			}
@@ -164,7 +164,7 @@
 }
 
 // wrote reports whether the newest record of the reading is the box's own.
-func (c *contender) wrote(batch platform.Batch) bool {
+func (c *contender) wrote(batch logstore.Batch) bool {
 	if len(batch.Records) == 0 {
 		return false
 	}
@@ -281,7 +281,7 @@
 func TestLoserStopsAtOnce(t *testing.T) {
 	now := time.Unix(0, 0)
 	k := NewKeeper(Holder{Box: "b0", Boot: "1"}, 0)
-	k.OnBatch(platform.Batch{}, now)
+	k.OnBatch(logstore.Batch{}, now)
 	rec, due := k.Due(now)
 	if !due {
 		t.Fatal("no claim is due")
@@ -291,7 +291,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		k.OnBatch(platform.Batch{Next: offset + 1, Records: []platform.Record{{Offset: offset, Data: data}}}, now)
+		k.OnBatch(logstore.Batch{Next: offset + 1, Records: []logstore.Record{{Offset: offset, Data: data}}}, now)
 		_, held := k.Held(now)
 
 		return held
--- a/lease/record.go
+++ b/lease/record.go
@@ -11,7 +11,7 @@
 	"encoding/json"
 
 	"github.com/slatebridge/slatebridge"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // none is the offset that the first claim in a stream names.
@@ -61,7 +61,7 @@
 }
 
 // WithBatch returns the fold after a reading of the stream.
-func (f Fold) WithBatch(b platform.Batch) Fold {
+func (f Fold) WithBatch(b logstore.Batch) Fold {
 	if !f.started || b.Oldest > f.next {
 		f = startAt(b.Oldest)
 	}
@@ -88,7 +88,7 @@
 	}
 }
 
-func (f Fold) withRecord(r platform.Record) Fold {
+func (f Fold) withRecord(r logstore.Record) Fold {
 	var rec Record
 	if json.Unmarshal(r.Data, &rec) != nil {
 		return f
--- /dev/null
+++ b/logstore/keyed.go
@@ -0,0 +1,63 @@
+package logstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of calls to the store. A call that failed with none of them, or with
+// ErrUnreachable, may have been done.
+var (
+	// ErrNotDone says that the store refused the call and did nothing.
+	ErrNotDone = errors.New("store: refused, nothing was done")
+	// ErrGone says that the records asked for are no longer kept.
+	ErrGone = errors.New("store: records are no longer kept")
+	// ErrConflict says that the condition of an append did not hold.
+	ErrConflict = errors.New("store: condition does not hold")
+)
+
+// Entry is the newest record of one key. A record with an empty value removes
+// the key.
+type Entry struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Removed reports whether the record removes its key.
+func (e Entry) Removed() bool {
+	return len(e.Value) == 0
+}
+
+// Changes is what one read of a keyed topic returns.
+type Changes struct {
+	Entries []Entry
+	// Next is the offset to read from next.
+	Next int64
+}
+
+// Keyed is a topic of the store that keeps the newest record of each key. The
+// fields are seams: tests put a stand-in behind them.
+type Keyed struct {
+	// Newest returns the newest record of every key. Changes that happened
+	// meanwhile are found by reading from Next.
+	Newest func(ctx context.Context) (Changes, error)
+	// Read returns the records from the offset on. It waits up to the given
+	// time for a first one. ErrGone says that Newest has to be read again.
+	Read func(ctx context.Context, from int64, wait time.Duration) (Changes, error)
+	// Put writes a record; nil for topics that the system may not write.
+	Put func(ctx context.Context, key string, value []byte) error
+}
+
+// Guarded is a topic to which records are appended on the condition that
+// nothing was appended meanwhile.
+type Guarded struct {
+	// End returns the offset that the next record will get, and the newest
+	// record, which is empty if there is none.
+	End func(ctx context.Context) (end int64, newest []byte, err error)
+	// AppendAt appends the record if the topic still ends at the offset, and
+	// fails with ErrConflict if it does not.
+	AppendAt func(ctx context.Context, end int64, record []byte) error
+}
--- a/platform/list.go
+++ b/logstore/list.go
@@ -1,4 +1,4 @@
-package platform
+package logstore
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	get := func(ctx context.Context) (Members, error) {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/members", http.NoBody)
 		if err != nil {
-			return Members{}, errors.Wrap(err, "platform: list")
+			return Members{}, errors.Wrap(err, "logstore: list")
 		}
 		var m Members
 		err = doJSON(client, req, &m)
--- a/platform/log.go
+++ b/logstore/log.go
@@ -1,10 +1,10 @@
-// Package platform speaks with what the platform gives: the append-only log,
+// Package logstore speaks with what the platform gives: the append-only log,
 // and the lagging list of boxes and backend servers.
 //
 // The platform's real protocol is not published yet. This package speaks
 // HTTP with JSON, as the stand-ins do; when the real protocol comes, only
 // this package changes.
-package platform
+package logstore
 
 import (
 	"bytes"
@@ -21,7 +21,7 @@
 
 // ErrUnreachable marks an error after which it is unknown whether the
 // platform has done what it was asked.
-var ErrUnreachable = errors.New("platform: no answer")
+var ErrUnreachable = errors.New("logstore: no answer")
 
 // maxReply is the largest reply that is read, in bytes.
 const maxReply = 64 << 20
@@ -71,7 +71,7 @@
 	target := c.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(data))
 	if err != nil {
-		return 0, errors.Wrap(err, "platform: append")
+		return 0, errors.Wrap(err, "logstore: append")
 	}
 	var reply struct {
 		Offset int64 `json:"offset"`
@@ -90,7 +90,7 @@
 	target := c.base + "/v1/streams/" + url.PathEscape(stream) + "/records?" + q.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
-		return Batch{}, errors.Wrap(err, "platform: read")
+		return Batch{}, errors.Wrap(err, "logstore: read")
 	}
 	var b Batch
 	if err := doJSON(c.client, req, &b); err != nil {
@@ -111,8 +111,8 @@
 		return errors.Mark(err, ErrUnreachable)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errors.Mark(errors.Newf("platform: status %d", resp.StatusCode), ErrUnreachable)
+		return errors.Mark(errors.Newf("logstore: status %d", resp.StatusCode), ErrUnreachable)
 	}
 
-	return errors.Wrap(json.Unmarshal(body, reply), "platform: reply")
+	return errors.Wrap(json.Unmarshal(body, reply), "logstore: reply")
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // play polls a server once a second: "+" is answered and "-" is not. It
@@ -57,8 +57,8 @@
 	server := slatebridge.BackendServer{ID: "s", State: slatebridge.Live}
 	up := Contact{Health: Health{up: true}}
 	leaving := Contact{Health: Health{up: true}, Report: engine.State{Leaving: true}}
-	listed := platform.Members{Servers: []slatebridge.BackendServer{server}}
-	listedLeaving := platform.Members{Servers: []slatebridge.BackendServer{server.WithState(slatebridge.Leaving)}}
+	listed := logstore.Members{Servers: []slatebridge.BackendServer{server}}
+	listedLeaving := logstore.Members{Servers: []slatebridge.BackendServer{server.WithState(slatebridge.Leaving)}}
 	stop := []slatebridge.PlannedStop{{Target: "s"}}
 	for _, c := range []struct {
 		name string
@@ -71,9 +71,9 @@
 		{"it says so itself", View{}.WithList(listed).WithContacts(Contacts{"s": leaving}), "[leaving]"},
 		{"announced", View{}.WithList(listed).WithContacts(Contacts{"s": up}).WithStops(stop), "[leaving]"},
 		{"announced and taken back", View{}.WithList(listed).WithContacts(Contacts{"s": up}).WithStops(stop).WithStops(nil), "[live]"},
-		{"dropped off the list, answering", View{}.WithList(listed).WithContacts(Contacts{"s": up}).WithList(platform.Members{}), "[live]"},
-		{"dropped off the list, silent", View{}.WithList(listed).WithContacts(Contacts{"s": {}}).WithList(platform.Members{}), "[]"},
-		{"dropped and listed again", View{}.WithList(listed).WithContacts(Contacts{"s": up}).WithList(platform.Members{}).WithList(listed), "[live]"},
+		{"dropped off the list, answering", View{}.WithList(listed).WithContacts(Contacts{"s": up}).WithList(logstore.Members{}), "[live]"},
+		{"dropped off the list, silent", View{}.WithList(listed).WithContacts(Contacts{"s": {}}).WithList(logstore.Members{}), "[]"},
+		{"dropped and listed again", View{}.WithList(listed).WithContacts(Contacts{"s": up}).WithList(logstore.Members{}).WithList(listed), "[live]"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var states []slatebridge.Lifecycle
--- a/member/view.go
+++ b/member/view.go
@@ -7,7 +7,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // Contact is what this controller knows of a server by itself.
@@ -19,7 +19,7 @@
 
 // View is everything that is known of boxes and servers. It is immutable.
 type View struct {
-	listed platform.Members
+	listed logstore.Members
 	// kept holds servers that have dropped off the list but still answer.
 	kept     map[slatebridge.ServerID]slatebridge.BackendServer
 	stops    map[string]bool
@@ -27,7 +27,7 @@
 }
 
 // WithList returns the view after a reading of the platform's list.
-func (v View) WithList(m platform.Members) View {
+func (v View) WithList(m logstore.Members) View {
 	kept := make(map[slatebridge.ServerID]slatebridge.BackendServer)
 	for _, s := range v.known() {
 		kept[s.ID] = s
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,124 @@
+// Package mesh carries what boxes tell each other: a small message by UDP
+// several times a second, and the configuration by HTTP for a box that cannot
+// get it from the store.
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/elect"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// maxMessage is the largest message, in bytes: what a datagram can hold.
+const maxMessage = 60 << 10
+
+// Message is what a box tells another one.
+type Message struct {
+	Box  slatebridge.BoxID  `json:"b"`
+	Hall slatebridge.HallID `json:"h"`
+	// Boot names the process.
+	Boot string `json:"o"`
+	// Address is where the box hears messages, as host and port.
+	Address string `json:"a"`
+	// Sent is the sender's steady clock in microseconds since its start.
+	Sent int64 `json:"s"`
+	// Echo is, by the boot of a receiver, the newest Sent heard from it. It
+	// proves to that receiver how old this message can be at most.
+	Echo map[string]int64 `json:"e"`
+	// Config is the version of the configuration; zero if none is known.
+	Config int64 `json:"c"`
+	// ConfigAge is how long ago that version was proved to be the newest, in
+	// microseconds.
+	ConfigAge int64 `json:"ca"`
+	// Servers is a digest of the entries of the backend servers, and
+	// ServersAge how long ago they were proved to be current, in microseconds.
+	Servers    uint64 `json:"v"`
+	ServersAge int64  `json:"va"`
+	// Loads is the work that the box has in flight.
+	Loads map[slatebridge.ServerID]fleet.Load `json:"l,omitempty"`
+	// Dead are servers that do not answer the box.
+	Dead []slatebridge.ServerID `json:"d,omitempty"`
+	Term elect.Term             `json:"t"`
+	// Leaving says that the box is stopping.
+	Leaving bool `json:"x,omitempty"`
+	// Ready says that the box could give orders.
+	Ready bool `json:"r,omitempty"`
+	// Boxes are the addresses of the boxes that the sender hears.
+	Boxes map[slatebridge.BoxID]string `json:"p,omitempty"`
+}
+
+// Socket sends and receives messages.
+type Socket struct {
+	conn net.PacketConn
+}
+
+// Listen opens a socket at the address.
+func Listen(ctx context.Context, address string) (*Socket, error) {
+	var cfg net.ListenConfig
+	conn, err := cfg.ListenPacket(ctx, "udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "mesh: socket")
+	}
+
+	return &Socket{conn: conn}, nil
+}
+
+// Close closes the socket.
+func (s *Socket) Close() error {
+	return s.conn.Close()
+}
+
+// Send sends one message to all addresses. Messages may be lost, so an error
+// at one address does not keep the others from being sent; the first is
+// returned.
+func (s *Socket) Send(m Message, to []string) error {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "mesh: message")
+	}
+	if len(data) > maxMessage {
+		return errors.Newf("mesh: a message has %d bytes; the limit is %d", len(data), maxMessage)
+	}
+	var first error
+	for _, a := range to {
+		addr, err := net.ResolveUDPAddr("udp4", a)
+		if err == nil {
+			_, err = s.conn.WriteTo(data, addr)
+		}
+		if err != nil && first == nil {
+			first = errors.Wrapf(err, "mesh: to %s", a)
+		}
+	}
+
+	return first
+}
+
+// Receive hands on each message until the socket is closed. Datagrams that
+// are no message are reported to onError.
+func (s *Socket) Receive(onMessage func(Message), onError func(error)) {
+	buf := make([]byte, maxMessage)
+	for {
+		n, _, err := s.conn.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			onError(err)
+
+			continue
+		}
+		var m Message
+		if err := json.Unmarshal(buf[:n], &m); err != nil {
+			onError(errors.Wrap(err, "mesh: message"))
+
+			continue
+		}
+		onMessage(m)
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,7 +16,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/config"
 	"github.com/slatebridge/slatebridge/controller"
-	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // askTimeout is how long one controller may take to answer.
@@ -29,13 +29,13 @@
 type Operator struct {
 	name        string
 	controllers []string
-	log         platform.Log
+	log         logstore.Log
 	client      *http.Client
 }
 
 // New returns an Operator of the name, who asks the controllers at the base
 // URLs.
-func New(name string, log platform.Log, client *http.Client, controllers ...string) *Operator {
+func New(name string, log logstore.Log, client *http.Client, controllers ...string) *Operator {
 	return &Operator{name: name, log: log, client: client, controllers: controllers}
 }
 
--- /dev/null
+++ b/place/cover.go
@@ -0,0 +1,181 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+)
+
+const (
+	// weightsShare is the part of a card's memory that layers may take. The
+	// rest holds requests. Measured on the two first deployments: with five
+	// sixths the memory of every stage carries a hall's streams, and a third
+	// of the layers has a second copy.
+	weightsShare = 0.83
+	// otherHalls is the weight of layers that other halls lack, beside those
+	// of the server's own hall.
+	otherHalls = 0.02
+	// uncovered is the need for a layer that no server of the hall holds, as a
+	// multiple of the need for one that a usual server holds.
+	uncovered = 1000.0
+)
+
+// Holder is a server and the layers that it holds or was told to load.
+type Holder struct {
+	ID     slatebridge.ServerID
+	Hall   slatebridge.HallID
+	Card   string
+	Layers slatebridge.LayerRange
+}
+
+// LayersFor returns how many layers a card is given.
+func LayersFor(m *catalog.Model, c catalog.Card) int {
+	if m.LayerMB <= 0 {
+		return 0
+	}
+	n := int(weightsShare * c.MemoryMB / m.LayerMB)
+
+	return min(n, m.Layers)
+}
+
+// Cover assigns layers to the servers that hold none, so that every hall has
+// all layers first, and then most memory for requests where it has least.
+// Servers that hold layers keep them. Equal inputs give equal results.
+func Cover(m *catalog.Model, servers []Holder) []Holder {
+	c := newCoverage(m, servers)
+	var empty []Holder
+	for _, s := range servers {
+		if s.Layers.Len() == 0 {
+			empty = append(empty, s)
+		}
+	}
+	slices.SortFunc(empty, func(a, b Holder) int {
+		ca, _ := m.Card(a.Card)
+		cb, _ := m.Card(b.Card)
+
+		return cmp.Or(cmp.Compare(cb.MemoryMB, ca.MemoryMB), cmp.Compare(a.ID, b.ID))
+	})
+	var out []Holder
+	for _, s := range empty {
+		card, ok := m.Card(s.Card)
+		n := LayersFor(m, card)
+		if !ok || n == 0 {
+			continue
+		}
+		s.Layers = c.best(s.Hall, n)
+		c.add(s, 1)
+		out = append(out, s)
+	}
+
+	return out
+}
+
+// Mend returns one server of a hall that lacks layers, with the layers it
+// should hold instead of its own, which others hold too. It returns false if
+// no hall lacks layers or none has a server to spare.
+func Mend(m *catalog.Model, servers []Holder) (Holder, bool) {
+	c := newCoverage(m, servers)
+	sorted := slices.Clone(servers)
+	slices.SortFunc(sorted, func(a, b Holder) int {
+		return cmp.Or(cmp.Compare(b.Layers.Len(), a.Layers.Len()), cmp.Compare(a.ID, b.ID))
+	})
+	for _, s := range sorted {
+		if s.Layers.Len() == 0 || !c.lacks(s.Hall) {
+			continue
+		}
+		c.add(s, -1)
+		if !c.spares(s) {
+			c.add(s, 1)
+
+			continue
+		}
+		s.Layers = c.best(s.Hall, s.Layers.Len())
+
+		return s, true
+	}
+
+	return Holder{}, false
+}
+
+// coverage is how much memory for requests there is for each layer, in tokens.
+type coverage struct {
+	model *catalog.Model
+	halls map[slatebridge.HallID][]float64
+	all   []float64
+}
+
+func newCoverage(m *catalog.Model, servers []Holder) *coverage {
+	c := &coverage{model: m, halls: make(map[slatebridge.HallID][]float64), all: make([]float64, m.Layers)}
+	for _, s := range servers {
+		if c.halls[s.Hall] == nil {
+			c.halls[s.Hall] = make([]float64, m.Layers)
+		}
+		c.add(s, 1)
+	}
+
+	return c
+}
+
+func (c *coverage) add(s Holder, sign float64) {
+	n := s.Layers.Len()
+	if n <= 0 {
+		return
+	}
+	card, _ := c.model.Card(s.Card)
+	tokens := sign * c.model.TokenLayers(card, n) / float64(n)
+	for l := s.Layers.From; l < min(s.Layers.To, c.model.Layers); l++ {
+		c.halls[s.Hall][l] += tokens
+		c.all[l] += tokens
+	}
+}
+
+// need returns how much a layer is wanted that has the given memory.
+func (c *coverage) need(tokens float64) float64 {
+	const usual = 60000 // tokens; the smallest stage of a usual hall
+	if tokens < 1 {
+		return uncovered
+	}
+
+	return usual / tokens
+}
+
+// best returns the n layers that the hall needs most.
+func (c *coverage) best(hall slatebridge.HallID, n int) slatebridge.LayerRange {
+	own := c.halls[hall]
+	value := make([]float64, c.model.Layers)
+	for l := range value {
+		value[l] = c.need(own[l]) + otherHalls*c.need(c.all[l])
+	}
+	sum := 0.0
+	for l := range n {
+		sum += value[l]
+	}
+	best, from := sum, 0
+	for l := 1; l+n <= c.model.Layers; l++ {
+		sum += value[l+n-1] - value[l-1]
+		if sum > best*(1+1e-9) {
+			best, from = sum, l
+		}
+	}
+
+	return slatebridge.LayerRange{From: from, To: from + n}
+}
+
+// lacks reports whether some layer is on no server of the hall.
+func (c *coverage) lacks(hall slatebridge.HallID) bool {
+	return slices.ContainsFunc(c.halls[hall], func(t float64) bool { return t < 1 })
+}
+
+// spares reports whether the hall still has all layers of the server, which
+// has been taken out of the sums.
+func (c *coverage) spares(s Holder) bool {
+	for _, t := range c.halls[s.Hall][s.Layers.From:s.Layers.To] {
+		if t < 1 {
+			return false
+		}
+	}
+
+	return true
+}
--- a/place/order.go
+++ b/place/order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -115,3 +116,7 @@
 
 	return b
 }
+
+// ErrFenced says that a server has seen a newer fencing token, so that the
+// box that gave the order is no longer the one that gives them.
+var ErrFenced = errors.New("place: a newer fencing token was seen")
--- a/result/code.go
+++ b/result/code.go
@@ -24,6 +24,9 @@
 	KeyReused          Code = 1005
 	KeyTooOld          Code = 1006
 	KeyFromFuture      Code = 1007
+	UnknownKey         Code = 1008
+	UnknownRoute       Code = 1009
+	TooLarge           Code = 1010
 	RateLimited        Code = 2001
 	ConcurrencyLimited Code = 2002
 	Overloaded         Code = 2003
@@ -32,11 +35,13 @@
 	NoServer           Code = 3002
 	LogUnavailable     Code = 3003
 	NotReady           Code = 3004
+	NotCurrent         Code = 3005
 	MayHaveRun         Code = 4001
 	AnswerDropped      Code = 4002
 	AttemptsExhausted  Code = 4003
 	DeadlineExceeded   Code = 4004
 	StreamMoved        Code = 4005
+	BrokenAnswer       Code = 4006
 )
 
 // Ran says whether a request was run.
