Leave more memory for requests, keep paths in their hall, share questions to servers

Ruled out by the log: dead servers not found (found within 60 ms of the limit); streams not moved (50 of 50 moved).

--- a/fleet/path.go
+++ b/fleet/path.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
@@ -63,11 +62,15 @@
 	// boxes that is not known yet.
 	maxFill = 0.92
 	// fillCost makes fuller servers dearer, so that servers with the same
-	// layers share the work; at the limit a server costs five times as much.
-	fillCost = 4.0
-	// crossingCost is what it costs to go from one hall to another, in
-	// milliseconds a token. The links between halls are shared, and slower.
-	crossingCost = 3.0
+	// layers share the work; at the limit a server costs seven times as much.
+	fillCost = 6.0
+	// crossingCost is what it costs to go from one hall to another, in parts
+	// of an empty path. The links between halls are shared, and what crosses
+	// them has a price.
+	crossingCost = 0.4
+	// paceCost is the weight of a card's pace: a slow card has more time in a
+	// token, but both are far below the pause that is allowed.
+	paceCost = 0.01
 	// spread is how far random noise moves the cost of a server, so that boxes
 	// with the same knowledge do not all choose the same path.
 	spread = 0.15
@@ -212,18 +215,16 @@
 	return c.used+tokenLayers <= maxFill*c.capacity
 }
 
-// cost returns the time of one token in n layers in milliseconds, raised by
-// how full the server is.
+// cost returns the cost of n layers. A path of empty servers costs about one.
 func (c candidate) cost(n int) float64 {
 	m := c.member
 	share := float64(n) / float64(m.model.Layers)
-	ms := float64(m.model.StepTime) / float64(time.Millisecond)
 	fill := 1.0
 	if c.capacity > 0 {
 		fill = min(1, c.used/c.capacity)
 	}
 
-	return m.card.Pace * ms * share * c.noise * (1 + fillCost*fill*fill)
+	return share * c.noise * (1 + paceCost*m.card.Pace + fillCost*fill*fill)
 }
 
 func (f *Fleet) candidates(q Query) ([]candidate, *catalog.Model) {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -40,11 +40,15 @@
 	// firstSilence is the same for the first event, which takes 45 ms in the
 	// middle and 150 ms for the slowest hundredth.
 	firstSilence = 250 * time.Millisecond
-	// checkPause is between two checks of the same stream.
+	// checkPause is between the first two checks of the same stream; it doubles
+	// with each.
 	checkPause = 150 * time.Millisecond
+	// reportAge is how long a server's report is good for other streams. Each
+	// question has a price.
+	reportAge = 300 * time.Millisecond
 	// hopeless is after how long a silent stream is taken up elsewhere without
 	// a reason found: callers leave after two seconds.
-	hopeless = 1200 * time.Millisecond
+	hopeless = 1500 * time.Millisecond
 	// reportTime bounds how long a server may take to report. It answers in
 	// about a millisecond.
 	reportTime = 100 * time.Millisecond
@@ -67,14 +71,16 @@
 	hold    *fleet.Hold
 	lastAt  time.Time
 	started bool
-	// checkAt is the earliest time of the next check.
-	checkAt time.Time
+	// checkAt is the earliest time of the next check, and checkPause the pause
+	// after it.
+	checkAt    time.Time
+	checkPause time.Duration
 }
 
 // progress notes an event.
 func (r *run) progress() {
 	r.mu.Lock()
-	r.lastAt, r.started = time.Now(), true
+	r.lastAt, r.started, r.checkPause = time.Now(), true, checkPause
 	r.mu.Unlock()
 }
 
@@ -90,7 +96,8 @@
 	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
 		return false
 	}
-	r.checkAt = now.Add(checkPause)
+	r.checkAt = now.Add(r.checkPause)
+	r.checkPause *= 2
 
 	return true
 }
@@ -117,10 +124,12 @@
 	list map[*run]bool
 	// dead are the servers that this box has found dead.
 	dead map[slatebridge.ServerID]bool
+	// questions are the last questions for reports.
+	questions map[slatebridge.ServerID]*question
 }
 
 func newRuns() *runs {
-	return &runs{list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]bool)}
+	return &runs{list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]bool), questions: make(map[slatebridge.ServerID]*question)}
 }
 
 // setDead notes whether a server is dead, and reports whether that is news.
@@ -140,7 +149,7 @@
 }
 
 func (r *runs) add(v *run) *run {
-	v.lastAt = time.Now()
+	v.lastAt, v.checkPause = time.Now(), checkPause
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list[v] = true
@@ -235,22 +244,48 @@
 // askAll asks every server of the path for a report, and returns those that
 // did not answer, and what the first said of stalled requests.
 func (h *Handler) askAll(ctx context.Context, path fleet.Path) (silent []slatebridge.ServerID, stalled map[string]string) {
-	ctx, cancel := context.WithTimeout(ctx, reportTime)
-	defer cancel()
-	reports := make([]Report, len(path))
-	errs := make([]error, len(path))
+	answers := make([]*question, len(path))
 	var wg sync.WaitGroup
 	for i, s := range path {
-		wg.Go(func() { reports[i], errs[i] = h.servers.Report(ctx, s.Server) })
+		wg.Go(func() { answers[i] = h.ask(ctx, s.Server) })
 	}
 	wg.Wait()
-	for i, err := range errs {
-		if err != nil {
+	for i, a := range answers {
+		if a.err != nil {
 			silent = append(silent, path[i].Server.ID)
 		}
 	}
 
-	return silent, reports[0].Stalled
+	return silent, answers[0].report.Stalled
+}
+
+// question is a question for a report, which streams share.
+type question struct {
+	at     time.Time
+	done   chan struct{}
+	report Report
+	err    error
+}
+
+// ask returns a server's report, which is at most reportAge old.
+func (h *Handler) ask(ctx context.Context, s catalog.Server) *question {
+	h.runs.mu.Lock()
+	q, ok := h.runs.questions[s.ID]
+	if ok && time.Since(q.at) < reportAge {
+		h.runs.mu.Unlock()
+		<-q.done
+
+		return q
+	}
+	q = &question{at: time.Now(), done: make(chan struct{})}
+	h.runs.questions[s.ID] = q
+	h.runs.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	q.report, q.err = h.servers.Report(ctx, s)
+	close(q.done)
+
+	return q
 }
 
 // Dead returns the servers that this box has found dead itself.
--- a/place/cover.go
+++ b/place/cover.go
@@ -9,11 +9,18 @@
 )
 
 const (
-	// weightsShare is the part of a card's memory that layers may take. The
-	// rest holds requests. Measured on the two first deployments: with five
-	// sixths the memory of every stage carries a hall's streams, and a third
-	// of the layers has a second copy.
-	weightsShare = 0.83
+	// leastShare and mostShare bound the part of a card's memory that layers
+	// take. The rest holds requests, and it is what runs out first.
+	leastShare = 0.50
+	mostShare  = 0.85
+	// shareStep is the step in which the part is looked for.
+	shareStep = 0.01
+	// hallCopies is how many copies of the model a hall is given: one, and
+	// spare layers to stand in for a server or two. Measured: with 1.4 copies a
+	// hall that lost one server had no memory left in the others' copies.
+	hallCopies = 1.12
+	// leastCopies is how many copies there are in all halls together.
+	leastCopies = 2.2
 	// otherHalls is the weight of layers that other halls lack, beside those
 	// of the server's own hall.
 	otherHalls = 0.02
@@ -30,14 +37,46 @@
 	Layers slatebridge.LayerRange
 }
 
-// LayersFor returns how many layers a card is given.
-func LayersFor(m *catalog.Model, c catalog.Card) int {
+// layersFor returns how many layers a card holds that gives them the part of
+// its memory.
+func layersFor(m *catalog.Model, c catalog.Card, share float64) int {
 	if m.LayerMB <= 0 {
 		return 0
 	}
-	n := int(weightsShare * c.MemoryMB / m.LayerMB)
 
-	return min(n, m.Layers)
+	return min(int(share*c.MemoryMB/m.LayerMB), m.Layers)
+}
+
+// Share returns the part of a card's memory that layers take: the least with
+// which every hall that can hold the model holds it.
+func Share(m *catalog.Model, servers []Holder) float64 {
+	halls := make(map[slatebridge.HallID][]catalog.Card)
+	for _, s := range servers {
+		if c, ok := m.Card(s.Card); ok {
+			halls[s.Hall] = append(halls[s.Hall], c)
+		}
+	}
+	copies := max(hallCopies, leastCopies/float64(max(1, len(halls))))
+	share := leastShare
+	for _, cards := range halls {
+		if layersOf(m, cards, mostShare) < m.Layers {
+			continue
+		}
+		for share < mostShare && float64(layersOf(m, cards, share)) < copies*float64(m.Layers) {
+			share += shareStep
+		}
+	}
+
+	return min(share, mostShare)
+}
+
+func layersOf(m *catalog.Model, cards []catalog.Card, share float64) int {
+	n := 0
+	for _, c := range cards {
+		n += layersFor(m, c, share)
+	}
+
+	return n
 }
 
 // Cover assigns layers to the servers that hold none, so that every hall has
@@ -45,6 +84,7 @@
 // Servers that hold layers keep them. Equal inputs give equal results.
 func Cover(m *catalog.Model, servers []Holder) []Holder {
 	c := newCoverage(m, servers)
+	share := Share(m, servers)
 	var empty []Holder
 	for _, s := range servers {
 		if s.Layers.Len() == 0 {
@@ -60,7 +100,7 @@
 	var out []Holder
 	for _, s := range empty {
 		card, ok := m.Card(s.Card)
-		n := LayersFor(m, card)
+		n := layersFor(m, card, share)
 		if !ok || n == 0 {
 			continue
 		}
