--- a/box/box.go
+++ b/box/box.go
@@ -88,16 +88,26 @@
 	b.handler = forward.New(forward.Config{
 		Wire: p.Wire, Fleet: b.fleet, Client: client, Servers: p.Calls,
 		State: func() forward.State { return *b.state.Load() },
-		Bounds: forward.Bounds{
-			Proof:      time.Duration(proofMargin * float64(s.Bounds.Revocation)),
-			RetryShare: s.Bounds.RetryShare, RetryExtra: s.Bounds.RetryExtra, RetryWindow: s.Bounds.RetryWindow,
-		},
+		Bounds: forwardBounds(s.Bounds),
 		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
 
 	return b
 }
 
+func forwardBounds(b Bounds) forward.Bounds {
+	return forward.Bounds{
+		Proof:      time.Duration(proofMargin * float64(b.Revocation)),
+		RetryShare: b.RetryShare, RetryExtra: b.RetryExtra, RetryWindow: b.RetryWindow,
+	}
+}
+
+// Reconfigure takes up other settings. The listeners stay where they are.
+func (b *Box) Reconfigure(s Settings) {
+	b.handler.SetBounds(forwardBounds(s.Bounds))
+	b.tell(&reconfigured{settings: s})
+}
+
 // Handler serves callers.
 func (b *Box) Handler() *forward.Handler { return b.handler }
 
--- a/box/control.go
+++ b/box/control.go
@@ -30,6 +30,8 @@
 type control struct {
 	box *Box
 	ctx context.Context
+	// settings are the box's settings, as they were last read.
+	settings Settings
 
 	catalog *catalog.Catalog
 	raw     []byte
@@ -63,7 +65,7 @@
 
 func newControl(b *Box, ctx context.Context) *control {
 	return &control{
-		box: b, ctx: ctx,
+		box: b, ctx: ctx, settings: b.settings,
 		entries:   make(map[string][]byte),
 		storeDown: make(map[string]bool),
 		peers:     make(map[slatebridge.BoxID]*otherBox),
@@ -99,6 +101,10 @@
 		c.onVerified(m)
 	case *ordered:
 		c.onOrdered(m)
+	case *reconfigured:
+		listen := c.settings.Listen
+		c.settings = m.settings
+		c.settings.Listen = listen
 	case *stopping:
 		c.leaving = true
 		c.gossip(true)
--- a/box/messages.go
+++ b/box/messages.go
@@ -66,6 +66,8 @@
 		err    error
 		orders []order
 	}
+	// reconfigured carries other settings.
+	reconfigured struct{ settings Settings }
 	// stopping says that the box has been told to stop.
 	stopping struct{}
 )
--- a/box/orders.go
+++ b/box/orders.go
@@ -22,10 +22,12 @@
 	// are assigned: servers of a start appear within three seconds, and a plan
 	// over all of them is better than one for each.
 	settleTime = time.Second
-	// lackTime is how long a hall lacks layers before a server that holds
-	// other layers is moved there. A restarted server or one that is still
-	// loading may fill the gap before.
-	lackTime = 2 * time.Second
+	// addTime is the same once some server holds layers.
+	addTime = 200 * time.Millisecond
+	// lackTime is how long a hall lacks layers before servers that hold other
+	// layers are moved there. A crashed server comes back empty, so there is
+	// nothing to wait for but a false alarm.
+	lackTime = 700 * time.Millisecond
 	// orderTime bounds one order.
 	orderTime = time.Second
 	// orderAgain is when an order that was not seen to be done is given again.
@@ -64,7 +66,7 @@
 
 // elected reports whether this box gives the orders.
 func (c *control) elected() bool {
-	return c.term.Token > 0 && c.term.Box == c.box.settings.Box && c.term.Boot == c.box.boot
+	return c.term.Token > 0 && c.term.Box == c.settings.Box && c.term.Boot == c.box.boot
 }
 
 // holderPresent reports whether the box that gives orders is heard and goes on.
@@ -97,7 +99,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, electTime)
 		defer cancel()
-		t, err := elect.Stand(ctx, c.box.platform.Election, known, c.box.settings.Box, c.box.boot)
+		t, err := elect.Stand(ctx, c.box.platform.Election, known, c.settings.Box, c.box.boot)
 		c.box.tell(&stood{term: t, err: err})
 	}()
 }
@@ -106,7 +108,7 @@
 func (c *control) rank() int {
 	n := 0
 	for id, o := range c.peers {
-		if o.live() && o.last.Ready && id < c.box.settings.Box {
+		if o.live() && o.last.Ready && id < c.settings.Box {
 			n++
 		}
 	}
@@ -125,7 +127,7 @@
 
 // place gives orders if this box is elected and something is to be done.
 func (c *control) place(now time.Time) {
-	if !c.elected() || c.ordering || c.catalog == nil || c.leaving || now.Sub(c.newServer) < settleTime {
+	if !c.elected() || c.ordering || c.catalog == nil || c.leaving || !c.settled(now) {
 		return
 	}
 	for id, p := range c.pending {
@@ -154,6 +156,16 @@
 	}()
 }
 
+// settled reports whether enough servers are known to assign layers.
+func (c *control) settled(now time.Time) bool {
+	wait := settleTime
+	if c.wasComplete {
+		wait = addTime
+	}
+
+	return now.Sub(c.newServer) >= wait
+}
+
 func (c *control) ordersFor(s *catalog.Service, now time.Time) []order {
 	servers := make(map[slatebridge.ServerID]catalog.Server)
 	var holders []place.Holder
@@ -192,10 +204,13 @@
 	}
 }
 
-// mend moves one server when a hall has lacked layers for some time.
+// mend moves servers when a hall has lacked layers for some time. Servers that
+// are taken as dead do not count.
 func (c *control) mend(m *catalog.Model, holders []place.Holder, now time.Time) []place.Holder {
-	h, ok := place.Mend(m, holders)
-	if !ok {
+	dead := c.box.fleet.Suspects()
+	alive := slices.DeleteFunc(slices.Clone(holders), func(h place.Holder) bool { return slices.Contains(dead, h.ID) })
+	todo := place.Mend(m, alive)
+	if len(todo) == 0 {
 		c.lacking = time.Time{}
 
 		return nil
@@ -208,7 +223,7 @@
 	}
 	c.lacking = time.Time{}
 
-	return []place.Holder{h}
+	return todo
 }
 
 func (c *control) onVerified(m *verified) {
--- a/box/peers.go
+++ b/box/peers.go
@@ -27,8 +27,8 @@
 	// helpTime bounds a question for another box's state.
 	helpTime = 500 * time.Millisecond
 	// staleAfter is the age from which a box takes another one's word for what
-	// the store has: two reads of the store have failed by then.
-	staleAfter = 2300 * time.Millisecond
+	// the store has: a read of the store has failed by then.
+	staleAfter = 3300 * time.Millisecond
 	// deadTime is for how long the word of another box on a dead server holds.
 	deadTime = 700 * time.Millisecond
 )
@@ -53,7 +53,7 @@
 
 func (c *control) onHeard(m *heard) {
 	msg := m.message
-	if msg.Box == c.box.settings.Box {
+	if msg.Box == c.settings.Box {
 		return
 	}
 	o, ok := c.peers[msg.Box]
@@ -71,18 +71,28 @@
 	o.heardAt, o.last, o.lost = m.at, msg, false
 	c.takeProof(o, msg)
 	c.box.fleet.SetPeer(msg.Box, msg.Loads)
-	for _, id := range msg.Dead {
-		c.box.fleet.Suspect(id, m.at.Add(deadTime))
-	}
+	c.believe(msg, m.at)
 	for id, address := range msg.Boxes {
 		c.learn(id, address)
 	}
 	c.adopt(msg.Term)
 }
 
+// believe takes up which servers do not answer the other box. A box of another
+// hall is believed on the servers of its own hall only: for the rest, the link
+// between the halls may be at fault.
+func (c *control) believe(msg mesh.Message, at time.Time) {
+	for _, id := range msg.Dead {
+		s, ok := c.box.fleet.Server(id)
+		if ok && (msg.Hall == c.settings.Hall || msg.Hall == s.Hall) {
+			c.box.fleet.Suspect(id, at.Add(deadTime))
+		}
+	}
+}
+
 // learn takes up a box that another one has heard of.
 func (c *control) learn(id slatebridge.BoxID, address string) {
-	if id == c.box.settings.Box {
+	if id == c.settings.Box {
 		return
 	}
 	if _, ok := c.peers[id]; !ok {
@@ -148,13 +158,13 @@
 	known := make(map[string]bool)
 	for _, o := range c.peers {
 		known[o.address] = true
-		if far || o.last.Hall == c.box.settings.Hall {
+		if far || o.last.Hall == c.settings.Hall {
 			to = append(to, o.address)
 		}
 	}
 	if far {
-		for _, a := range c.box.settings.Seeds {
-			if !known[a] && a != c.box.settings.Listen.Mesh {
+		for _, a := range c.settings.Seeds {
+			if !known[a] && a != c.settings.Listen.Mesh {
 				to = append(to, a)
 			}
 		}
@@ -170,7 +180,7 @@
 func (c *control) message() mesh.Message {
 	now := time.Now()
 	m := mesh.Message{
-		Box: c.box.settings.Box, Hall: c.box.settings.Hall, Boot: c.box.boot, Address: c.box.settings.Listen.Mesh,
+		Box: c.settings.Box, Hall: c.settings.Hall, Boot: c.box.boot, Address: c.settings.Listen.Mesh,
 		Sent: now.Sub(c.box.started).Microseconds(), Echo: make(map[string]int64), Boxes: make(map[slatebridge.BoxID]string),
 		ConfigAge: age(now, c.current), Servers: c.digest, ServersAge: age(now, c.serversAt),
 		Loads: c.box.fleet.Loads(), Dead: c.box.handler.Dead(), Term: c.term, Leaving: c.leaving, Ready: c.ready(),
--- a/box/ready.go
+++ b/box/ready.go
@@ -36,7 +36,7 @@
 func (c *control) judgeReady(now time.Time) {
 	b := c.box
 	s := Status{
-		Box: b.settings.Box, Hall: b.settings.Hall, Servers: len(c.entries), Complete: c.complete(),
+		Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.entries), Complete: c.complete(),
 		Orders: c.term.Box, Token: c.term.Token, Boxes: c.liveBoxes(),
 		Suspects: b.fleet.Suspects(), InFlight: b.handler.InFlight(),
 	}
@@ -44,7 +44,7 @@
 		s.Config, s.ConfigAge = c.catalog.Version, now.Sub(c.current)
 	}
 	c.wasComplete = c.wasComplete || s.Complete
-	fresh := c.catalog != nil && now.Sub(c.current) < b.settings.Bounds.Revocation
+	fresh := c.catalog != nil && now.Sub(c.current) < c.settings.Bounds.Revocation
 	s.Ready = !c.leaving && fresh && s.Servers > 0 && (c.wasComplete || now.Sub(b.started) > completeTime)
 	if b.ready.Swap(s.Ready) != s.Ready {
 		event.Log(b.logger, event.Ready, zap.Any("status", s))
--- a/box/settings.go
+++ b/box/settings.go
@@ -8,6 +8,8 @@
 
 // Settings tell a box where it is and what bounds hold there.
 type Settings struct {
+	// File is where the settings were read from.
+	File string
 	Box  slatebridge.BoxID
 	Hall slatebridge.HallID
 	// Listen has the addresses, each as host and port.
@@ -19,6 +21,12 @@
 	Bounds Bounds
 }
 
+// SameListeners reports whether the listeners are where those of o are.
+// Listeners are opened once, at the start.
+func (s Settings) SameListeners(o Settings) bool {
+	return s.Listen == o.Listen
+}
+
 // Listen has the addresses of a box's listeners.
 type Listen struct {
 	// Callers is where requests come in.
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +40,8 @@
 	logger := NewLogger("info").With(zap.String("box", string(s.Box)))
 	reg := newRegistry()
 	client := newServerClient()
-	b := box.New(s, platform.New(platform.NewStore(s.Store, newStoreClient()), client), client, logger, reg)
+	store := platform.NewStore(s.Store, newStoreClient())
+	b := box.New(s, platform.New(store, client), client, logger, reg)
 	socket, err := mesh.Listen(ctx, s.Listen.Mesh)
 	if err != nil {
 		return err
@@ -72,12 +76,49 @@
 	}
 	go func() { _ = callers.Serve(ln) }()
 	event.Log(logger, event.Started, zap.String("version", Version), zap.String("hall", string(s.Hall)))
-	<-ctx.Done()
+	watchSettings(ctx, s, logger, func(next box.Settings) {
+		store.SetAddress(next.Store)
+		b.Reconfigure(next)
+	})
 	drainBox(s, b, callers, logger)
 
 	return nil
 }
 
+// rereadEvery is the pause between two looks at the settings file, which may
+// also change without a signal.
+const rereadEvery = 2 * time.Second
+
+// watchSettings takes up the settings file when it changes, until ctx ends.
+// Settings that are wrong are reported, and the last good ones stay.
+func watchSettings(ctx context.Context, s box.Settings, logger *zap.Logger, take func(box.Settings)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(rereadEvery)
+	defer tick.Stop()
+	read := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+			info, err := os.Stat(s.File)
+			if err != nil || !info.ModTime().After(read) {
+				continue
+			}
+		}
+		read = time.Now()
+		next, err := platform.LoadSettings(s.File)
+		event.Log(logger, event.SettingsReloaded, zap.String("file", s.File), event.Error(err),
+			zap.Bool("listeners_need_restart", err == nil && !next.SameListeners(s)))
+		if err == nil {
+			take(next)
+		}
+	}
+}
+
 // maxCallerHeader is the largest header of a request, in bytes; the platform
 // allows 16 KiB.
 const maxCallerHeader = 64 << 10
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -159,17 +159,18 @@
 	return m.Server, true
 }
 
-// ByAddress returns the server of the service at the address.
-func (f *Fleet) ByAddress(service, address string) (catalog.Server, bool) {
+// Near returns the servers of the service in the box's own hall.
+func (f *Fleet) Near(service string) []catalog.Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var out []catalog.Server
 	for _, m := range f.service[service] {
-		if m.Address == address {
-			return m.Server, true
+		if m.Hall == f.hall {
+			out = append(out, m.Server)
 		}
 	}
 
-	return catalog.Server{}, false
+	return out
 }
 
 // Suspect takes a server as dead until the time. It reports whether the
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,8 +15,11 @@
 const (
 	// defaultWait is how long one read waits for news. It is the age of the
 	// proof just before the next answer, so it stays well below the shortest
-	// bound on revocations (5 s).
-	defaultWait = 1500 * time.Millisecond
+	// bound on revocations (5 s); each call has a price.
+	defaultWait = 2500 * time.Millisecond
+	// gather is the pause after news, so that changes in quick succession come
+	// in one answer. The bounds on news are two seconds and more.
+	gather = 200 * time.Millisecond
 	// answerTime is what an answer may take beyond the wait. The store takes
 	// about 4 ms, and on slow days 50 times as long.
 	answerTime = 700 * time.Millisecond
@@ -25,7 +28,7 @@
 	pause = 300 * time.Millisecond
 	// outage is the time without an answer after which the next answer counts
 	// as the end of an outage.
-	outage = 2500 * time.Millisecond
+	outage = 3500 * time.Millisecond
 )
 
 // Follower follows one topic. Its functions are called by one goroutine.
@@ -98,6 +101,7 @@
 	if len(c.Entries) > 0 {
 		f.OnChanges(c.Entries, after)
 		f.OnCurrent(sent)
+		sleep(ctx, gather)
 
 		return c.Next, nil
 	}
@@ -140,9 +144,13 @@
 	if errors.Is(err, logstore.ErrGone) {
 		return
 	}
+	sleep(ctx, pause)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(pause):
+	case <-time.After(d):
 	}
 }
 
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -16,9 +16,8 @@
 // budget bounds what this box sends a second time to the servers of each
 // service, over a sliding window.
 type budget struct {
-	bounds Bounds
-
 	mu       sync.Mutex
+	bounds   Bounds
 	services map[string]*window
 }
 
@@ -33,6 +32,17 @@
 	return &budget{bounds: b, services: make(map[string]*window)}
 }
 
+// setBounds takes up other bounds.
+func (b *budget) setBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bounds.RetryWindow != b.bounds.RetryWindow {
+		// The parts have another length now.
+		clear(b.services)
+	}
+	b.bounds = bounds
+}
+
 // request counts a request for the service.
 func (b *budget) request(service string, now time.Time) {
 	b.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -102,7 +103,7 @@
 	client  *http.Client
 	servers ServerCalls
 	state   func() State
-	bounds  Bounds
+	bounds  atomic.Pointer[Bounds]
 	random  func() float64
 	logger  *zap.Logger
 	metrics *Metrics
@@ -127,9 +128,18 @@
 
 // New returns a Handler.
 func New(c Config) *Handler {
-	return &Handler{
+	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
-		bounds: c.Bounds, random: c.Random, logger: c.Logger, metrics: c.Metrics,
+		random: c.Random, logger: c.Logger, metrics: c.Metrics,
 		budget: newBudget(c.Bounds), runs: newRuns(),
 	}
+	h.bounds.Store(&c.Bounds)
+
+	return h
+}
+
+// SetBounds takes up other bounds for later requests.
+func (h *Handler) SetBounds(b Bounds) {
+	h.bounds.Store(&b)
+	h.budget.setBounds(b)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -137,7 +137,7 @@
 	if !cat.KeysNeeded || c.route.Anonymous {
 		return nil
 	}
-	if age := c.began.Sub(c.state.Current); age > h.bounds.Proof {
+	if age := c.began.Sub(c.state.Current); age > h.bounds.Load().Proof {
 		return result.New(result.NotCurrent, "the configuration was last proved current %s ago", age).WithRetryAfter(comeBack)
 	}
 	if acc == nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -164,7 +164,7 @@
 	}
 	err := t.relay(run, r)
 	if errors.Is(err, io.EOF) {
-		t.done()
+		t.done(r.resp)
 
 		return true
 	}
@@ -264,15 +264,7 @@
 }
 
 func (t *streamTry) write(resp *http.Response, ev streamEvent, flush bool) error {
-	if !t.headSent {
-		// The head waits for the first event, so that until then another
-		// server can still give the whole answer.
-		copyHead(t.w, resp)
-		t.w.Header().Del("Content-Length")
-		t.w.WriteHeader(resp.StatusCode)
-		t.headSent = true
-		t.first = time.Since(t.c.began)
-	}
+	t.sendHead(resp)
 	if _, err := t.w.Write(ev.raw); err != nil {
 		return err
 	}
@@ -287,6 +279,20 @@
 	return http.NewResponseController(t.w).Flush()
 }
 
+// sendHead passes the head of the first good answer on. It waits for the first
+// event or the end, so that until then another server can still give the whole
+// answer.
+func (t *streamTry) sendHead(resp *http.Response) {
+	if t.headSent {
+		return
+	}
+	copyHead(t.w, resp)
+	t.w.Header().Del("Content-Length")
+	t.w.WriteHeader(resp.StatusCode)
+	t.headSent = true
+	t.first = time.Since(t.c.began)
+}
+
 func (t *streamTry) noteBroken(ctx context.Context, path fleet.Path, r reply, err error) {
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
@@ -329,13 +335,12 @@
 	return nil
 }
 
-func (t *streamTry) done() {
+func (t *streamTry) done(resp *http.Response) {
+	// A stream that is taken up after its last event has no more.
+	t.sendHead(resp)
 	t.h.metrics.done(t.c, result.OK)
 	event.Log(t.h.logger, event.RequestAnswered, append(t.h.fields(t.c),
 		zap.Int("events", t.events), zap.Duration("first_event", t.first))...)
-	if !t.headSent {
-		t.w.WriteHeader(http.StatusOK)
-	}
 }
 
 // fail ends a request that no server answered whole. What was passed on is
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -40,6 +40,9 @@
 	// firstSilence is the same for the first event, which takes 45 ms in the
 	// middle and 150 ms for the slowest hundredth.
 	firstSilence = 250 * time.Millisecond
+	// suspectSilence is the same for a stream that passes a server which is
+	// taken as dead already.
+	suspectSilence = 60 * time.Millisecond
 	// checkPause is between the first two checks of the same stream; it doubles
 	// with each.
 	checkPause = 150 * time.Millisecond
@@ -86,13 +89,16 @@
 
 // due reports whether the run has been silent for so long that its servers
 // should be asked.
-func (r *run) due(now time.Time) bool {
+func (r *run) due(now time.Time, suspects []slatebridge.ServerID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	limit := firstSilence
 	if r.started {
 		limit = silence
 	}
+	if slices.ContainsFunc(suspects, r.path.Uses) {
+		limit = suspectSilence
+	}
 	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
 		return false
 	}
@@ -183,8 +189,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			suspects := h.fleet.Suspects()
 			for _, r := range h.runs.all() {
-				if r.due(now) {
+				if r.due(now, suspects) {
 					go h.check(ctx, r)
 				}
 			}
@@ -230,17 +237,71 @@
 			}
 		}
 	}
-	if len(silent) > len(path)/2 {
-		// A box that reaches hardly any server is cut off itself.
+	if len(silent) > len(path)/2 && !h.reachesOthers(ctx, r, path) {
+		// A box that reaches no server is cut off itself.
 		return nil
 	}
 	for _, id := range silent {
 		h.suspect(ctx, id, "it does not answer, or others wait for it")
 	}
+	h.suspectHalls(ctx, path, silent)
 
 	return silent
 }
 
+// others is how many servers besides those of a path are asked whether the
+// box itself is cut off.
+const others = 3
+
+// reachesOthers reports whether the box reaches any server of its own hall
+// that is not on the path.
+func (h *Handler) reachesOthers(ctx context.Context, r *run, path fleet.Path) bool {
+	asked := 0
+	for _, s := range h.fleet.Near(r.service) {
+		if path.Uses(s.ID) {
+			continue
+		}
+		if h.ask(ctx, s).err == nil {
+			return true
+		}
+		if asked++; asked == others {
+			break
+		}
+	}
+
+	return false
+}
+
+// hallSilent is how many silent servers of another hall, with none that
+// answers, make the whole hall taken as cut off.
+const hallSilent = 3
+
+// suspectHalls takes all servers of a hall as dead of which several do not
+// answer and none does.
+func (h *Handler) suspectHalls(ctx context.Context, path fleet.Path, silent []slatebridge.ServerID) {
+	dead := make(map[slatebridge.HallID]int)
+	for _, s := range path {
+		if slices.Contains(silent, s.Server.ID) {
+			dead[s.Server.Hall]++
+		}
+	}
+	for _, s := range path {
+		if !slices.Contains(silent, s.Server.ID) {
+			delete(dead, s.Server.Hall)
+		}
+	}
+	for hall, n := range dead {
+		if n < hallSilent {
+			continue
+		}
+		for _, s := range h.fleet.Servers() {
+			if s.Hall == hall {
+				h.suspect(ctx, s.ID, "its hall is cut off")
+			}
+		}
+	}
+}
+
 // askAll asks every server of the path for a report, and returns those that
 // did not answer, and what the first said of stalled requests.
 func (h *Handler) askAll(ctx context.Context, path fleet.Path) (silent []slatebridge.ServerID, stalled map[string]string) {
--- a/place/cover.go
+++ b/place/cover.go
@@ -112,31 +112,28 @@
 	return out
 }
 
-// Mend returns one server of a hall that lacks layers, with the layers it
-// should hold instead of its own, which others hold too. It returns false if
-// no hall lacks layers or none has a server to spare.
-func Mend(m *catalog.Model, servers []Holder) (Holder, bool) {
+// Mend returns servers of halls that lack layers, with the layers they should
+// hold instead of their own, which others in the hall hold too.
+func Mend(m *catalog.Model, servers []Holder) []Holder {
 	c := newCoverage(m, servers)
 	sorted := slices.Clone(servers)
 	slices.SortFunc(sorted, func(a, b Holder) int {
 		return cmp.Or(cmp.Compare(b.Layers.Len(), a.Layers.Len()), cmp.Compare(a.ID, b.ID))
 	})
+	var out []Holder
 	for _, s := range sorted {
 		if s.Layers.Len() == 0 || !c.lacks(s.Hall) {
 			continue
 		}
 		c.add(s, -1)
-		if !c.spares(s) {
-			c.add(s, 1)
-
-			continue
+		if c.spares(s) {
+			s.Layers = c.best(s.Hall, s.Layers.Len())
+			out = append(out, s)
 		}
-		s.Layers = c.best(s.Hall, s.Layers.Len())
-
-		return s, true
+		c.add(s, 1)
 	}
 
-	return Holder{}, false
+	return out
 }
 
 // coverage is how much memory for requests there is for each layer, in tokens.
