--- a/box/box.go
+++ b/box/box.go
@@ -87,7 +87,7 @@
 	b.status.Store(&Status{})
 	b.handler = forward.New(forward.Config{
 		Wire: p.Wire, Fleet: b.fleet, Client: client, Servers: p.Calls,
-		State: func() forward.State { return *b.state.Load() },
+		State:  func() forward.State { return *b.state.Load() },
 		Bounds: forwardBounds(s.Bounds),
 		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
