Test the whole path against a stand-in of the platform in virtual time

Found by the tests: whether a read ends an outage was judged by time, which fails when the outage begins within a long read; any failed call now says so.

--- a/box/control.go
+++ b/box/control.go
@@ -22,8 +22,9 @@
 	// two messages to the boxes of the same hall.
 	tickEvery = 250 * time.Millisecond
 	// returnTime is how long a server whose entry lapsed while the store was
-	// away has to come back; the platform's servers need two seconds.
-	returnTime = 2 * time.Second
+	// away has to come back: the platform's servers need about two seconds, and
+	// a server that left must get nothing after two seconds.
+	returnTime = 1900 * time.Millisecond
 )
 
 // control is the state of the control actor. Only the actor uses it.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -26,9 +26,6 @@
 	// pause is between two reads while the store refuses them. Each call has a
 	// price, and the bounds on news after an outage are two seconds and more.
 	pause = 300 * time.Millisecond
-	// outage is the time without an answer after which the next answer counts
-	// as the end of an outage.
-	outage = 3500 * time.Millisecond
 )
 
 // Follower follows one topic. Its functions are called by one goroutine.
@@ -47,6 +44,8 @@
 	OnError func(err error)
 
 	answered time.Time
+	// missed says that a call has failed since the last answer.
+	missed bool
 }
 
 // Run follows the topic until ctx ends.
@@ -130,8 +129,8 @@
 
 // noteAnswer notes an answer, and reports whether it ends an outage.
 func (f *Follower) noteAnswer() bool {
-	after := time.Since(f.answered) > outage
-	f.answered = time.Now()
+	after := f.missed
+	f.answered, f.missed = time.Now(), false
 
 	return after
 }
@@ -144,6 +143,7 @@
 	if errors.Is(err, logstore.ErrGone) {
 		return
 	}
+	f.missed = true
 	sleep(ctx, pause)
 }
 
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -25,6 +25,7 @@
 	conns     map[*conn]struct{}
 	cut       map[pair]bool
 	frozen    map[string]chan struct{}
+	packets   map[string]*packetConn
 	closed    chan struct{}
 }
 
--- /dev/null
+++ b/internal/standin/memnet/packet.go
@@ -0,0 +1,91 @@
+package memnet
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// packetBuffer is how many datagrams wait at a socket; further ones are lost.
+const packetBuffer = 256
+
+// packet is one datagram on its way.
+type packet struct {
+	data []byte
+	from addr
+}
+
+// ListenPacket opens a socket for datagrams at the address.
+func (n *Network) ListenPacket(address string) net.PacketConn {
+	c := &packetConn{n: n, addr: address, incoming: make(chan packet, packetBuffer), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.packets == nil {
+		n.packets = make(map[string]*packetConn)
+	}
+	n.packets[address] = c
+
+	return c
+}
+
+// packetConn is a socket for datagrams.
+type packetConn struct {
+	n        *Network
+	addr     string
+	incoming chan packet
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// ReadFrom returns the next datagram.
+func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case m := <-c.incoming:
+		return copy(p, m.data), m.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo sends a datagram. It is lost without a word if nobody listens there
+// or the hosts are cut off from each other.
+func (c *packetConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	from, _, _ := net.SplitHostPort(c.addr)
+	host, _, _ := net.SplitHostPort(to.String())
+	c.n.mu.Lock()
+	target := c.n.packets[to.String()]
+	lost := target == nil || c.n.cut[pairOf(from, host)] || c.n.frozen[from] != nil || c.n.frozen[host] != nil
+	c.n.mu.Unlock()
+	if !lost {
+		select {
+		case target.incoming <- packet{data: append([]byte(nil), p...), from: addr(c.addr)}:
+		default:
+		}
+	}
+
+	return len(p), nil
+}
+
+// Close closes the socket.
+func (c *packetConn) Close() error {
+	c.n.mu.Lock()
+	if c.n.packets[c.addr] == c {
+		delete(c.n.packets, c.addr)
+	}
+	c.n.mu.Unlock()
+	c.once.Do(func() { close(c.closed) })
+
+	return nil
+}
+
+// LocalAddr returns the address of the socket.
+func (c *packetConn) LocalAddr() net.Addr { return addr(c.addr) }
+
+// SetDeadline does nothing; no test needs deadlines of datagrams.
+func (c *packetConn) SetDeadline(time.Time) error { return nil }
+
+// SetReadDeadline does nothing.
+func (c *packetConn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline does nothing.
+func (c *packetConn) SetWriteDeadline(time.Time) error { return nil }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -66,7 +66,12 @@
 		return nil, errors.Wrap(err, "mesh: socket")
 	}
 
-	return &Socket{conn: conn}, nil
+	return NewSocket(conn), nil
+}
+
+// NewSocket returns a socket over an open connection.
+func NewSocket(conn net.PacketConn) *Socket {
+	return &Socket{conn: conn}
 }
 
 // Close closes the socket.
