--- a/box/control.go
+++ b/box/control.go
@@ -43,6 +43,8 @@
 	serversAt time.Time
 	// newServer is when the last new server appeared.
 	newServer time.Time
+	// firstSeen is when each server first appeared.
+	firstSeen map[slatebridge.ServerID]time.Time
 	// storeDown says, by topic, that the last call failed.
 	storeDown map[string]bool
 
@@ -68,6 +70,7 @@
 	return &control{
 		box: b, ctx: ctx, settings: b.settings,
 		entries:   make(map[string][]byte),
+		firstSeen: make(map[slatebridge.ServerID]time.Time),
 		storeDown: make(map[string]bool),
 		peers:     make(map[slatebridge.BoxID]*otherBox),
 		pending:   make(map[slatebridge.ServerID]pendingOrder),
@@ -198,6 +201,7 @@
 	}
 	if _, known := c.entries[e.Key]; !known {
 		c.newServer = time.Now()
+		c.firstSeen[s.ID] = c.newServer
 	}
 	c.entries[e.Key] = e.Value
 	c.box.fleet.Set(s)
@@ -215,6 +219,7 @@
 		return
 	}
 	delete(c.entries, key)
+	delete(c.firstSeen, slatebridge.ServerID(key))
 	at := time.Now()
 	if afterOutage {
 		at = at.Add(returnTime)
--- a/box/orders.go
+++ b/box/orders.go
@@ -22,8 +22,13 @@
 	// are assigned: servers of a start appear within three seconds, and a plan
 	// over all of them is better than one for each.
 	settleTime = time.Second
-	// addTime is the same once some server holds layers.
+	// addTime is how long a server must be known before it is given layers that
+	// its hall lacks, once some server holds layers.
 	addTime = 200 * time.Millisecond
+	// spareTime is the same in a hall that lacks none. When servers are
+	// replaced, the new one comes about a second before the old one leaves, and
+	// is best given the layers of that one.
+	spareTime = 1500 * time.Millisecond
 	// lackTime is how long a hall lacks layers before servers that hold other
 	// layers are moved there. A crashed server comes back empty, so there is
 	// nothing to wait for but a false alarm.
@@ -158,12 +163,23 @@
 
 // settled reports whether enough servers are known to assign layers.
 func (c *control) settled(now time.Time) bool {
-	wait := settleTime
-	if c.wasComplete {
-		wait = addTime
+	return c.wasComplete || now.Sub(c.newServer) >= settleTime
+}
+
+// ripe drops empty servers that are to wait.
+func (c *control) ripe(m *catalog.Model, holders []place.Holder, now time.Time) []place.Holder {
+	if !c.wasComplete {
+		return holders
 	}
 
-	return now.Sub(c.newServer) >= wait
+	return slices.DeleteFunc(slices.Clone(holders), func(h place.Holder) bool {
+		wait := spareTime
+		if place.Lacks(m, holders, h.Hall) {
+			wait = addTime
+		}
+
+		return h.Layers.Len() == 0 && now.Sub(c.firstSeen[h.ID]) < wait
+	})
 }
 
 func (c *control) ordersFor(s *catalog.Service, now time.Time) []order {
@@ -181,7 +197,7 @@
 		holders = append(holders, place.Holder{ID: v.ID, Hall: v.Hall, Card: v.Card, Layers: layers})
 	}
 	slices.SortFunc(holders, func(a, b place.Holder) int { return compareIDs(a.ID, b.ID) })
-	todo := place.Cover(s.Model, holders)
+	todo := place.Cover(s.Model, c.ripe(s.Model, holders, now))
 	if len(todo) == 0 {
 		todo = c.mend(s.Model, holders, now)
 	}
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -97,19 +98,19 @@
 	defer signal.Stop(hup)
 	tick := time.NewTicker(rereadEvery)
 	defer tick.Stop()
-	read := time.Now()
+	last, _ := os.ReadFile(s.File)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
 		case <-tick.C:
-			info, err := os.Stat(s.File)
-			if err != nil || !info.ModTime().After(read) {
-				continue
-			}
 		}
-		read = time.Now()
+		data, err := os.ReadFile(s.File)
+		if err == nil && bytes.Equal(data, last) {
+			continue
+		}
+		last = data
 		next, err := platform.LoadSettings(s.File)
 		event.Log(logger, event.SettingsReloaded, zap.String("file", s.File), event.Error(err),
 			zap.Bool("listeners_need_restart", err == nil && !next.SameListeners(s)))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,6 +84,9 @@
 	if m.Layers != s.Layers {
 		m.lacksUntil = time.Time{}
 	}
+	if s.Leaving && !m.Leaving {
+		m.leavingAt = f.now()
+	}
 	m.Server = s
 	m.removeAt = time.Time{}
 	f.describe(m)
@@ -159,6 +162,20 @@
 	return m.Server, true
 }
 
+// LeavingSince returns the servers that have been leaving since the time.
+func (f *Fleet) LeavingSince(at time.Time) []slatebridge.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []slatebridge.ServerID
+	for id, m := range f.members {
+		if m.Leaving && m.leavingAt.Before(at) {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
 // Near returns the servers of the service in the box's own hall.
 func (f *Fleet) Near(service string) []catalog.Server {
 	f.mu.Lock()
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -18,6 +18,8 @@
 	peers map[slatebridge.BoxID]Load
 	// removeAt is when an entry that lapsed is dropped; zero while it stands.
 	removeAt time.Time
+	// leavingAt is when it was heard that the server is leaving.
+	leavingAt time.Time
 	// suspectUntil is until when the server is taken as dead.
 	suspectUntil time.Time
 	// fullUntil is until when the server is taken as full, since it has just
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -64,10 +64,13 @@
 	// fillCost makes fuller servers dearer, so that servers with the same
 	// layers share the work; at the limit a server costs seven times as much.
 	fillCost = 6.0
-	// crossingCost is what it costs to go from one hall to another, in parts
-	// of an empty path. The links between halls are shared, and what crosses
-	// them has a price.
-	crossingCost = 0.4
+	// crossingCost is what it costs to go from a server of one hall to one of
+	// another, in parts of an empty path. Prompts that cross fill the links
+	// between halls: measured, 50 crossings a second made every event late.
+	crossingCost = 1.5
+	// awayCost is what it costs to begin in another hall than the box's; then
+	// only text crosses.
+	awayCost = 0.2
 	// paceCost is the weight of a card's pace: a slow card has more time in a
 	// token, but both are far below the pause that is allowed.
 	paceCost = 0.01
@@ -156,7 +159,11 @@
 			continue
 		}
 		cost := s.cost + c.cost(n)
-		if m.Hall != s.hall {
+		switch {
+		case m.Hall == s.hall:
+		case at == 0:
+			cost += awayCost
+		default:
 			cost += crossingCost
 		}
 		reached[m.Layers.To] = keep(reached[m.Layers.To], step{
@@ -184,12 +191,8 @@
 	var best *step
 	least := math.Inf(1)
 	for _, s := range ends {
-		cost := s.cost
-		if s.hall != f.hall {
-			cost += crossingCost
-		}
-		if cost < least {
-			best, least = s, cost
+		if s.cost < least {
+			best, least = s, s.cost
 		}
 	}
 	if best == nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -50,6 +50,9 @@
 	ran []slatebridge.ServerID
 	// avoid are servers that failed this stream.
 	avoid []slatebridge.ServerID
+	// next is the path for the next attempt, if it has been chosen already.
+	next     fleet.Path
+	nextHold *fleet.Hold
 }
 
 // serveStream serves a request that is answered by events.
@@ -66,9 +69,12 @@
 			return
 		}
 		if t.attempt(path, hold) {
+			t.nextHold.Release()
+
 			return
 		}
 		if e := t.mayGoOn(); e != nil {
+			t.nextHold.Release()
 			t.fail(e)
 
 			return
@@ -96,6 +102,12 @@
 
 // choose finds a path for the next attempt.
 func (t *streamTry) choose() (fleet.Path, *fleet.Hold, *result.Error) {
+	if t.next != nil {
+		path, hold := t.next, t.nextHold
+		t.next, t.nextHold = nil, nil
+
+		return path, hold, nil
+	}
 	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: t.avoid}
 	if len(t.ran) >= t.c.route.MaxServers {
 		return t.chooseAmongUsed(q)
@@ -148,7 +160,7 @@
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
 	run := t.h.runs.add(&run{id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel})
-	defer t.h.runs.remove(run)
+	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
 	first := path[0].Server
 	r := t.h.send(ctx, t.c, Attempt{
 		Server: first, Path: path, Left: time.Until(t.c.until), Account: t.c.account, LastEvent: max(0, t.last),
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -46,6 +46,11 @@
 	// checkPause is between the first two checks of the same stream; it doubles
 	// with each.
 	checkPause = 150 * time.Millisecond
+	// leaveTime is how long a server has been leaving when the streams that
+	// still pass it are moved. It serves for two seconds and more.
+	leaveTime = 1200 * time.Millisecond
+	// leavePause is between two tries to move a stream away.
+	leavePause = 400 * time.Millisecond
 	// reportAge is how long a server's report is good for other streams. Each
 	// question has a price.
 	reportAge = 300 * time.Millisecond
@@ -74,10 +79,16 @@
 	hold    *fleet.Hold
 	lastAt  time.Time
 	started bool
+	// next is the path for the next attempt, if it has been chosen.
+	next     fleet.Path
+	nextHold *fleet.Hold
+	ended    bool
 	// checkAt is the earliest time of the next check, and checkPause the pause
 	// after it.
 	checkAt    time.Time
 	checkPause time.Duration
+	// leaveAt is the earliest time of the next try to leave a server.
+	leaveAt time.Time
 }
 
 // progress notes an event.
@@ -108,6 +119,19 @@
 	return true
 }
 
+// shouldLeave reports whether the run passes a server that is leaving and has
+// not just been looked at for that.
+func (r *run) shouldLeave(now time.Time, leaving []slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.started || now.Before(r.leaveAt) || !slices.ContainsFunc(leaving, r.path.Uses) {
+		return false
+	}
+	r.leaveAt = now.Add(leavePause)
+
+	return true
+}
+
 func (r *run) state() (path fleet.Path, started bool, silent time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,6 +139,19 @@
 	return r.path, r.started, time.Since(r.lastAt)
 }
 
+// handOver notes the path for the next attempt. It reports whether the attempt
+// has not ended before and had no such path yet.
+func (r *run) handOver(p fleet.Path, hold *fleet.Hold) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.next != nil {
+		return false
+	}
+	r.next, r.nextHold = p, hold
+
+	return true
+}
+
 // replace takes up another path.
 func (r *run) replace(p fleet.Path, hold *fleet.Hold) {
 	r.mu.Lock()
@@ -163,13 +200,18 @@
 	return v
 }
 
-func (r *runs) remove(v *run) {
+// remove ends a run, and returns the path for the next one if it has been
+// chosen.
+func (r *runs) remove(v *run) (fleet.Path, *fleet.Hold) {
 	r.mu.Lock()
 	delete(r.list, v)
 	r.mu.Unlock()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.hold.Release()
+	v.ended = true
+
+	return v.next, v.nextHold
 }
 
 func (r *runs) all() []*run {
@@ -190,31 +232,61 @@
 			return
 		case now := <-tick.C:
 			suspects := h.fleet.Suspects()
+			leaving := h.fleet.LeavingSince(now.Add(-leaveTime))
 			for _, r := range h.runs.all() {
 				if r.due(now, suspects) {
 					go h.check(ctx, r)
+				} else if r.shouldLeave(now, leaving) {
+					go h.leave(ctx, r, leaving)
 				}
 			}
 		}
 	}
 }
 
+// leave moves a stream away from servers that are leaving.
+func (h *Handler) leave(ctx context.Context, r *run, leaving []slatebridge.ServerID) {
+	path, _, _ := r.state()
+	if !slices.Contains(leaving, path[0].Server.ID) {
+		h.move(ctx, r, path, leaving)
+	}
+}
+
 // check finds out why a stream makes no progress, and acts on it.
 func (h *Handler) check(ctx context.Context, r *run) {
 	path, started, silent := r.state()
 	dead := h.deadOn(ctx, r, path)
 	event.Log(h.logger, event.StreamStalled, zap.String("request", r.id), zap.Duration("silent", silent),
 		zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", dead))
-	if len(dead) == 0 {
-		if silent > hopeless {
-			r.cancel(errStalled)
-		}
+	if len(dead) == 0 && silent < hopeless {
+		return
+	}
+	if len(dead) > 0 && started && !slices.Contains(dead, path[0].Server.ID) && h.move(ctx, r, path, dead) {
+		return
+	}
+	h.takeElsewhere(r, path, dead)
+}
 
+// takeElsewhere ends the attempt if there is another path for the next one.
+// Without one it is better to wait: the server may go on, or be wrongly taken
+// as dead.
+func (h *Handler) takeElsewhere(r *run, path fleet.Path, dead []slatebridge.ServerID) {
+	avoid := dead
+	if len(avoid) == 0 {
+		for _, s := range path {
+			avoid = append(avoid, s.Server.ID)
+		}
+	}
+	next, hold, _ := h.fleet.Path(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: avoid})
+	if next == nil {
 		return
 	}
-	if !started || slices.Contains(dead, path[0].Server.ID) || !h.move(ctx, r, path, dead) {
-		r.cancel(errStalled)
+	if !r.handOver(next, hold) {
+		hold.Release()
+
+		return
 	}
+	r.cancel(errStalled)
 }
 
 // deadOn returns the servers of the path that are dead.
--- a/place/cover.go
+++ b/place/cover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/slatebridge/slatebridge"
@@ -112,30 +113,106 @@
 	return out
 }
 
+// mostMoves is how many servers of one hall are moved at once.
+const mostMoves = 4
+
 // Mend returns servers of halls that lack layers, with the layers they should
-// hold instead of their own, which others in the hall hold too.
+// hold instead of their own. Each move leaves fewer layers uncovered in the
+// hall than before; of equal moves the one that loads least is taken.
 func Mend(m *catalog.Model, servers []Holder) []Holder {
-	c := newCoverage(m, servers)
-	sorted := slices.Clone(servers)
-	slices.SortFunc(sorted, func(a, b Holder) int {
-		return cmp.Or(cmp.Compare(b.Layers.Len(), a.Layers.Len()), cmp.Compare(a.ID, b.ID))
-	})
+	halls := make(map[slatebridge.HallID][]Holder)
+	for _, s := range servers {
+		if s.Layers.Len() > 0 {
+			halls[s.Hall] = append(halls[s.Hall], s)
+		}
+	}
+	names := slices.Sorted(maps.Keys(halls))
 	var out []Holder
-	for _, s := range sorted {
-		if s.Layers.Len() == 0 || !c.lacks(s.Hall) {
-			continue
+	for _, name := range names {
+		out = append(out, mendHall(m, halls[name])...)
+	}
+
+	return out
+}
+
+func mendHall(m *catalog.Model, servers []Holder) []Holder {
+	copies := make([]int, m.Layers)
+	count := func(r slatebridge.LayerRange, by int) {
+		for l := r.From; l < min(r.To, m.Layers); l++ {
+			copies[l] += by
+		}
+	}
+	for _, s := range servers {
+		count(s.Layers, 1)
+	}
+	var out []Holder
+	moved := make(map[slatebridge.ServerID]bool)
+	for len(out) < mostMoves {
+		best, found := bestMove(copies, servers, moved, count)
+		if !found {
+			break
 		}
-		c.add(s, -1)
-		if c.spares(s) {
-			s.Layers = c.best(s.Hall, s.Layers.Len())
-			out = append(out, s)
+		moved[best.ID] = true
+		for _, s := range servers {
+			if s.ID == best.ID {
+				count(s.Layers, -1)
+			}
 		}
-		c.add(s, 1)
+		count(best.Layers, 1)
+		out = append(out, best)
 	}
 
 	return out
 }
 
+// bestMove returns the move after which fewest layers have no copy, if there
+// is one that helps.
+func bestMove(copies []int, servers []Holder, moved map[slatebridge.ServerID]bool, count func(slatebridge.LayerRange, int)) (Holder, bool) {
+	least, load := uncoveredIn(copies), 0
+	var best Holder
+	found := false
+	for _, s := range servers {
+		if moved[s.ID] || least == 0 {
+			continue
+		}
+		n := s.Layers.Len()
+		count(s.Layers, -1)
+		for from := 0; from+n <= len(copies); from++ {
+			r := slatebridge.LayerRange{From: from, To: from + n}
+			count(r, 1)
+			left := uncoveredIn(copies)
+			count(r, -1)
+			fresh := newLayers(s.Layers, r)
+			if left < least || (found && left == least && fresh < load) {
+				least, load, found = left, fresh, true
+				best = s
+				best.Layers = r
+			}
+		}
+		count(s.Layers, 1)
+	}
+
+	return best, found
+}
+
+func uncoveredIn(copies []int) int {
+	n := 0
+	for _, c := range copies {
+		if c == 0 {
+			n++
+		}
+	}
+
+	return n
+}
+
+// newLayers returns how many layers of to are not in from.
+func newLayers(from, to slatebridge.LayerRange) int {
+	common := min(from.To, to.To) - max(from.From, to.From)
+
+	return to.Len() - max(0, common)
+}
+
 // coverage is how much memory for requests there is for each layer, in tokens.
 type coverage struct {
 	model *catalog.Model
@@ -200,19 +277,17 @@
 	return slatebridge.LayerRange{From: from, To: from + n}
 }
 
-// lacks reports whether some layer is on no server of the hall.
-func (c *coverage) lacks(hall slatebridge.HallID) bool {
-	return slices.ContainsFunc(c.halls[hall], func(t float64) bool { return t < 1 })
-}
-
-// spares reports whether the hall still has all layers of the server, which
-// has been taken out of the sums.
-func (c *coverage) spares(s Holder) bool {
-	for _, t := range c.halls[s.Hall][s.Layers.From:s.Layers.To] {
-		if t < 1 {
-			return false
+// Lacks reports whether the hall has servers with layers and lacks some layer.
+func Lacks(m *catalog.Model, servers []Holder, hall slatebridge.HallID) bool {
+	copies := make([]int, m.Layers)
+	for _, s := range servers {
+		if s.Hall != hall {
+			continue
+		}
+		for l := s.Layers.From; l < min(s.Layers.To, m.Layers); l++ {
+			copies[l]++
 		}
 	}
 
-	return true
+	return uncoveredIn(copies) > 0
 }
