--- a/box/box.go
+++ b/box/box.go
@@ -128,7 +128,7 @@
 	b.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(zapslog.NewHandler(b.logger.Core()))
 	}))
-	c := newControl(b, ctx)
+	c := newControl(ctx, b)
 	b.pid = b.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 	go socket.Receive(
 		func(m mesh.Message) { b.tell(&heard{message: m, at: time.Now()}) },
--- a/box/control.go
+++ b/box/control.go
@@ -66,7 +66,7 @@
 	lacking time.Time
 }
 
-func newControl(b *Box, ctx context.Context) *control {
+func newControl(ctx context.Context, b *Box) *control {
 	return &control{
 		box: b, ctx: ctx, settings: b.settings,
 		entries:   make(map[string][]byte),
@@ -105,6 +105,14 @@
 		c.onVerified(m)
 	case *ordered:
 		c.onOrdered(m)
+	default:
+		c.receiveOrder(m)
+	}
+}
+
+// receiveOrder handles the messages that come from outside the control loop.
+func (c *control) receiveOrder(message any) {
+	switch m := message.(type) {
 	case *reconfigured:
 		listen := c.settings.Listen
 		c.settings = m.settings
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -65,15 +65,6 @@
 	return true
 }
 
-// left returns how many retries the box has left for the service.
-func (b *budget) left(service string, boxes int, now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.window(service, now)
-
-	return b.allowed(w, boxes) - float64(sum(w.retries))
-}
-
 func (b *budget) allowed(w *window, boxes int) float64 {
 	extra := b.bounds.RetryExtra / float64(max(1, boxes))
 
