--- a/box/box.go
+++ b/box/box.go
@@ -60,6 +60,11 @@
 	handler *forward.Handler
 	metrics *metrics
 
+	config  *follow.Follower
+	servers *follow.Follower
+	// helpers is how many other boxes share proofs with this one.
+	helpers atomic.Int64
+
 	system *actor.ActorSystem
 	pid    *actor.PID
 	socket *mesh.Socket
@@ -82,6 +87,7 @@
 		boot: uuid.NewString(), started: time.Now(),
 		fleet: fleet.New(s.Hall), metrics: newMetrics(reg),
 	}
+	b.config, b.servers = b.followConfig(), b.followServers()
 	b.state.Store(&forward.State{Boxes: 1})
 	b.help.Store(&mesh.Help{})
 	b.status.Store(&Status{})
@@ -134,8 +140,8 @@
 		func(m mesh.Message) { b.tell(&heard{message: m, at: time.Now()}) },
 		func(err error) { b.metrics.meshError(err) },
 	)
-	go b.followConfig().Run(ctx)
-	go b.followServers().Run(ctx)
+	go b.config.Run(ctx)
+	go b.servers.Run(ctx)
 	go b.handler.Watch(ctx)
 	ticks := time.NewTicker(tickEvery)
 	defer ticks.Stop()
@@ -176,11 +182,22 @@
 		}
 	}
 
-	return &follow.Follower{
-		Topic: b.platform.Config, OnNewest: take, OnChanges: take,
-		OnCurrent: func(at time.Time) { b.tell(&configCurrent{at: at}); b.tell(&storeAnswered{topicConfig}) },
-		OnError:   func(err error) { b.tell(&storeFailed{topic: topicConfig, err: err}) },
+	f := follow.New(b.platform.Config)
+	f.Wait = b.readWait
+	f.OnNewest, f.OnChanges = take, take
+	f.OnCurrent = func(at time.Time) { b.tell(&configCurrent{at: at}); b.tell(&storeAnswered{topicConfig}) }
+	f.OnError = func(err error) { b.tell(&storeFailed{topic: topicConfig, err: err}) }
+
+	return f
+}
+
+// readWait returns how long a read of the store waits for news.
+func (b *Box) readWait() time.Duration {
+	if b.helpers.Load() >= fewHelpers {
+		return follow.LongWait
 	}
+
+	return follow.ShortWait
 }
 
 func (b *Box) followServers() *follow.Follower {
@@ -190,11 +207,13 @@
 		}
 	}
 
-	return &follow.Follower{
-		Topic: b.platform.Servers, OnNewest: take(true), OnChanges: take(false),
-		OnCurrent: func(at time.Time) { b.tell(&serversCurrent{at: at}); b.tell(&storeAnswered{topicServers}) },
-		OnError:   func(err error) { b.tell(&storeFailed{topic: topicServers, err: err}) },
-	}
+	f := follow.New(b.platform.Servers)
+	f.Wait = b.readWait
+	f.OnNewest, f.OnChanges = take(true), take(false)
+	f.OnCurrent = func(at time.Time) { b.tell(&serversCurrent{at: at}); b.tell(&storeAnswered{topicServers}) }
+	f.OnError = func(err error) { b.tell(&storeFailed{topic: topicServers, err: err}) }
+
+	return f
 }
 
 // Names of what the box follows, for logs and metrics.
--- a/box/control.go
+++ b/box/control.go
@@ -18,8 +18,7 @@
 )
 
 const (
-	// tickEvery is the pause between two rounds of control work, and between
-	// two messages to the boxes of the same hall.
+	// tickEvery is the pause between two rounds of control work and messages.
 	tickEvery = 250 * time.Millisecond
 	// returnTime is how long a server whose entry lapsed while the store was
 	// away has to come back: the platform's servers need about two seconds, and
@@ -59,6 +58,8 @@
 	standing bool
 	// absent is since when the box that gives orders is not heard.
 	absent time.Time
+	// holderHeard is when the box that gives orders was last heard by any box.
+	holderHeard time.Time
 	// pending are the orders that servers have not yet shown to be done.
 	pending  map[slatebridge.ServerID]pendingOrder
 	ordering bool
--- a/box/orders.go
+++ b/box/orders.go
@@ -62,7 +62,7 @@
 		event.Log(c.box.logger, event.ElectionLost, zap.Int64("token", c.term.Token), zap.Int64("newer", t.Token), zap.String("to", string(t.Box)))
 	}
 	c.term = t
-	c.absent = time.Now()
+	c.absent, c.holderHeard = time.Now(), time.Now()
 	if c.elected() {
 		event.Log(c.box.logger, event.ElectionWon, zap.Int64("token", t.Token))
 		clear(c.pending)
@@ -74,14 +74,13 @@
 	return c.term.Token > 0 && c.term.Box == c.settings.Box && c.term.Boot == c.box.boot
 }
 
-// holderPresent reports whether the box that gives orders is heard and goes on.
-func (c *control) holderPresent() bool {
-	if c.elected() {
-		return true
-	}
-	o, ok := c.peers[c.term.Box]
+// holderLost is how long the box that gives orders is not heard of, by any box,
+// until another one stands for election.
+const holderLost = 2 * time.Second
 
-	return ok && o.live() && o.boot == c.term.Boot && !o.last.Leaving && o.last.Ready
+// holderPresent reports whether the box that gives orders is heard and goes on.
+func (c *control) holderPresent(now time.Time) bool {
+	return c.elected() || now.Sub(c.holderHeard) < holderLost
 }
 
 // ready reports whether this box could give orders.
@@ -91,7 +90,7 @@
 
 // elect stands for election when nobody gives orders.
 func (c *control) elect(now time.Time) {
-	if c.holderPresent() {
+	if c.holderPresent(now) {
 		c.absent = now
 
 		return
--- a/box/peers.go
+++ b/box/peers.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,23 +15,37 @@
 )
 
 const (
-	// lostAfter is how long a box is silent until it counts as lost.
-	lostAfter = 1500 * time.Millisecond
+	// lostAfter is how many times the usual pause between two messages a box
+	// is silent until it counts as lost.
+	lostAfter = 5
+	// lostLeast is the least time until a box counts as lost.
+	lostLeast = 1500 * time.Millisecond
 	// forgetAfter is how long a lost box still counts for the retry budget,
-	// which it may be using, and is still spoken to.
-	forgetAfter = 20 * time.Second
-	// farEvery is how many rounds lie between two messages to another hall.
-	farEvery = 2
-	// mostTargets bounds to how many boxes one round of messages goes. In
-	// larger installations each round takes others.
-	mostTargets = 12
+	// which it may be using, and is still spoken to. It is given in the same
+	// unit as lostAfter, and forgetLeast as lostLeast.
+	forgetAfter = 20
+	forgetLeast = 20 * time.Second
+	// nearTargets and farTargets are to how many boxes of the same hall and of
+	// others one round of messages goes; the next round takes the next ones.
+	nearTargets = 10
+	farTargets  = 3
+	// mostNames is how many names of other boxes a message carries.
+	mostNames = 6
 	// helpTime bounds a question for another box's state.
 	helpTime = 500 * time.Millisecond
+	// refreshAge is the age of a proof from which the store is asked at once,
+	// in place of the wait for news.
+	refreshAge = 2800 * time.Millisecond
 	// staleAfter is the age from which a box takes another one's word for what
 	// the store has: a read of the store has failed by then.
 	staleAfter = 3300 * time.Millisecond
 	// deadTime is for how long the word of another box on a dead server holds.
 	deadTime = 700 * time.Millisecond
+	// fewHelpers is how many boxes must share their proofs so that each can
+	// wait long for news.
+	fewHelpers = 3
+	// helperAge is the age up to which the proof of another box helps.
+	helperAge = 2 * time.Second
 )
 
 // otherBox is another box as this one knows it.
@@ -51,6 +66,9 @@
 
 func (o *otherBox) live() bool { return !o.lost && o.boot != "" }
 
+// near reports whether the box is in the hall.
+func (o *otherBox) near(hall slatebridge.HallID) bool { return o.last.Hall == hall }
+
 func (c *control) onHeard(m *heard) {
 	msg := m.message
 	if msg.Box == c.settings.Box {
@@ -76,6 +94,23 @@
 		c.learn(id, address)
 	}
 	c.adopt(msg.Term)
+	c.noteHolder(o, msg, m.at)
+}
+
+// noteHolder notes when the box that gives orders was last heard, by this box
+// or by the one that sent the message.
+func (c *control) noteHolder(o *otherBox, msg mesh.Message, at time.Time) {
+	if msg.Term != c.term || msg.HolderAge < 0 {
+		return
+	}
+	if o.id == c.term.Box {
+		if msg.Boot != c.term.Boot || msg.Leaving || !msg.Ready {
+			c.holderHeard = time.Time{}
+
+			return
+		}
+	}
+	c.holderHeard = later(c.holderHeard, at.Add(-time.Duration(msg.HolderAge)*time.Microsecond))
 }
 
 // believe takes up which servers do not answer the other box. A box of another
@@ -124,73 +159,149 @@
 }
 
 func (c *control) expirePeers(now time.Time) {
+	near, far := c.pauses()
+	helpers := int64(0)
 	for id, o := range c.peers {
-		if !o.lost && now.Sub(o.heardAt) > lostAfter {
+		pause := far
+		if o.near(c.settings.Hall) {
+			pause = near
+		}
+		silent := now.Sub(o.heardAt)
+		if !o.lost && silent > max(lostLeast, lostAfter*pause) {
 			o.lost = true
 			c.box.fleet.SetPeer(id, nil)
-			event.Log(c.box.logger, event.PeerLost, zap.String("box", string(id)), zap.Duration("silent", now.Sub(o.heardAt)))
+			event.Log(c.box.logger, event.PeerLost, zap.String("box", string(id)), zap.Duration("silent", silent))
 		}
-		if now.Sub(o.heardAt) > forgetAfter {
+		if silent > max(forgetLeast, forgetAfter*pause) {
 			delete(c.peers, id)
 		}
+		if o.live() && now.Sub(o.configAt) < helperAge {
+			helpers++
+		}
+	}
+	c.box.helpers.Store(helpers)
+	if now.Sub(c.current) > refreshAge {
+		c.box.config.Refresh()
+	}
+	if now.Sub(c.serversAt) > refreshAge {
+		c.box.servers.Refresh()
 	}
 }
 
+// pauses returns the usual pause between two messages of a box of the same
+// hall, and of another one.
+func (c *control) pauses() (near, far time.Duration) {
+	n, f := 0, 0
+	for _, o := range c.peers {
+		if o.near(c.settings.Hall) {
+			n++
+		} else {
+			f++
+		}
+	}
+	rounds := func(boxes, targets int) time.Duration {
+		return time.Duration(max(1, (boxes+targets-1)/targets)) * tickEvery
+	}
+
+	return rounds(n, nearTargets), rounds(f, farTargets)
+}
+
 // boxesForBudget returns how many boxes may be using the retry budget.
 func (c *control) boxesForBudget() int {
 	return 1 + len(c.peers)
 }
 
-// gossip tells the other boxes what this one does.
+// gossip tells other boxes what this one does: those whose turn it is, or all.
 func (c *control) gossip(all bool) {
 	c.round++
-	to := c.targets(all || c.round%farEvery == 0)
-	if len(to) == 0 {
-		return
+	var near, far []*otherBox
+	for _, o := range c.peers {
+		if o.near(c.settings.Hall) {
+			near = append(near, o)
+		} else {
+			far = append(far, o)
+		}
 	}
-	if err := c.box.socket.Send(c.message(), to); err != nil {
-		c.box.metrics.meshError(err)
+	if !all {
+		near, far = turn(near, nearTargets, c.round), turn(far, farTargets, c.round)
 	}
+	m := c.message()
+	m.Loads = c.box.fleet.Loads()
+	c.send(m, near, nil)
+	m.Loads = nil
+	c.send(m, far, c.unknownSeeds())
 }
 
-func (c *control) targets(far bool) []string {
-	var to []string
+// turn returns the part of the boxes whose turn it is in the round.
+func turn(boxes []*otherBox, n, round int) []*otherBox {
+	if len(boxes) <= n {
+		return boxes
+	}
+	slices.SortFunc(boxes, func(a, b *otherBox) int { return strings.Compare(string(a.id), string(b.id)) })
+	out := make([]*otherBox, 0, n)
+	for i := range n {
+		out = append(out, boxes[(round*n+i)%len(boxes)])
+	}
+
+	return out
+}
+
+// unknownSeeds returns the seeds from which nothing has been heard. They are
+// asked every few rounds.
+func (c *control) unknownSeeds() []string {
+	const every = 2
+	if c.round%every != 0 {
+		return nil
+	}
 	known := make(map[string]bool)
 	for _, o := range c.peers {
 		known[o.address] = true
-		if far || o.last.Hall == c.settings.Hall {
-			to = append(to, o.address)
-		}
 	}
-	if far {
-		for _, a := range c.settings.Seeds {
-			if !known[a] && a != c.settings.Listen.Mesh {
-				to = append(to, a)
-			}
+	var to []string
+	for _, a := range c.settings.Seeds {
+		if !known[a] && a != c.settings.Listen.Mesh {
+			to = append(to, a)
 		}
 	}
-	if len(to) > mostTargets {
-		rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-		to = to[:mostTargets]
-	}
 
 	return to
 }
 
+// send sends the message to the boxes, with an echo for each of them.
+func (c *control) send(m mesh.Message, boxes []*otherBox, seeds []string) {
+	to := seeds
+	m.Echo = make(map[string]int64, len(boxes))
+	for _, o := range boxes {
+		to = append(to, o.address)
+		if o.boot != "" {
+			m.Echo[o.boot] = o.sent
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	if err := c.box.socket.Send(m, to); err != nil {
+		c.box.metrics.meshError(err)
+	}
+}
+
 func (c *control) message() mesh.Message {
 	now := time.Now()
 	m := mesh.Message{
 		Box: c.settings.Box, Hall: c.settings.Hall, Boot: c.box.boot, Address: c.settings.Listen.Mesh,
-		Sent: now.Sub(c.box.started).Microseconds(), Echo: make(map[string]int64), Boxes: make(map[slatebridge.BoxID]string),
+		Sent: now.Sub(c.box.started).Microseconds(), Boxes: make(map[slatebridge.BoxID]string),
 		ConfigAge: age(now, c.current), Servers: c.digest, ServersAge: age(now, c.serversAt),
-		Loads: c.box.fleet.Loads(), Dead: c.box.handler.Dead(), Term: c.term, Leaving: c.leaving, Ready: c.ready(),
+		Dead: c.box.handler.Dead(), Term: c.term, HolderAge: age(now, c.holderHeard), Leaving: c.leaving, Ready: c.ready(),
+	}
+	if c.elected() {
+		m.HolderAge = 0
 	}
 	if c.catalog != nil {
 		m.Config = c.catalog.Version
 	}
 	for id, o := range c.peers {
-		if o.live() {
-			m.Echo[o.boot] = o.sent
+		// The order of a map is random, so that other names come each time.
+		if o.live() && len(m.Boxes) < mostNames {
 			m.Boxes[id] = o.address
 		}
 	}
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -102,6 +102,24 @@
 	return path, f.reserve(parts), NoShortage
 }
 
+// PathFrom is Path for a path that begins at one of the given servers; an empty
+// list stands for any.
+func (f *Fleet) PathFrom(q Query, firsts []slatebridge.ServerID) (Path, *Hold, Shortage) {
+	if len(firsts) == 0 {
+		return f.Path(q)
+	}
+	short := NoLayers
+	for _, q.First = range firsts {
+		path, hold, s := f.Path(q)
+		if path != nil {
+			return path, hold, NoShortage
+		}
+		short = max(short, s)
+	}
+
+	return nil, nil, short
+}
+
 // Complete reports whether every layer of the service's model is on some
 // server that may be used.
 func (f *Fleet) Complete(service string) bool {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -13,10 +13,13 @@
 
 // Timing of a Follower.
 const (
-	// defaultWait is how long one read waits for news. It is the age of the
-	// proof just before the next answer, so it stays well below the shortest
-	// bound on revocations (5 s); each call has a price.
-	defaultWait = 2500 * time.Millisecond
+	// ShortWait is how long one read waits for news when nobody else proves
+	// that what is known is current. It is the age of the proof just before the
+	// next answer, so it stays well below the bound on revocations (5 s).
+	ShortWait = 2500 * time.Millisecond
+	// LongWait is the same when other boxes share their proofs; each call has a
+	// price. News come at once either way.
+	LongWait = 8 * time.Second
 	// gather is the pause after news, so that changes in quick succession come
 	// in one answer. The bounds on news are two seconds and more.
 	gather = 200 * time.Millisecond
@@ -31,8 +34,8 @@
 // Follower follows one topic. Its functions are called by one goroutine.
 type Follower struct {
 	Topic logstore.Keyed
-	// Wait is how long one read waits for news; zero stands for the default.
-	Wait time.Duration
+	// Wait returns how long the next read waits for news.
+	Wait func() time.Duration
 	// OnNewest receives the whole content: at the start, and again after
 	// records were lost. afterOutage says that the store had been away.
 	OnNewest func(entries []logstore.Entry, afterOutage bool)
@@ -43,16 +46,29 @@
 	// OnError receives the error of each call that failed.
 	OnError func(err error)
 
+	// refresh asks for a read without a wait.
+	refresh  chan struct{}
+	hurry    bool
 	answered time.Time
 	// missed says that a call has failed since the last answer.
 	missed bool
 }
 
+// New returns a Follower of the topic, whose functions have to be set.
+func New(topic logstore.Keyed) *Follower {
+	return &Follower{Topic: topic, refresh: make(chan struct{}, 1)}
+}
+
+// Refresh ends a wait for news, so that a new proof comes soon.
+func (f *Follower) Refresh() {
+	select {
+	case f.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	if f.Wait == 0 {
-		f.Wait = defaultWait
-	}
 	f.answered = time.Now()
 	next, whole := int64(0), false
 	for ctx.Err() == nil {
@@ -83,16 +99,25 @@
 	return c.Next, nil
 }
 
-func (f *Follower) read(ctx context.Context, next int64) (int64, error) {
-	wait := f.Wait
-	if f.lapsed() {
+func (f *Follower) read(all context.Context, next int64) (int64, error) {
+	wait := f.Wait()
+	if f.missed || f.hurry {
 		// After a failure the reader wants to know at once how far it is behind.
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.timeout(wait+answerTime))
+	f.hurry = false
+	ctx, cancel := context.WithTimeout(all, f.timeout(wait+answerTime))
 	defer cancel()
+	stop := func() {}
+	if wait > 0 {
+		stop = f.endOnRefresh(ctx, cancel)
+	}
 	sent := time.Now()
 	c, err := f.Topic.Read(ctx, next, wait)
+	stop()
+	if err != nil && f.hurry {
+		return next, nil
+	}
 	if err != nil {
 		return next, err
 	}
@@ -100,7 +125,9 @@
 	if len(c.Entries) > 0 {
 		f.OnChanges(c.Entries, after)
 		f.OnCurrent(sent)
-		sleep(ctx, gather)
+		sleep(all, gather)
+		// The wait for the news may have been long, and so the proof is old.
+		f.hurry = time.Since(sent) > ShortWait/2
 
 		return c.Next, nil
 	}
@@ -111,22 +138,36 @@
 	return c.Next, nil
 }
 
+// endOnRefresh ends the read when a refresh is asked for. The returned
+// function has to be called after the read, by the same goroutine.
+func (f *Follower) endOnRefresh(ctx context.Context, cancel context.CancelFunc) func() {
+	ended := make(chan bool, 1)
+	go func() {
+		select {
+		case <-ctx.Done():
+			ended <- false
+		case <-f.refresh:
+			cancel()
+			ended <- true
+		}
+	}()
+
+	return func() {
+		cancel()
+		f.hurry = <-ended
+	}
+}
+
 // timeout returns the time for one call; it grows while the store is slow, so
 // that a slow store can still be followed.
 func (f *Follower) timeout(d time.Duration) time.Duration {
-	if f.lapsed() {
+	if f.missed {
 		return d + answerTime
 	}
 
 	return d
 }
 
-// lapsed reports whether the last call got no answer for longer than one read
-// takes.
-func (f *Follower) lapsed() bool {
-	return time.Since(f.answered) > f.Wait+answerTime
-}
-
 // noteAnswer notes an answer, and reports whether it ends an outage.
 func (f *Follower) noteAnswer() bool {
 	after := f.missed
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -108,15 +108,13 @@
 
 		return path, hold, nil
 	}
+	firsts := t.h.mayBeginAt(t.ran, t.c.route.MaxServers)
 	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: t.avoid}
-	if len(t.ran) >= t.c.route.MaxServers {
-		return t.chooseAmongUsed(q)
-	}
-	path, hold, short := t.h.fleet.Path(q)
+	path, hold, short := t.h.fleet.PathFrom(q, firsts)
 	if path == nil && len(t.avoid) > 0 {
 		// A server that failed once is better than none.
 		q.Avoid = nil
-		path, hold, short = t.h.fleet.Path(q)
+		path, hold, short = t.h.fleet.PathFrom(q, firsts)
 	}
 	if path == nil {
 		return nil, nil, shortage(short)
@@ -125,32 +123,21 @@
 	return path, hold, nil
 }
 
-// chooseAmongUsed finds a path that begins at a server that has had the
-// request already, since no more servers may get it. Servers that are taken as
-// dead do not count.
-func (t *streamTry) chooseAmongUsed(q fleet.Query) (fleet.Path, *fleet.Hold, *result.Error) {
-	dead := t.h.fleet.Suspects()
-	alive := 0
-	for _, id := range t.ran {
-		if _, known := t.h.fleet.Server(id); !known || slices.Contains(dead, id) {
-			continue
-		}
-		alive++
-		q.First = id
-		if path, hold, _ := t.h.fleet.Path(q); path != nil {
-			return path, hold, nil
+// mayBeginAt returns the servers at which another attempt may begin, when the
+// request has been at the given ones and may run at most servers; nil stands
+// for any. Servers that have left or are surely dead do not count.
+func (h *Handler) mayBeginAt(ran []slatebridge.ServerID, most int) []slatebridge.ServerID {
+	var counted []slatebridge.ServerID
+	for _, id := range ran {
+		if _, ok := h.fleet.Server(id); ok && !h.runs.surelyDead(id) {
+			counted = append(counted, id)
 		}
 	}
-	if alive >= t.c.route.MaxServers {
-		return nil, nil, result.New(result.AttemptsExhausted, "the request was sent to %d servers", alive)
-	}
-	q.First = ""
-	path, hold, short := t.h.fleet.Path(q)
-	if path == nil {
-		return nil, nil, shortage(short)
+	if len(counted) < most {
+		return nil
 	}
 
-	return path, hold, nil
+	return counted
 }
 
 // attempt makes one attempt and reports whether the request is done with.
@@ -159,7 +146,10 @@
 	t.c.tried = append(t.c.tried, path.String())
 	ctx, cancel := context.WithCancelCause(t.ctx)
 	defer cancel(nil)
-	run := t.h.runs.add(&run{id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel})
+	run := t.h.runs.add(&run{
+		id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel,
+		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers,
+	})
 	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
 	first := path[0].Server
 	r := t.h.send(ctx, t.c, Attempt{
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -78,6 +78,10 @@
 	service string
 	tokens  float64
 	cancel  context.CancelCauseFunc
+	// ran are the first servers that have had the request, with this attempt's,
+	// and most is at how many it may run.
+	ran  []slatebridge.ServerID
+	most int
 
 	mu      sync.Mutex
 	path    fleet.Path
@@ -173,30 +177,51 @@
 type runs struct {
 	mu   sync.Mutex
 	list map[*run]bool
-	// dead are the servers that this box has found dead.
-	dead map[slatebridge.ServerID]bool
+	// dead are the servers that this box has found dead, with how often in a
+	// row they have not answered.
+	dead map[slatebridge.ServerID]int
 	// questions are the last questions for reports.
 	questions map[slatebridge.ServerID]*question
 }
 
 func newRuns() *runs {
-	return &runs{list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]bool), questions: make(map[slatebridge.ServerID]*question)}
+	return &runs{list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]int), questions: make(map[slatebridge.ServerID]*question)}
 }
 
-// setDead notes whether a server is dead, and reports whether that is news.
-func (r *runs) setDead(id slatebridge.ServerID, dead bool) bool {
+// noteDead notes that a server is dead, and reports whether that is news.
+func (r *runs) noteDead(id slatebridge.ServerID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.dead[id] == dead {
-		return false
-	}
-	if dead {
-		r.dead[id] = true
-	} else {
-		delete(r.dead, id)
-	}
+	r.dead[id]++
 
-	return true
+	return r.dead[id] == 1
+}
+
+// isDead reports whether a server is noted as dead.
+func (r *runs) isDead(id slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.dead[id] > 0
+}
+
+// noteAlive takes noteDead back.
+func (r *runs) noteAlive(id slatebridge.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.dead, id)
+}
+
+// sureAfter is how often in a row a server has not answered when it is taken
+// as surely dead. Questions are half a second apart.
+const sureAfter = 2
+
+// surelyDead reports whether a server has repeatedly not answered.
+func (r *runs) surelyDead(id slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.dead[id] >= sureAfter
 }
 
 func (r *runs) add(v *run) *run {
@@ -294,7 +319,7 @@
 			avoid = append(avoid, s.Server.ID)
 		}
 	}
-	next, hold, _ := h.fleet.Path(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: avoid})
+	next, hold, _ := h.fleet.PathFrom(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: avoid}, h.mayBeginAt(r.ran, r.most))
 	if next == nil {
 		return
 	}
@@ -449,7 +474,7 @@
 // suspect takes a server as dead, and asks it until it answers or has left.
 func (h *Handler) suspect(ctx context.Context, id slatebridge.ServerID, why string) {
 	h.fleet.Suspect(id, time.Now().Add(suspectTime))
-	if !h.runs.setDead(id, true) {
+	if h.runs.isDead(id) || !h.runs.noteDead(id) {
 		return
 	}
 	event.Log(h.logger, event.ServerSuspected, zap.String("server", string(id)), zap.String("why", why))
@@ -457,7 +482,7 @@
 }
 
 func (h *Handler) askAgain(ctx context.Context, id slatebridge.ServerID) {
-	defer h.runs.setDead(id, false)
+	defer h.runs.noteAlive(id)
 	for {
 		select {
 		case <-ctx.Done():
@@ -477,6 +502,7 @@
 
 			return
 		}
+		h.runs.noteDead(id)
 		h.fleet.Suspect(id, time.Now().Add(suspectTime))
 	}
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -45,6 +45,9 @@
 	// Dead are servers that do not answer the box.
 	Dead []slatebridge.ServerID `json:"d,omitempty"`
 	Term elect.Term             `json:"t"`
+	// HolderAge is how long ago the box that won the term was last heard, by
+	// the sender or by a box it heard, in microseconds; -1 if never.
+	HolderAge int64 `json:"ta"`
 	// Leaving says that the box is stopping.
 	Leaving bool `json:"x,omitempty"`
 	// Ready says that the box could give orders.
