--- a/box/peers.go
+++ b/box/peers.go
@@ -170,7 +170,7 @@
 		if !o.lost && silent > max(lostLeast, lostAfter*pause) {
 			o.lost = true
 			c.box.fleet.SetPeer(id, nil)
-			event.Log(c.box.logger, event.PeerLost, zap.String("box", string(id)), zap.Duration("silent", silent))
+			event.Log(c.box.logger, event.PeerLost, zap.String("box", string(id)), zap.Duration("silent_ms", silent))
 		}
 		if silent > max(forgetLeast, forgetAfter*pause) {
 			delete(c.peers, id)
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -31,6 +31,8 @@
 	// callerIdle is how long a connection of a caller is kept without use. The
 	// platform allows 15 s.
 	callerIdle = 20 * time.Second
+	// logTime is how long the last log lines may take to be written.
+	logTime = 200 * time.Millisecond
 	// serverConnections bounds the idle connections to one server.
 	serverConnections = 64
 )
@@ -38,7 +40,10 @@
 // RunBox runs one entry box with the settings until ctx ends, and then lets
 // its requests finish.
 func RunBox(ctx context.Context, s box.Settings) error {
-	logger := NewLogger("info").With(zap.String("box", string(s.Box)))
+	lines := event.NewBounded(os.Stdout)
+	defer lines.Close(logTime)
+	logger := lines.Logger(zap.InfoLevel).With(zap.String("box", string(s.Box)))
+	go lines.Run(ctx.Done(), logger)
 	reg := newRegistry()
 	client := newServerClient()
 	store := platform.NewStore(s.Store, newStoreClient())
--- a/event/event.go
+++ b/event/event.go
@@ -76,6 +76,9 @@
 	Name   string `toml:"name"`
 	Level  string `toml:"level"`
 	Text   string `toml:"text"`
+	// Success says that the event tells of something that went well. Such lines
+	// are left out first when lines come too fast.
+	Success bool `toml:"success"`
 }
 
 //go:embed events.toml
@@ -84,11 +87,13 @@
 var (
 	entries = mustLoad()
 	known   = index(entries)
+	byName  = names(entries)
 )
 
 type knownEvent struct {
-	name  string
-	level zapcore.Level
+	name    string
+	level   zapcore.Level
+	success bool
 }
 
 // Entries returns what is said of every event, in the order of the numbers.
@@ -134,7 +139,16 @@
 		if err != nil {
 			panic("event: events.toml: " + err.Error())
 		}
-		m[e.Number] = knownEvent{name: e.Name, level: level}
+		m[e.Number] = knownEvent{name: e.Name, level: level, success: e.Success}
+	}
+
+	return m
+}
+
+func names(list []Entry) map[string]ID {
+	m := make(map[string]ID, len(list))
+	for _, e := range list {
+		m[e.Name] = e.Number
 	}
 
 	return m
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -181,15 +181,15 @@
 	h.metrics.done(c, e.Code)
 	event.Log(h.logger, event.RequestRefused, append(h.fields(c),
 		zap.Int("code", int(e.Code)), zap.String("ran", string(e.Ran)), zap.String("why", e.Detail),
-		zap.Duration("retry_after", e.RetryAfter))...)
+		zap.Duration("retry_after_ms", e.RetryAfter))...)
 	h.wire.Refuse(w, c.ID, e)
 }
 
 // fields returns what every log line on a request has.
 func (h *Handler) fields(c *call) []zap.Field {
-	f := []zap.Field{zap.String("request", c.ID), zap.Duration("took", time.Since(c.began))}
+	f := []zap.Field{zap.String("request", c.ID), zap.Duration("took_ms", time.Since(c.began))}
 	if c.state.Catalog != nil {
-		f = append(f, zap.Int64("config", c.state.Catalog.Version), zap.Duration("config_age", c.began.Sub(c.state.Current)))
+		f = append(f, zap.Int64("config", c.state.Catalog.Version), zap.Duration("config_age_ms", c.began.Sub(c.state.Current)))
 	}
 	if c.route != nil {
 		f = append(f, zap.String("route", c.route.Name), zap.Stringer("kind", c.route.Kind), zap.String("service", c.service),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -342,7 +342,7 @@
 	t.sendHead(resp)
 	t.h.metrics.done(t.c, result.OK)
 	event.Log(t.h.logger, event.RequestAnswered, append(t.h.fields(t.c),
-		zap.Int("events", t.events), zap.Duration("first_event", t.first))...)
+		zap.Int("events", t.events), zap.Duration("first_event_ms", t.first))...)
 }
 
 // fail ends a request that no server answered whole. What was passed on is
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -298,7 +298,7 @@
 func (h *Handler) check(ctx context.Context, r *run) {
 	path, started, silent := r.state()
 	dead := h.deadOn(ctx, r, path)
-	event.Log(h.logger, event.StreamStalled, zap.String("request", r.id), zap.Duration("silent", silent),
+	event.Log(h.logger, event.StreamStalled, zap.String("request", r.id), zap.Duration("silent_ms", silent),
 		zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", dead))
 	if len(dead) == 0 && silent < hopeless {
 		return
