Tell other halls the work in flight, let servers grow to fill a gap

Cause by the logs: a hall that had lost one large server could not be made whole by shifts (80 layers of room for 80), a second followed, and boxes of the other halls, which no longer heard of its work in flight, filled the one whole hall.

--- a/box/peers.go
+++ b/box/peers.go
@@ -88,7 +88,7 @@
 	o.boot, o.sent, o.address = msg.Boot, msg.Sent, msg.Address
 	o.heardAt, o.last, o.lost = m.at, msg, false
 	c.takeProof(o, msg)
-	c.box.fleet.SetPeer(msg.Box, msg.Loads)
+	c.box.fleet.SetPeer(c.loadName(o), msg.Loads)
 	c.believe(msg, m.at)
 	for id, address := range msg.Boxes {
 		c.learn(id, address)
@@ -169,7 +169,7 @@
 		silent := now.Sub(o.heardAt)
 		if !o.lost && silent > max(lostLeast, lostAfter*pause) {
 			o.lost = true
-			c.box.fleet.SetPeer(id, nil)
+			c.dropLoads(o)
 			event.Log(c.box.logger, event.PeerLost, zap.String("box", string(id)), zap.Duration("silent_ms", silent))
 		}
 		if silent > max(forgetLeast, forgetAfter*pause) {
@@ -188,6 +188,27 @@
 	}
 }
 
+// loadName returns under which name the work of the box is known to the fleet:
+// boxes of other halls tell that of their whole hall.
+func (c *control) loadName(o *otherBox) string {
+	if o.near(c.settings.Hall) {
+		return "box " + string(o.id)
+	}
+
+	return "hall " + string(o.last.Hall)
+}
+
+// dropLoads forgets the work of a box, or of a hall none of whose boxes is
+// heard any more.
+func (c *control) dropLoads(o *otherBox) {
+	for _, v := range c.peers {
+		if v.live() && c.loadName(v) == c.loadName(o) {
+			return
+		}
+	}
+	c.box.fleet.SetPeer(c.loadName(o), nil)
+}
+
 // pauses returns the usual pause between two messages of a box of the same
 // hall, and of another one.
 func (c *control) pauses() (near, far time.Duration) {
@@ -228,10 +249,23 @@
 	m := c.message()
 	m.Loads = c.box.fleet.Loads()
 	c.send(m, near, nil)
-	m.Loads = nil
+	m.Loads = c.box.fleet.HallLoads(c.nearNames())
 	c.send(m, far, c.unknownSeeds())
 }
 
+// nearNames returns the names under which the work of the hall's other boxes
+// is known to the fleet.
+func (c *control) nearNames() []string {
+	var names []string
+	for _, o := range c.peers {
+		if o.live() && o.near(c.settings.Hall) {
+			names = append(names, c.loadName(o))
+		}
+	}
+
+	return names
+}
+
 // turn returns the part of the boxes whose turn it is in the round.
 func turn(boxes []*otherBox, n, round int) []*otherBox {
 	if len(boxes) <= n {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,7 +78,7 @@
 	defer f.mu.Unlock()
 	m, ok := f.members[s.ID]
 	if !ok {
-		m = &member{peers: make(map[slatebridge.BoxID]Load)}
+		m = &member{peers: make(map[string]Load)}
 		f.members[s.ID] = m
 	}
 	if m.Layers != s.Layers {
@@ -271,16 +271,35 @@
 	return out
 }
 
-// SetPeer takes up the work that another box has in flight. A nil map says
-// that the box is gone.
-func (f *Fleet) SetPeer(box slatebridge.BoxID, loads map[slatebridge.ServerID]Load) {
+// HallLoads returns the work in flight of this box and of those that SetPeer
+// was told of under the given names, by server.
+func (f *Fleet) HallLoads(peers []string) map[slatebridge.ServerID]Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[slatebridge.ServerID]Load)
+	for id, m := range f.members {
+		sum := m.own
+		for _, p := range peers {
+			sum = sum.plus(m.peers[p])
+		}
+		if sum.Requests > 0 {
+			out[id] = sum
+		}
+	}
+
+	return out
+}
+
+// SetPeer takes up the work in flight of others: of another box, or of all
+// boxes of another hall. A nil map says that they are gone.
+func (f *Fleet) SetPeer(name string, loads map[slatebridge.ServerID]Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, m := range f.members {
 		if l, ok := loads[id]; ok {
-			m.peers[box] = l
+			m.peers[name] = l
 		} else {
-			delete(m.peers, box)
+			delete(m.peers, name)
 		}
 	}
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 )
 
@@ -14,8 +13,9 @@
 	card  catalog.Card
 	// own is the work that this box has in flight at the server.
 	own Load
-	// peers is what the other boxes said last of their work there.
-	peers map[slatebridge.BoxID]Load
+	// peers is what others said last of their work there: each box of the same
+	// hall, and each other hall as a whole.
+	peers map[string]Load
 	// removeAt is when an entry that lapsed is dropped; zero while it stands.
 	removeAt time.Time
 	// leavingAt is when it was heard that the server is leaving.
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -61,6 +61,9 @@
 	// is for answers that grow longer than expected and for work of other
 	// boxes that is not known yet.
 	maxFill = 0.92
+	// refusedFill is how full a server is taken to be at least that has just
+	// turned a request away for want of memory.
+	refusedFill = 0.88
 	// fillCost makes fuller servers dearer, so that servers with the same
 	// layers share the work; at the limit a server costs seven times as much.
 	fillCost = 6.0
@@ -257,16 +260,17 @@
 			continue
 		}
 		model = m.model
-		if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) || now.Before(m.fullUntil) {
+		if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) {
 			continue
 		}
 		if slices.Contains(q.Avoid, m.ID) {
 			continue
 		}
-		list = append(list, candidate{
-			member: m, used: m.load().TokenLayers, capacity: m.capacity(),
-			noise: 1 + spread*(2*f.random()-1),
-		})
+		c := candidate{member: m, used: m.load().TokenLayers, capacity: m.capacity(), noise: 1 + spread*(2*f.random()-1)}
+		if now.Before(m.fullUntil) {
+			c.used = max(c.used, refusedFill*c.capacity)
+		}
+		list = append(list, c)
 	}
 
 	return list, model
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,7 +40,8 @@
 	// ServersAge how long ago they were proved to be current, in microseconds.
 	Servers    uint64 `json:"v"`
 	ServersAge int64  `json:"va"`
-	// Loads is the work that the box has in flight.
+	// Loads is the work in flight: that of the box in messages to its own hall,
+	// that of all boxes of its hall in messages to other halls.
 	Loads map[slatebridge.ServerID]fleet.Load `json:"l,omitempty"`
 	// Dead are servers that do not answer the box.
 	Dead []slatebridge.ServerID `json:"d,omitempty"`
--- a/place/cover.go
+++ b/place/cover.go
@@ -148,7 +148,7 @@
 	var out []Holder
 	moved := make(map[slatebridge.ServerID]bool)
 	for len(out) < mostMoves {
-		best, found := bestMove(copies, servers, moved, count)
+		best, found := bestMove(m, copies, servers, moved, count)
 		if !found {
 			break
 		}
@@ -165,9 +165,16 @@
 	return out
 }
 
+// mostGrowth is by how many layers a server may grow in one move.
+const mostGrowth = 3
+
+// growthCost is what one layer more counts when moves are compared, in layers
+// loaded: a server that grows has less memory for requests from then on.
+const growthCost = 4
+
 // bestMove returns the move after which fewest layers have no copy, if there
 // is one that helps.
-func bestMove(copies []int, servers []Holder, moved map[slatebridge.ServerID]bool, count func(slatebridge.LayerRange, int)) (Holder, bool) {
+func bestMove(m *catalog.Model, copies []int, servers []Holder, moved map[slatebridge.ServerID]bool, count func(slatebridge.LayerRange, int)) (Holder, bool) {
 	least, load := uncoveredIn(copies), 0
 	var best Holder
 	found := false
@@ -175,16 +182,17 @@
 		if moved[s.ID] || least == 0 {
 			continue
 		}
+		card, _ := m.Card(s.Card)
 		n := s.Layers.Len()
+		most := max(n, min(n+mostGrowth, layersFor(m, card, mostShare)))
 		count(s.Layers, -1)
-		for from := 0; from+n <= len(copies); from++ {
-			r := slatebridge.LayerRange{From: from, To: from + n}
+		for _, r := range windows(n, most, len(copies)) {
 			count(r, 1)
 			left := uncoveredIn(copies)
 			count(r, -1)
-			fresh := newLayers(s.Layers, r)
-			if left < least || (found && left == least && fresh < load) {
-				least, load, found = left, fresh, true
+			cost := newLayers(s.Layers, r) + growthCost*(r.Len()-n)
+			if left < least || (found && left == least && cost < load) {
+				least, load, found = left, cost, true
 				best = s
 				best.Layers = r
 			}
@@ -195,6 +203,18 @@
 	return best, found
 }
 
+// windows returns all ranges of n to most layers.
+func windows(n, most, layers int) []slatebridge.LayerRange {
+	var out []slatebridge.LayerRange
+	for size := n; size <= most; size++ {
+		for from := 0; from+size <= layers; from++ {
+			out = append(out, slatebridge.LayerRange{From: from, To: from + size})
+		}
+	}
+
+	return out
+}
+
 func uncoveredIn(copies []int) int {
 	n := 0
 	for _, c := range copies {
