Shift a whole hall's layers where no single move helps; test paths and placement

Found by a random test: with 90 layers of room a hall could stay without some layers, since each single move left as many uncovered as it covered.

--- /dev/null
+++ b/fleet/path_test.go
@@ -0,0 +1,198 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+)
+
+// testModel has 8 layers of 1 GB; a card of 5 GB with 4 layers holds 1000
+// tokens in each of them.
+func testModel() *catalog.Model {
+	return &catalog.Model{
+		Layers: 8, LayerMB: 1000, TokenBytes: 2e6, StepTime: time.Millisecond,
+		Cards: []catalog.Card{{Name: "big", MemoryMB: 5000, Pace: 1}},
+	}
+}
+
+// testServer is a server in a test fleet: "hall from to".
+type testServer struct {
+	id       string
+	hall     slatebridge.HallID
+	from, to int
+}
+
+func newTestFleet(servers ...testServer) *Fleet {
+	f := New("a", WithRandom(func() float64 { return 0.5 }))
+	f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: testModel()}}, nil, false))
+	for _, s := range servers {
+		f.Set(catalog.Server{
+			ID: slatebridge.ServerID(s.id), Service: "llm", Hall: s.hall, Card: "big", Address: s.id + ":80",
+			Layers: slatebridge.LayerRange{From: s.from, To: s.to},
+		})
+	}
+
+	return f
+}
+
+// wantPath fails the test unless the next path is the given one.
+func wantPath(t *testing.T, f *Fleet, q Query, want string) *Hold {
+	t.Helper()
+	q.Service = "llm"
+	path, hold, short := f.Path(q)
+	got := path.String()
+	if path == nil {
+		got = fmt.Sprintf("none: %d", short)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+
+	return hold
+}
+
+func TestPath(t *testing.T) {
+	two := []testServer{{"a1", "a", 0, 4}, {"a2", "a", 4, 8}, {"b1", "b", 0, 4}, {"b2", "b", 4, 8}}
+	t.Run("it stays in the box's hall", func(t *testing.T) {
+		wantPath(t, newTestFleet(two...), Query{Tokens: 10}, "a1[0,4)>a2[4,8)")
+	})
+	t.Run("it begins in another hall rather than go there and back", func(t *testing.T) {
+		f := newTestFleet(two...)
+		f.Suspect("a2", time.Now().Add(time.Minute))
+		wantPath(t, f, Query{Tokens: 10}, "b1[0,4)>b2[4,8)")
+	})
+	t.Run("it crosses if nothing else is whole", func(t *testing.T) {
+		f := newTestFleet(two...)
+		f.Suspect("a2", time.Now().Add(time.Minute))
+		f.Suspect("b1", time.Now().Add(time.Minute))
+		wantPath(t, f, Query{Tokens: 10}, "a1[0,4)>b2[4,8)")
+	})
+	t.Run("overlapping servers run a part", func(t *testing.T) {
+		wantPath(t, newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 2, 6}, testServer{"a3", "a", 4, 8}),
+			Query{Tokens: 10, Avoid: []slatebridge.ServerID{"b"}}, "a1[0,4)>a3[4,8)")
+	})
+	t.Run("full servers are left out", func(t *testing.T) {
+		f := newTestFleet(two...)
+		wantPath(t, f, Query{Tokens: 800}, "a1[0,4)>a2[4,8)")
+		wantPath(t, f, Query{Tokens: 800}, "b1[0,4)>b2[4,8)")
+		hold := wantPath(t, f, Query{Tokens: 800}, "none: 2")
+		hold.Release()
+	})
+	t.Run("released work makes room", func(t *testing.T) {
+		f := newTestFleet(two[:2]...)
+		hold := wantPath(t, f, Query{Tokens: 800}, "a1[0,4)>a2[4,8)")
+		hold.Release()
+		hold.Release()
+		wantPath(t, f, Query{Tokens: 800}, "a1[0,4)>a2[4,8)")
+	})
+	t.Run("work of other boxes counts", func(t *testing.T) {
+		f := newTestFleet(two[:2]...)
+		f.SetPeer("box 2", map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: 3600}})
+		wantPath(t, f, Query{Tokens: 800}, "none: 2")
+		f.SetPeer("box 2", nil)
+		wantPath(t, f, Query{Tokens: 800}, "a1[0,4)>a2[4,8)")
+	})
+	t.Run("leaving and lacking servers are left out", func(t *testing.T) {
+		f := newTestFleet(two...)
+		s, _ := f.Server("a1")
+		s.Leaving = true
+		f.Set(s)
+		f.NoteLacking("b1")
+		wantPath(t, f, Query{Tokens: 10}, "none: 1")
+	})
+	t.Run("the first server can be given", func(t *testing.T) {
+		f := newTestFleet(two...)
+		wantPath(t, f, Query{Tokens: 10, First: "b1"}, "b1[0,4)>b2[4,8)")
+		wantPath(t, f, Query{Tokens: 10, First: "a2"}, "none: 1")
+	})
+}
+
+// TestPathsCoverEveryLayerOnce draws fleets at random: every path that is
+// found runs each layer once and in order, on servers that hold it, and no
+// server is planned beyond its memory.
+func TestPathsCoverEveryLayerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []testServer
+		for i := range rapid.IntRange(1, 12).Draw(t, "servers") {
+			from := rapid.IntRange(0, 7).Draw(t, "from")
+			to := rapid.IntRange(from+1, min(8, from+4)).Draw(t, "to")
+			hall := slatebridge.HallID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "hall"))
+			servers = append(servers, testServer{fmt.Sprintf("s%02d", i), hall, from, to})
+		}
+		f := newTestFleet(servers...)
+		for range 20 {
+			path, _, _ := f.Path(Query{Service: "llm", Tokens: float64(rapid.IntRange(1, 900).Draw(t, "tokens"))})
+			if path == nil {
+				continue
+			}
+			ranges := make([]slatebridge.LayerRange, 0, len(path))
+			for _, s := range path {
+				ranges = append(ranges, s.Layers)
+				if s.Layers.From < s.Server.Layers.From || s.Layers.To > s.Server.Layers.To {
+					t.Fatalf("%s does not hold %s", s.Server.ID, s.Layers)
+				}
+			}
+			if !slatebridge.CoversExactly(ranges, 8) {
+				t.Fatalf("%s does not run every layer once", path)
+			}
+		}
+		for _, m := range f.members {
+			if m.own.TokenLayers > maxFill*m.capacity() {
+				t.Fatalf("%s is planned to %.0f of %.0f", m.ID, m.own.TokenLayers, m.capacity())
+			}
+		}
+	})
+}
+
+func TestPick(t *testing.T) {
+	plain := func() *Fleet {
+		f := New("a", WithRandom(func() float64 { return 0.5 }))
+		for _, s := range []catalog.Server{
+			{ID: "p1", Service: "till", Hall: "a", Slots: 6},
+			{ID: "p2", Service: "till", Hall: "b", Slots: 6},
+		} {
+			f.Set(s)
+		}
+
+		return f
+	}
+	want := func(t *testing.T, f *Fleet, id slatebridge.ServerID) {
+		t.Helper()
+		s, _, _ := f.Pick("till", nil)
+		if s.ID != id {
+			t.Errorf("picked %s, want %s", s.ID, id)
+		}
+	}
+	t.Run("the own hall first", func(t *testing.T) { want(t, plain(), "p1") })
+	t.Run("a failing server last", func(t *testing.T) {
+		f := plain()
+		f.NoteAnswer("p1", false, time.Millisecond)
+		want(t, f, "p2")
+	})
+	t.Run("a slow server last", func(t *testing.T) {
+		f := plain()
+		for range 5 {
+			f.NoteAnswer("p1", true, time.Second)
+		}
+		want(t, f, "p2")
+	})
+	t.Run("a full server last", func(t *testing.T) {
+		f := plain()
+		f.NoteFull("p1")
+		want(t, f, "p2")
+	})
+	t.Run("none when all are dead", func(t *testing.T) {
+		f := plain()
+		f.Suspect("p1", time.Now().Add(time.Minute))
+		f.Suspect("p2", time.Now().Add(time.Minute))
+		if _, _, ok := f.Pick("till", nil); ok {
+			t.Error("a dead server was picked")
+		}
+	})
+}
--- a/place/cover.go
+++ b/place/cover.go
@@ -161,10 +161,58 @@
 		count(best.Layers, 1)
 		out = append(out, best)
 	}
+	if uncoveredIn(copies) > 0 && len(out) == 0 {
+		return shiftHall(m, servers)
+	}
 
 	return out
 }
 
+// shiftHall shifts all servers of a hall so far that no layer is left out,
+// where no single move helps. Servers grow only as far as needed. It returns
+// nothing if the hall has no room for all layers.
+func shiftHall(m *catalog.Model, servers []Holder) []Holder {
+	sorted := slices.Clone(servers)
+	slices.SortFunc(sorted, func(a, b Holder) int {
+		return cmp.Or(cmp.Compare(a.Layers.From, b.Layers.From), cmp.Compare(a.ID, b.ID))
+	})
+	for _, keep := range []bool{true, false} {
+		for growth := range mostGrowth + 1 {
+			if out, whole := shift(m, sorted, growth, keep); whole {
+				return out
+			}
+		}
+	}
+
+	return nil
+}
+
+// shift goes through the servers in the order of their layers and moves each
+// that would leave a gap, or hold nothing new, to the first layer that is left;
+// without keep, it moves all of them there.
+func shift(m *catalog.Model, servers []Holder, growth int, keep bool) (moves []Holder, whole bool) {
+	covered := 0
+	for _, s := range servers {
+		if covered >= m.Layers {
+			break
+		}
+		r := s.Layers
+		if !keep || r.From > covered || r.To <= covered {
+			card, _ := m.Card(s.Card)
+			n := max(r.Len(), min(r.Len()+growth, layersFor(m, card, mostShare)))
+			from := min(covered, m.Layers-n)
+			r = slatebridge.LayerRange{From: from, To: from + n}
+		}
+		covered = r.To
+		if r != s.Layers {
+			s.Layers = r
+			moves = append(moves, s)
+		}
+	}
+
+	return moves, covered >= m.Layers
+}
+
 // mostGrowth is by how many layers a server may grow in one move.
 const mostGrowth = 3
 
