--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,71 @@
+package catalog
+
+import (
+	"testing"
+)
+
+func testCatalog() *Catalog {
+	return New(3, Limits{}, []Route{
+		{Name: "short", Host: "A.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}, []Service{{Name: "s"}}, []Account{{Name: "shop", Keys: []string{"k1", "k2"}}}, true)
+}
+
+func TestRoute(t *testing.T) {
+	c := testCatalog()
+	for _, v := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"B.EXAMPLE", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		t.Run(v.host+v.path, func(t *testing.T) {
+			got := ""
+			if r := c.Route(v.host, v.path); r != nil {
+				got = r.Name
+			}
+			if got != v.want {
+				t.Errorf("route %q, want %q", got, v.want)
+			}
+		})
+	}
+}
+
+func TestAccount(t *testing.T) {
+	c := testCatalog()
+	if a := c.Account("k2"); a == nil || a.Name != "shop" {
+		t.Errorf("k2 belongs to %v", a)
+	}
+	if a := c.Account(""); a != nil {
+		t.Errorf("an empty key belongs to %v", a)
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	counts := make(map[string]int)
+	for i := range 100 {
+		counts[r.Pick(float64(i)/100)]++
+	}
+	if counts["a"] != 90 || counts["b"] != 10 {
+		t.Errorf("picked %v", counts)
+	}
+	if (&Route{}).Pick(0.5) != "" {
+		t.Error("a route without shares picks a service")
+	}
+}
+
+func TestTokenLayers(t *testing.T) {
+	m := &Model{Layers: 80, LayerMB: 1750, TokenBytes: 459000}
+	c := Card{MemoryMB: 14400}
+	// The platform's empty servers tell this figure themselves.
+	if got := int(m.TokenLayers(c, 0)); got != 2509803 {
+		t.Errorf("an empty card holds %d tokens x layers, want 2509803", got)
+	}
+	if m.TokenLayers(c, 9) != 0 {
+		t.Error("a card without room holds tokens")
+	}
+}
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,178 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge/logstore"
+)
+
+// script is a topic whose reads are answered by a function.
+type script struct {
+	reads  int
+	newest int
+	read   func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error)
+}
+
+func (s *script) topic() logstore.Keyed {
+	return logstore.Keyed{
+		Newest: func(context.Context) (logstore.Changes, error) {
+			s.newest++
+
+			return logstore.Changes{Next: 10}, nil
+		},
+		Read: func(ctx context.Context, from int64, wait time.Duration) (logstore.Changes, error) {
+			s.reads++
+
+			return s.read(ctx, s.reads, from, wait)
+		},
+	}
+}
+
+// quiet answers a read after its wait, without news.
+func quiet(ctx context.Context, from int64, wait time.Duration) (logstore.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return logstore.Changes{}, ctx.Err()
+	case <-time.After(wait):
+		return logstore.Changes{Next: from}, nil
+	}
+}
+
+// followed is what a follower has told.
+type followed struct {
+	Changes []string
+	Outage  []bool
+	errors  int
+	current time.Time
+}
+
+// run follows the script for some virtual time.
+func run(t *testing.T, s *script, d time.Duration, during func(f *Follower, got *followed)) followed {
+	t.Helper()
+	var got followed
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), d)
+		defer cancel()
+		f := New(s.topic())
+		f.Wait = func() time.Duration { return ShortWait }
+		f.OnNewest = func([]logstore.Entry, bool) {}
+		f.OnChanges = func(list []logstore.Entry, outage bool) {
+			for _, e := range list {
+				got.Changes = append(got.Changes, e.Key)
+				got.Outage = append(got.Outage, outage)
+			}
+		}
+		f.OnCurrent = func(at time.Time) {
+			if at.After(time.Now()) {
+				t.Error("a proof of the future")
+			}
+			got.current = at
+		}
+		f.OnError = func(error) { got.errors++ }
+		if during != nil {
+			go during(f, &got)
+		}
+		f.Run(ctx)
+	})
+
+	return got
+}
+
+func change(key string, next int64) (logstore.Changes, error) {
+	return logstore.Changes{Entries: []logstore.Entry{{Key: key, Value: []byte("v")}}, Next: next}, nil
+}
+
+func TestFollower(t *testing.T) {
+	t.Run("news come in order, and not as the end of an outage", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+			if n <= 2 {
+				return change([]string{"a", "b"}[n-1], from+1)
+			}
+
+			return quiet(ctx, from, wait)
+		}}
+		got := run(t, s, 10*time.Second, nil)
+		if diff := cmp.Diff(followed{Changes: []string{"a", "b"}, Outage: []bool{false, false}}, got, cmp.AllowUnexported(followed{}),
+			cmp.FilterPath(func(p cmp.Path) bool { return p.String() == "current" }, cmp.Ignore())); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("an answer after a failure ends an outage", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+			switch n {
+			case 1:
+				return logstore.Changes{}, logstore.ErrNotDone
+			case 2:
+				return change("a", from+1)
+			default:
+				return quiet(ctx, from, wait)
+			}
+		}}
+		got := run(t, s, 10*time.Second, nil)
+		if diff := cmp.Diff([]bool{true}, got.Outage); diff != "" || got.errors != 1 {
+			t.Errorf("%d errors; %s", got.errors, diff)
+		}
+	})
+	t.Run("a silent store is given up, and asked again", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, _ int, _ int64, _ time.Duration) (logstore.Changes, error) {
+			<-ctx.Done()
+
+			return logstore.Changes{}, ctx.Err()
+		}}
+		if got := run(t, s, 10*time.Second, nil); got.errors < 3 {
+			t.Errorf("%d errors in ten seconds", got.errors)
+		}
+	})
+	t.Run("forgotten records are read anew at once", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+			if n == 1 {
+				return logstore.Changes{}, logstore.ErrGone
+			}
+
+			return quiet(ctx, from, wait)
+		}}
+		run(t, s, time.Second, nil)
+		if s.newest != 2 {
+			t.Errorf("the whole topic was read %d times, want 2", s.newest)
+		}
+	})
+	t.Run("a refresh ends the wait with a new proof and without an error", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, _ int, from int64, wait time.Duration) (logstore.Changes, error) {
+			return quiet(ctx, from, wait)
+		}}
+		run(t, s, 2*time.Second, func(f *Follower, got *followed) {
+			time.Sleep(time.Second)
+			f.Refresh()
+			time.Sleep(time.Millisecond)
+			if age := time.Since(got.current); age > 2*time.Millisecond || got.errors != 0 {
+				t.Errorf("the proof is %s old, after %d errors", age, got.errors)
+			}
+		})
+	})
+	t.Run("the proof is never older than a wait", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+			if n%2 == 0 {
+				time.Sleep(wait - time.Millisecond)
+
+				return change("late", from+1)
+			}
+
+			return quiet(ctx, from, wait)
+		}}
+		run(t, s, 30*time.Second, func(_ *Follower, got *followed) {
+			for range 290 {
+				time.Sleep(100 * time.Millisecond)
+				if age := time.Since(got.current); age > 2*ShortWait {
+					t.Errorf("the proof is %s old", age)
+
+					return
+				}
+			}
+		})
+	})
+}
