--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -128,6 +128,9 @@
 			t.Errorf("%d errors in ten seconds", got.errors)
 		}
 	})
+}
+
+func TestFollowerProofs(t *testing.T) {
 	t.Run("forgotten records are read anew at once", func(t *testing.T) {
 		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
 			if n == 1 {
