--- a/forward/handler.go
+++ b/forward/handler.go
@@ -179,7 +179,7 @@
 // refuse answers a request for the router itself, and logs why.
 func (h *Handler) refuse(w http.ResponseWriter, c *call, e *result.Error) {
 	h.metrics.done(c, e.Code)
-	event.Log(h.logger, event.RequestRefused, append(h.fields(c),
+	event.Log(h.logger, event.RequestRefused, append(h.lastFields(c),
 		zap.Int("code", int(e.Code)), zap.String("ran", string(e.Ran)), zap.String("why", e.Detail),
 		zap.Duration("retry_after_ms", e.RetryAfter))...)
 	h.wire.Refuse(w, c.ID, e)
@@ -193,12 +193,17 @@
 	}
 	if c.route != nil {
 		f = append(f, zap.String("route", c.route.Name), zap.Stringer("kind", c.route.Kind), zap.String("service", c.service),
-			zap.String("account", c.account), zap.Strings("tried", c.tried))
+			zap.String("account", c.account), zap.Int("attempts", len(c.tried)))
 	}
 
 	return f
 }
 
+// lastFields returns the fields of a request's last log line.
+func (h *Handler) lastFields(c *call) []zap.Field {
+	return append(h.fields(c), zap.Strings("tried", c.tried))
+}
+
 // shortage returns the refusal for a request for which there is no server.
 func shortage(s fleet.Shortage) *result.Error {
 	if s == fleet.NoMemory {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -261,9 +261,18 @@
 		status = r.resp.StatusCode
 	}
 	event.Log(h.logger, event.AttemptEnded, append(h.fields(c), zap.String("server", string(s.ID)),
+		zap.String("path", lastOf(c.tried)),
 		zap.Stringer("fate", r.fate), zap.Int("status", status), event.Error(r.err))...)
 }
 
+func lastOf(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+
+	return list[len(list)-1]
+}
+
 // pass passes a server's answer on.
 func (h *Handler) pass(w http.ResponseWriter, c *call, o *outcome) {
 	copyHead(w, o.resp)
@@ -279,7 +288,7 @@
 		_ = o.rest.Close()
 	}
 	h.metrics.done(c, result.OK)
-	event.Log(h.logger, event.RequestAnswered, append(h.fields(c), zap.Int("status", o.resp.StatusCode), event.Error(err))...)
+	event.Log(h.logger, event.RequestAnswered, append(h.lastFields(c), zap.Int("status", o.resp.StatusCode), event.Error(err))...)
 	if err != nil {
 		// The answer is not whole, and must not look so.
 		panic(http.ErrAbortHandler)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -43,6 +43,8 @@
 	last     int64
 	events   int
 	headSent bool
+	// lastAt is when the last event was passed on.
+	lastAt   time.Time
 	first    time.Duration
 	attempts int
 	rejected int
@@ -62,7 +64,7 @@
 		t.last = c.LastEvent
 	}
 	for {
-		path, hold, e := t.choose()
+		path, hold, e := t.choosePatiently()
 		if e != nil {
 			t.fail(e)
 
@@ -100,6 +102,42 @@
 	return t.c.state.Catalog.Service(t.c.service).Model
 }
 
+const (
+	// patience is how long a stream that has begun may wait for a path, from
+	// its last event on: callers leave after two seconds.
+	patience = 1600 * time.Millisecond
+	// patiencePause is between two looks for a path.
+	patiencePause = 100 * time.Millisecond
+)
+
+// choosePatiently finds a path for the next attempt. A stream that has begun
+// waits for one, since breaking it off helps nobody; other requests are
+// refused soon, and may come back. After a pause the servers that failed
+// before are good again, since one of them is better than none.
+func (t *streamTry) choosePatiently() (fleet.Path, *fleet.Hold, *result.Error) {
+	for {
+		path, hold, e := t.choose()
+		if e == nil || !t.mayWait() {
+			return path, hold, e
+		}
+		t.avoid = nil
+		select {
+		case <-t.ctx.Done():
+			return nil, nil, e
+		case <-time.After(patiencePause):
+		}
+	}
+}
+
+// mayWait reports whether the request may wait for a path.
+func (t *streamTry) mayWait() bool {
+	if t.headSent {
+		return time.Since(t.lastAt) < patience
+	}
+
+	return len(t.avoid) > 0
+}
+
 // choose finds a path for the next attempt.
 func (t *streamTry) choose() (fleet.Path, *fleet.Hold, *result.Error) {
 	if t.next != nil {
@@ -111,11 +149,6 @@
 	firsts := t.h.mayBeginAt(t.ran, t.c.route.MaxServers)
 	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: t.avoid}
 	path, hold, short := t.h.fleet.PathFrom(q, firsts)
-	if path == nil && len(t.avoid) > 0 {
-		// A server that failed once is better than none.
-		q.Avoid = nil
-		path, hold, short = t.h.fleet.PathFrom(q, firsts)
-	}
 	if path == nil {
 		return nil, nil, shortage(short)
 	}
@@ -195,6 +228,10 @@
 	default:
 		t.noteRan(first.ID)
 		t.avoid = append(t.avoid, first.ID)
+		if ctx.Err() == nil && !errors.Is(r.err, errWrongAnswer) {
+			// The connection broke before any answer, so the next one may too.
+			t.h.fleet.Suspect(first.ID, time.Now().Add(unreachablePause))
+		}
 	}
 	if gone(t.ctx) {
 		t.h.logAttempt(t.c, first, r)
@@ -271,6 +308,7 @@
 		return err
 	}
 	t.events++
+	t.lastAt = time.Now()
 	if ev.id > 0 || t.last == noEvent {
 		t.last = ev.id
 	}
@@ -341,7 +379,7 @@
 	// A stream that is taken up after its last event has no more.
 	t.sendHead(resp)
 	t.h.metrics.done(t.c, result.OK)
-	event.Log(t.h.logger, event.RequestAnswered, append(t.h.fields(t.c),
+	event.Log(t.h.logger, event.RequestAnswered, append(t.h.lastFields(t.c),
 		zap.Int("events", t.events), zap.Duration("first_event_ms", t.first))...)
 }
 
@@ -357,7 +395,7 @@
 		return
 	}
 	t.h.metrics.done(t.c, e.Code)
-	event.Log(t.h.logger, event.RequestBroken, append(t.h.fields(t.c),
+	event.Log(t.h.logger, event.RequestBroken, append(t.h.lastFields(t.c),
 		zap.Int("code", int(e.Code)), zap.String("why", e.Detail), zap.Int("events", t.events))...)
 	panic(http.ErrAbortHandler)
 }
