Let streams leave servers that give their layers up, and servers grow rather than give up

Cause by the logs: a server moved to other layers waits for what passes it, up to 13 s, and its hall lacked layers meanwhile.

--- a/box/orders.go
+++ b/box/orders.go
@@ -39,6 +39,8 @@
 	// Loading takes up to 14 s times the share of the layers, and longer when
 	// many load.
 	orderAgain = 8 * time.Second
+	// refusedAgain is the same for an order that the server has refused.
+	refusedAgain = 1500 * time.Millisecond
 )
 
 // order is what one server shall hold.
@@ -275,6 +277,11 @@
 		return
 	}
 	event.Log(c.box.logger, event.OrderFailed, zap.String("server", string(m.server)), zap.Stringer("layers", m.layers), event.Error(m.err))
+	if p, ok := c.pending[m.server]; ok && errors.Is(m.err, place.ErrRefused) {
+		// The server is busy with an order of another box, or has changed.
+		p.until = time.Now().Add(refusedAgain)
+		c.pending[m.server] = p
+	}
 	if errors.Is(m.err, place.ErrFenced) && c.elected() {
 		// Another box has won since. Its term will be heard of; until then this
 		// one gives no more orders.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -176,6 +176,23 @@
 	return out
 }
 
+// Displaced returns the servers of the path that no longer hold the layers
+// they run there. Such a server waits for what passes it before it loads
+// others.
+func (f *Fleet) Displaced(p Path) []slatebridge.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []slatebridge.ServerID
+	for _, s := range p {
+		m, ok := f.members[s.Server.ID]
+		if ok && (m.Layers.From > s.Layers.From || m.Layers.To < s.Layers.To) {
+			out = append(out, m.ID)
+		}
+	}
+
+	return out
+}
+
 // Near returns the servers of the service in the box's own hall.
 func (f *Fleet) Near(service string) []catalog.Server {
 	f.mu.Lock()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -128,15 +128,12 @@
 	return true
 }
 
-// shouldLeave reports whether the run passes a server that is leaving and has
-// not just been looked at for that.
-func (r *run) shouldLeave(now time.Time, leaving []slatebridge.ServerID) bool {
+// mayLeave reports whether no try to move the run has just been made, and
+// notes one.
+func (r *run) mayLeave(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.started || now.Before(r.leaveAt) || !slices.ContainsFunc(leaving, r.path.Uses) {
-		return false
-	}
-	if slices.Contains(leaving, r.path[0].Server.ID) {
+	if now.Before(r.leaveAt) {
 		return false
 	}
 	r.leaveAt = now.Add(leavePause)
@@ -277,20 +274,28 @@
 	}
 }
 
-// leaveOne moves one stream away from servers that are leaving, if there is
-// one that passes them after its first server.
+// leaveOne moves one stream away from servers that are leaving or have given
+// the stream's layers up, if there is one that passes them after its first
+// server.
 func (h *Handler) leaveOne(ctx context.Context, now time.Time) {
 	leaving := h.fleet.LeavingSince(now.Add(-leaveTime))
-	if len(leaving) == 0 {
-		return
-	}
 	for _, r := range h.runs.all() {
-		if r.shouldLeave(now, leaving) {
-			path, _, _ := r.state()
-			go h.move(ctx, r, path, leaving)
-
-			return
+		path, started, _ := r.state()
+		if !started {
+			continue
 		}
+		from := h.fleet.Displaced(path)
+		for _, id := range leaving {
+			if path.Uses(id) {
+				from = append(from, id)
+			}
+		}
+		if len(from) == 0 || slices.Contains(from, path[0].Server.ID) || !r.mayLeave(now) {
+			continue
+		}
+		go h.move(ctx, r, path, from)
+
+		return
 	}
 }
 
--- a/place/cover.go
+++ b/place/cover.go
@@ -216,9 +216,15 @@
 // mostGrowth is by how many layers a server may grow in one move.
 const mostGrowth = 3
 
-// growthCost is what one layer more counts when moves are compared, in layers
-// loaded: a server that grows has less memory for requests from then on.
-const growthCost = 4
+// Costs of a move besides the layers that it loads, in layers loaded.
+const (
+	// growthCost is for each layer that a server holds more: it has less memory
+	// for requests from then on.
+	growthCost = 1
+	// giveUpCost is for each layer that a server gives up: it waits for the
+	// streams that pass it before it loads others. Measured: up to 13 s.
+	giveUpCost = 3
+)
 
 // bestMove returns the move after which fewest layers have no copy, if there
 // is one that helps.
@@ -238,7 +244,7 @@
 			count(r, 1)
 			left := uncoveredIn(copies)
 			count(r, -1)
-			cost := newLayers(s.Layers, r) + growthCost*(r.Len()-n)
+			cost := newLayers(s.Layers, r) + giveUpCost*newLayers(r, s.Layers) + growthCost*(r.Len()-n)
 			if left < least || (found && left == least && cost < load) {
 				least, load, found = left, cost, true
 				best = s
