One box of a hall reads the store; the others hear of changes by messages

Now the first box of a hall that the store answers reads; messages carry the last changes by offset, and a box whose proof is older than 1.4 s reads for itself.

--- a/box/box.go
+++ b/box/box.go
@@ -62,8 +62,10 @@
 
 	config  *follow.Follower
 	servers *follow.Follower
-	// helpers is how many other boxes share proofs with this one.
-	helpers atomic.Int64
+	// reader says that this box reads the store for its hall.
+	reader atomic.Bool
+	// serversAt is the time of the last proof of the servers' entries.
+	serversAt atomic.Pointer[time.Time]
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -88,6 +90,7 @@
 		fleet: fleet.New(s.Hall), metrics: newMetrics(reg),
 	}
 	b.config, b.servers = b.followConfig(), b.followServers()
+	b.serversAt.Store(&time.Time{})
 	b.state.Store(&forward.State{Boxes: 1})
 	b.help.Store(&mesh.Help{})
 	b.status.Store(&Status{})
@@ -171,47 +174,64 @@
 	b.system.Root.Send(b.pid, m)
 }
 
+// selfAge is the age of a proof from which a box reads the store itself,
+// although another box of its hall should do so for it. That one's proofs are
+// at most a wait and two messages old; the bounds on news begin at two seconds.
+const selfAge = 1400 * time.Millisecond
+
+// Pauses after a call to the store that failed. Each call has a price. The
+// reader of a hall is the first to know that the store is back.
+const (
+	readerPause = 300 * time.Millisecond
+	otherPause  = time.Second
+)
+
+// newFollower returns a follower of a topic. at returns the time of the last
+// proof.
+func (b *Box) newFollower(topic logstore.Keyed, name string, at func() time.Time, current func(time.Time)) *follow.Follower {
+	return &follow.Follower{
+		Topic:  topic,
+		Active: func() bool { return b.reader.Load() || time.Since(at()) > selfAge },
+		Pause: func() time.Duration {
+			if b.reader.Load() {
+				return readerPause
+			}
+
+			return otherPause
+		},
+		OnCurrent: func(at time.Time) { current(at); b.tell(&storeAnswered{name}) },
+		OnError:   func(err error) { b.tell(&storeFailed{topic: name, err: err}) },
+	}
+}
+
 func (b *Box) followConfig() *follow.Follower {
-	take := func(entries []logstore.Entry, _ bool) {
-		c, raw, err := b.platform.DecodeConfig(entries)
+	f := b.newFollower(b.platform.Config, topicConfig,
+		func() time.Time { return b.state.Load().Current },
+		func(at time.Time) { b.tell(&configCurrent{at: at}) })
+	f.OnNewest = func(c logstore.Changes, _ bool) {
+		cat, raw, err := b.platform.DecodeConfig(c.Entries)
 		if err != nil {
 			b.tell(&storeFailed{topic: topicConfig, err: err})
 		}
-		if c != nil {
-			b.tell(&configFound{catalog: c, raw: raw, from: "store"})
+		if cat != nil {
+			b.tell(&configFound{catalog: cat, raw: raw, from: fromStore})
 		}
 	}
-
-	f := follow.New(b.platform.Config)
-	f.Wait = b.readWait
-	f.OnNewest, f.OnChanges = take, take
-	f.OnCurrent = func(at time.Time) { b.tell(&configCurrent{at: at}); b.tell(&storeAnswered{topicConfig}) }
-	f.OnError = func(err error) { b.tell(&storeFailed{topic: topicConfig, err: err}) }
+	f.OnChanges = f.OnNewest
 
 	return f
 }
 
-// readWait returns how long a read of the store waits for news.
-func (b *Box) readWait() time.Duration {
-	if b.helpers.Load() >= fewHelpers {
-		return follow.LongWait
-	}
-
-	return follow.ShortWait
-}
-
 func (b *Box) followServers() *follow.Follower {
-	take := func(whole bool) func([]logstore.Entry, bool) {
-		return func(entries []logstore.Entry, afterOutage bool) {
-			b.tell(&serversFound{entries: entries, whole: whole, afterOutage: afterOutage})
+	f := b.newFollower(b.platform.Servers, topicServers,
+		func() time.Time { return *b.serversAt.Load() },
+		func(at time.Time) { b.tell(&serversCurrent{at: at}) })
+	take := func(whole bool) func(logstore.Changes, bool) {
+		return func(c logstore.Changes, afterOutage bool) {
+			b.tell(&serversFound{entries: c.Entries, next: c.Next, whole: whole, afterOutage: afterOutage, fromStore: true})
 		}
 	}
-
-	f := follow.New(b.platform.Servers)
-	f.Wait = b.readWait
 	f.OnNewest, f.OnChanges = take(true), take(false)
-	f.OnCurrent = func(at time.Time) { b.tell(&serversCurrent{at: at}); b.tell(&storeAnswered{topicServers}) }
-	f.OnError = func(err error) { b.tell(&storeFailed{topic: topicServers, err: err}) }
 
 	return f
 }
@@ -220,4 +240,6 @@
 const (
 	topicConfig  = "configuration"
 	topicServers = "servers"
+	// fromStore names the store as the source of what was found.
+	fromStore = "store"
 )
--- a/box/control.go
+++ b/box/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -36,9 +35,11 @@
 	catalog *catalog.Catalog
 	raw     []byte
 	current time.Time
-	// entries are the entries of the servers as the store has them.
+	// entries are the entries of the servers as the store has them, up to the
+	// offset next. recent are the last changes, without a gap up to next.
 	entries   map[string][]byte
-	digest    uint64
+	next      int64
+	recent    []mesh.Change
 	serversAt time.Time
 	// newServer is when the last new server appeared.
 	newServer time.Time
@@ -91,7 +92,7 @@
 	case *serversFound:
 		c.onServers(m)
 	case *serversCurrent:
-		c.serversAt = later(c.serversAt, m.at)
+		c.onServersCurrent(m.at)
 	case *storeFailed:
 		c.onStoreFailed(m)
 	case *storeAnswered:
@@ -130,8 +131,9 @@
 		event.Log(c.box.logger, event.ServerRemoved, zap.String("server", string(id)), zap.String("why", "its entry did not come back"))
 	}
 	c.expirePeers(now)
+	c.box.reader.Store(c.readsForHall())
 	c.gossip(false)
-	c.askForHelp(now)
+	c.askForHelp()
 	c.elect(now)
 	c.place(now)
 	c.publish()
@@ -153,6 +155,9 @@
 	event.Log(c.box.logger, event.CatalogTaken, zap.Int64("version", m.catalog.Version), zap.String("from", m.from))
 	c.publish()
 	c.publishHelp()
+	if m.from == fromStore {
+		c.pushNews()
+	}
 }
 
 // onCurrent takes up a proof that the configuration was the newest at a time.
@@ -170,32 +175,72 @@
 }
 
 func (c *control) publishHelp() {
-	h := mesh.Help{Config: c.raw, Servers: make(map[string][]byte, len(c.entries))}
+	h := mesh.Help{Config: c.raw, Servers: make(map[string][]byte, len(c.entries)), Next: c.next}
 	for k, v := range c.entries {
 		h.Servers[k] = v
 	}
 	c.box.help.Store(&h)
 }
 
+// onServersCurrent takes up a proof that the entries were current at a time.
+func (c *control) onServersCurrent(at time.Time) {
+	if at.After(c.serversAt) {
+		c.serversAt = at
+		c.box.serversAt.Store(&at)
+	}
+}
+
 func (c *control) onServers(m *serversFound) {
+	if m.next <= c.next && (c.next > 0 || len(m.entries) == 0) {
+		return
+	}
+	if m.whole {
+		c.replaceServers(m)
+	} else {
+		c.changeServers(m)
+	}
+	c.next = m.next
+	c.publishHelp()
+	if m.fromStore {
+		c.pushNews()
+	}
+}
+
+// replaceServers takes up the entries of all servers.
+func (c *control) replaceServers(m *serversFound) {
 	seen := make(map[string]bool, len(m.entries))
 	for _, e := range m.entries {
-		seen[e.Key] = !e.Removed()
+		seen[e.Key] = true
+		c.setServer(e)
+	}
+	for key := range c.entries {
+		if !seen[key] {
+			c.removeServer(key, m.afterOutage)
+		}
+	}
+	c.recent = nil
+}
+
+// mostRecent is how many changes are kept for other boxes. A start brings two
+// for each server.
+const mostRecent = 60
+
+// changeServers takes up changes that are not yet known.
+func (c *control) changeServers(m *serversFound) {
+	for _, e := range m.entries {
+		if e.Offset < c.next {
+			continue
+		}
 		if e.Removed() {
 			c.removeServer(e.Key, m.afterOutage)
 		} else {
 			c.setServer(e)
 		}
+		c.recent = append(c.recent, mesh.Change{Offset: e.Offset, Key: e.Key, Value: e.Value, AfterOutage: m.afterOutage})
 	}
-	if m.whole {
-		for key := range c.entries {
-			if !seen[key] {
-				c.removeServer(key, m.afterOutage)
-			}
-		}
+	if n := len(c.recent); n > mostRecent {
+		c.recent = c.recent[n-mostRecent:]
 	}
-	c.digest = digest(c.entries)
-	c.publishHelp()
 }
 
 func (c *control) setServer(e logstore.Entry) {
@@ -253,20 +298,6 @@
 	c.storeDown[m.topic] = false
 }
 
-// digest returns a number that tells two sets of entries apart.
-func digest(entries map[string][]byte) uint64 {
-	var sum uint64
-	for k, v := range entries {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(k))
-		_, _ = h.Write(v)
-		// Addition makes the order of the map irrelevant.
-		sum += h.Sum64()
-	}
-
-	return sum
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/box/messages.go
+++ b/box/messages.go
@@ -22,12 +22,14 @@
 	}
 	// configCurrent says that everything in the store at the time is known.
 	configCurrent struct{ at time.Time }
-	// serversFound carries entries of servers. whole says that there are no
-	// others.
+	// serversFound carries entries of servers up to the offset next. whole says
+	// that there are no others.
 	serversFound struct {
 		entries     []logstore.Entry
+		next        int64
 		whole       bool
 		afterOutage bool
+		fromStore   bool
 	}
 	// serversCurrent is configCurrent for the entries of servers.
 	serversCurrent struct{ at time.Time }
--- a/box/peers.go
+++ b/box/peers.go
@@ -33,19 +33,8 @@
 	mostNames = 6
 	// helpTime bounds a question for another box's state.
 	helpTime = 500 * time.Millisecond
-	// refreshAge is the age of a proof from which the store is asked at once,
-	// in place of the wait for news.
-	refreshAge = 2800 * time.Millisecond
-	// staleAfter is the age from which a box takes another one's word for what
-	// the store has: a read of the store has failed by then.
-	staleAfter = 3300 * time.Millisecond
 	// deadTime is for how long the word of another box on a dead server holds.
 	deadTime = 700 * time.Millisecond
-	// fewHelpers is how many boxes must share their proofs so that each can
-	// wait long for news.
-	fewHelpers = 3
-	// helperAge is the age up to which the proof of another box helps.
-	helperAge = 2 * time.Second
 )
 
 // otherBox is another box as this one knows it.
@@ -87,6 +76,7 @@
 	}
 	o.boot, o.sent, o.address = msg.Boot, msg.Sent, msg.Address
 	o.heardAt, o.last, o.lost = m.at, msg, false
+	c.takeChanges(msg)
 	c.takeProof(o, msg)
 	c.box.fleet.SetPeer(c.loadName(o), msg.Loads)
 	c.believe(msg, m.at)
@@ -150,17 +140,42 @@
 	if msg.ServersAge >= 0 {
 		o.serversAt = made.Add(-time.Duration(msg.ServersAge) * time.Microsecond)
 	}
-	if c.catalog != nil && msg.Config == c.catalog.Version {
+	// What is known here is at least as new as what was proved there.
+	if c.catalog != nil && msg.Config > 0 && msg.Config <= c.catalog.Version {
 		c.onCurrent(o.configAt)
 	}
-	if msg.Servers == c.digest {
-		c.serversAt = later(c.serversAt, o.serversAt)
+	if msg.Next > 0 && msg.Next <= c.next {
+		c.onServersCurrent(o.serversAt)
 	}
 }
 
+// takeChanges takes up changes of servers' entries that follow what is known.
+func (c *control) takeChanges(msg mesh.Message) {
+	if c.next == 0 || len(msg.Recent) == 0 || msg.Recent[0].Offset > c.next {
+		return
+	}
+	for _, v := range msg.Recent {
+		c.onServers(&serversFound{
+			entries: []logstore.Entry{{Key: v.Key, Value: v.Value, Offset: v.Offset}},
+			next:    v.Offset + 1, afterOutage: v.AfterOutage,
+		})
+	}
+}
+
+// readsForHall reports whether this box reads the store for its hall: the
+// first one that the store answers does.
+func (c *control) readsForHall() bool {
+	for id, o := range c.peers {
+		if o.live() && o.near(c.settings.Hall) && o.last.Reads && id < c.settings.Box {
+			return false
+		}
+	}
+
+	return true
+}
+
 func (c *control) expirePeers(now time.Time) {
 	near, far := c.pauses()
-	helpers := int64(0)
 	for id, o := range c.peers {
 		pause := far
 		if o.near(c.settings.Hall) {
@@ -175,16 +190,6 @@
 		if silent > max(forgetLeast, forgetAfter*pause) {
 			delete(c.peers, id)
 		}
-		if o.live() && now.Sub(o.configAt) < helperAge {
-			helpers++
-		}
-	}
-	c.box.helpers.Store(helpers)
-	if now.Sub(c.current) > refreshAge {
-		c.box.config.Refresh()
-	}
-	if now.Sub(c.serversAt) > refreshAge {
-		c.box.servers.Refresh()
 	}
 }
 
@@ -232,7 +237,8 @@
 	return 1 + len(c.peers)
 }
 
-// gossip tells other boxes what this one does: those whose turn it is, or all.
+// gossip tells other boxes what this one does: those whose turn it is, or all
+// of the hall.
 func (c *control) gossip(all bool) {
 	c.round++
 	var near, far []*otherBox
@@ -243,8 +249,9 @@
 			far = append(far, o)
 		}
 	}
+	far = turn(far, farTargets, c.round)
 	if !all {
-		near, far = turn(near, nearTargets, c.round), turn(far, farTargets, c.round)
+		near = turn(near, nearTargets, c.round)
 	}
 	m := c.message()
 	m.Loads = c.box.fleet.Loads()
@@ -307,6 +314,7 @@
 	m.Echo = make(map[string]int64, len(boxes))
 	for _, o := range boxes {
 		to = append(to, o.address)
+		m.Recent = c.changesFor(o, m.Recent)
 		if o.boot != "" {
 			m.Echo[o.boot] = o.sent
 		}
@@ -319,13 +327,35 @@
 	}
 }
 
+// changesFor returns the changes that the box lacks, or the given ones if they
+// are more.
+func (c *control) changesFor(o *otherBox, given []mesh.Change) []mesh.Change {
+	for i, v := range c.recent {
+		if v.Offset >= o.last.Next {
+			if missing := c.recent[i:]; len(missing) > len(given) {
+				return missing
+			}
+
+			return given
+		}
+	}
+
+	return given
+}
+
+// pushNews tells the boxes of the hall at once, and the next of the others.
+func (c *control) pushNews() {
+	c.gossip(true)
+}
+
 func (c *control) message() mesh.Message {
 	now := time.Now()
 	m := mesh.Message{
 		Box: c.settings.Box, Hall: c.settings.Hall, Boot: c.box.boot, Address: c.settings.Listen.Mesh,
 		Sent: now.Sub(c.box.started).Microseconds(), Boxes: make(map[slatebridge.BoxID]string),
-		ConfigAge: age(now, c.current), Servers: c.digest, ServersAge: age(now, c.serversAt),
-		Dead: c.box.handler.Dead(), Term: c.term, HolderAge: age(now, c.holderHeard), Leaving: c.leaving, Ready: c.ready(),
+		ConfigAge: age(now, c.current), Next: c.next, ServersAge: age(now, c.serversAt),
+		Reads: !c.storeDown[topicConfig] && !c.storeDown[topicServers],
+		Dead:  c.box.handler.Dead(), Term: c.term, HolderAge: age(now, c.holderHeard), Leaving: c.leaving, Ready: c.ready(),
 	}
 	if c.elected() {
 		m.HolderAge = 0
@@ -353,12 +383,12 @@
 }
 
 // askForHelp asks a box that knows more for its state.
-func (c *control) askForHelp(now time.Time) {
+func (c *control) askForHelp() {
 	if c.helping {
 		return
 	}
 	for _, o := range c.peers {
-		if !o.live() || !c.knowsMore(o, now) {
+		if !o.live() || !c.knowsMore(o) {
 			continue
 		}
 		c.helping = true
@@ -373,15 +403,9 @@
 	}
 }
 
-func (c *control) knowsMore(o *otherBox, now time.Time) bool {
-	if o.last.Config > 0 && (c.catalog == nil || o.last.Config > c.catalog.Version) {
-		return true
-	}
-	if now.Sub(c.serversAt) < staleAfter || o.last.Servers == c.digest {
-		return false
-	}
-
-	return o.serversAt.After(c.serversAt)
+// knowsMore reports whether the other box has something newer.
+func (c *control) knowsMore(o *otherBox) bool {
+	return o.last.Next > c.next || (o.last.Config > 0 && (c.catalog == nil || o.last.Config > c.catalog.Version))
 }
 
 func (c *control) onHelped(m *helped) {
@@ -400,12 +424,9 @@
 			c.box.metrics.meshError(err)
 		}
 	}
-	if time.Since(c.serversAt) < staleAfter {
-		return
-	}
 	list := make([]logstore.Entry, 0, len(m.help.Servers))
 	for k, v := range m.help.Servers {
 		list = append(list, logstore.Entry{Key: k, Value: v})
 	}
-	c.onServers(&serversFound{entries: list, whole: true})
+	c.onServers(&serversFound{entries: list, next: m.help.Next, whole: true})
 }
--- a/mesh/help.go
+++ b/mesh/help.go
@@ -20,6 +20,8 @@
 type Help struct {
 	Config  []byte            `json:"config"`
 	Servers map[string][]byte `json:"servers"`
+	// Next is the offset up to which Servers is known.
+	Next int64 `json:"next"`
 }
 
 // HelpHandler serves the state.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -36,10 +36,15 @@
 	// ConfigAge is how long ago that version was proved to be the newest, in
 	// microseconds.
 	ConfigAge int64 `json:"ca"`
-	// Servers is a digest of the entries of the backend servers, and
-	// ServersAge how long ago they were proved to be current, in microseconds.
-	Servers    uint64 `json:"v"`
-	ServersAge int64  `json:"va"`
+	// Next is the offset up to which the entries of the backend servers are
+	// known, and ServersAge how long ago they were proved to be current, in
+	// microseconds.
+	Next       int64 `json:"v"`
+	ServersAge int64 `json:"va"`
+	// Recent are the last changes of those entries, without a gap up to Next.
+	Recent []Change `json:"w,omitempty"`
+	// Reads says that the store answers the sender.
+	Reads bool `json:"z,omitempty"`
 	// Loads is the work in flight: that of the box in messages to its own hall,
 	// that of all boxes of its hall in messages to other halls.
 	Loads map[slatebridge.ServerID]fleet.Load `json:"l,omitempty"`
@@ -57,6 +62,15 @@
 	Boxes map[slatebridge.BoxID]string `json:"p,omitempty"`
 }
 
+// Change is one change of a backend server's entry.
+type Change struct {
+	Offset int64  `json:"o"`
+	Key    string `json:"k"`
+	Value  []byte `json:"v,omitempty"`
+	// AfterOutage says that the change was found after the store had been away.
+	AfterOutage bool `json:"a,omitempty"`
+}
+
 // Socket sends and receives messages.
 type Socket struct {
 	conn net.PacketConn
