--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(CURDIR)/.bin
 LINT_VERSION := v2.12.0
 LINT := $(BIN)/golangci-lint
-PROGRAMS := slatebridge slatebridge-gateway slatebridge-controller slatebridge-standin
+PROGRAMS := slatebridge slatebridge-box slatebridge-gateway slatebridge-controller slatebridge-standin
 
 .PHONY: all build demo test lint format generate docs golden bench clean
 
@@ -18,6 +18,7 @@
 # demo runs the whole system on this machine and checks every answer. With
 # KEEP=1 the system then stays until enter is pressed.
 demo: build
+	bash platform/demo/demo.sh $(BIN)
 	KEEP=$(KEEP) bash scripts/demo.sh $(BIN)
 
 # test runs every test with the race detector.
--- a/cmd/slatebridge-standin/main.go
+++ b/cmd/slatebridge-standin/main.go
@@ -22,6 +22,7 @@
 		short   string
 		command any
 	}{
+		{"platform", "the users' platform: store and servers", &platformCommand{}},
 		{"log", "run the platform's log", &logCommand{}},
 		{"members", "run the platform's list", &membersCommand{}},
 		{"engine", "run an engine", &engineCommand{}},
