--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+)
+
+// BenchmarkPath measures the choice of one path among the servers of an
+// installation with three halls, 80 layers and ranges of 5 to 14 layers.
+func BenchmarkPath(b *testing.B) {
+	for _, n := range []int{38, 99, 570, 5700} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			f := New("a")
+			m := &catalog.Model{Layers: 80, LayerMB: 1750, TokenBytes: 459000, Cards: []catalog.Card{{Name: "c", MemoryMB: 36000, Pace: 3}}}
+			f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: m}}, nil, false))
+			for i := range n {
+				from := (i * 5) % 76
+				f.Set(catalog.Server{
+					ID: slatebridge.ServerID(fmt.Sprintf("s%04d", i)), Service: "llm", Card: "c",
+					Hall:   slatebridge.HallID([]string{"a", "b", "c"}[i%3]),
+					Layers: slatebridge.LayerRange{From: from, To: min(80, from+5+i%10)},
+				})
+			}
+			b.ResetTimer()
+			for range b.N {
+				_, hold, _ := f.Path(Query{Service: "llm", Tokens: 900})
+				hold.Release()
+			}
+		})
+	}
+}
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 
 	"github.com/slatebridge/slatebridge"
@@ -138,90 +137,112 @@
 	via    *member
 	from   int
 	stages int
-	// hall is where the server before is; it is part of the state, since
-	// going on in the same hall is cheaper.
+	// hall is where the last server is; it is part of the state, since going
+	// on in the same hall is cheaper.
 	hall slatebridge.HallID
-	prev *step
+	// prev is the step before in the search's list; -1 for the start.
+	prev int
 }
 
-// search finds the cheapest path by dynamic programming over the layers: the
-// state is the number of layers run and the hall of the last server.
+// pathSearch is a dynamic program over the layers: the state is the number of
+// layers run and the hall of the last server.
+type pathSearch struct {
+	query Query
+	list  []candidate
+	steps []step
+	// reached has the steps that end at each layer.
+	reached [][]int
+}
+
+// search finds the cheapest path. With room, only servers are used that have
+// room for the request.
 func (f *Fleet) search(q Query, room bool) Path {
-	list, model := f.candidates(q)
+	list, model := f.candidates(q, room)
 	if model == nil {
 		return nil
 	}
-	reached := make([][]*step, model.Layers+1)
-	reached[0] = []*step{{hall: f.hall}}
+	s := pathSearch{query: q, list: list, reached: make([][]int, model.Layers+1)}
+	s.keep(0, step{hall: f.hall, prev: -1})
+	var covering []candidate
 	for at := range model.Layers {
-		for _, s := range reached[at] {
-			f.extend(q, list, at, s, reached, room)
+		if len(s.reached[at]) == 0 {
+			continue
+		}
+		covering = s.covering(covering[:0], at)
+		for _, i := range s.reached[at] {
+			s.extend(at, i, covering)
 		}
 	}
 
-	return f.trace(reached[model.Layers])
+	return s.trace(model.Layers)
 }
 
-// extend takes one more server after the step.
-func (f *Fleet) extend(q Query, list []candidate, at int, s *step, reached [][]*step, room bool) {
-	if s.stages == maxStages {
-		return
-	}
-	for _, c := range list {
-		m := c.member
-		if m.Layers.From > at || m.Layers.To <= at {
+// covering appends the servers that can run on from the layer.
+func (s *pathSearch) covering(out []candidate, at int) []candidate {
+	for _, c := range s.list {
+		l := c.member.Layers
+		if l.From > at || l.To <= at {
 			continue
 		}
-		if at == 0 && q.First != "" && m.ID != q.First {
+		if at == 0 && s.query.First != "" && c.member.ID != s.query.First {
 			continue
 		}
-		n := m.Layers.To - at
-		if room && !c.fits(q.Tokens*float64(n)) {
-			continue
-		}
-		cost := s.cost + c.cost(n)
+		out = append(out, c)
+	}
+
+	return out
+}
+
+// extend takes one more server after the step.
+func (s *pathSearch) extend(at, i int, covering []candidate) {
+	before := s.steps[i]
+	if before.stages == maxStages {
+		return
+	}
+	for _, c := range covering {
+		m := c.member
+		cost := before.cost + c.cost*float64(m.Layers.To-at)
 		switch {
-		case m.Hall == s.hall:
+		case m.Hall == before.hall:
 		case at == 0:
 			cost += awayCost
 		default:
 			cost += crossingCost
 		}
-		reached[m.Layers.To] = keep(reached[m.Layers.To], step{
-			cost: cost, via: m, from: at, stages: s.stages + 1, hall: m.Hall, prev: s,
-		})
+		s.keep(m.Layers.To, step{cost: cost, via: m, from: at, stages: before.stages + 1, hall: m.Hall, prev: i})
 	}
 }
 
-// keep adds the step unless one to the same hall is cheaper.
-func keep(list []*step, s step) []*step {
-	for i, o := range list {
-		if o.hall == s.hall {
-			if s.cost < o.cost {
-				list[i] = &s
+// keep adds a step that ends at the layer, unless one in the same hall is
+// cheaper.
+func (s *pathSearch) keep(layer int, v step) {
+	for _, i := range s.reached[layer] {
+		if s.steps[i].hall == v.hall {
+			if v.cost < s.steps[i].cost {
+				s.steps[i] = v
 			}
 
-			return list
+			return
 		}
 	}
-
-	return append(list, &s)
+	s.steps = append(s.steps, v)
+	s.reached[layer] = append(s.reached[layer], len(s.steps)-1)
 }
 
-func (f *Fleet) trace(ends []*step) Path {
-	var best *step
-	least := math.Inf(1)
-	for _, s := range ends {
-		if s.cost < least {
-			best, least = s, s.cost
+func (s *pathSearch) trace(layers int) Path {
+	best := -1
+	for _, i := range s.reached[layers] {
+		if best < 0 || s.steps[i].cost < s.steps[best].cost {
+			best = i
 		}
 	}
-	if best == nil {
+	if best < 0 {
 		return nil
 	}
-	path := make(Path, best.stages)
-	for s := best; s.via != nil; s = s.prev {
-		path[s.stages-1] = Stage{Server: s.via.Server, Layers: slatebridge.LayerRange{From: s.from, To: s.via.Layers.To}}
+	path := make(Path, s.steps[best].stages)
+	for i := best; s.steps[i].via != nil; i = s.steps[i].prev {
+		v := s.steps[i]
+		path[v.stages-1] = Stage{Server: v.via.Server, Layers: slatebridge.LayerRange{From: v.from, To: v.via.Layers.To}}
 	}
 
 	return path
@@ -229,49 +250,61 @@
 
 // candidate is a server that may be on the path.
 type candidate struct {
-	member   *member
-	used     float64
-	capacity float64
-	noise    float64
-}
-
-func (c candidate) fits(tokenLayers float64) bool {
-	return c.used+tokenLayers <= maxFill*c.capacity
+	member *member
+	// cost is that of one layer. A path of empty servers costs about one.
+	cost float64
 }
 
-// cost returns the cost of n layers. A path of empty servers costs about one.
-func (c candidate) cost(n int) float64 {
-	m := c.member
-	share := float64(n) / float64(m.model.Layers)
-	fill := 1.0
-	if c.capacity > 0 {
-		fill = min(1, c.used/c.capacity)
-	}
-
-	return share * c.noise * (1 + paceCost*m.card.Pace + fillCost*fill*fill)
+// place is what makes two servers stand in for each other.
+type place struct {
+	layers slatebridge.LayerRange
+	hall   slatebridge.HallID
 }
 
-func (f *Fleet) candidates(q Query) ([]candidate, *catalog.Model) {
+// candidates returns the cheapest usable server of each place. With room, only
+// servers count that have room for the request.
+func (f *Fleet) candidates(q Query, room bool) ([]candidate, *catalog.Model) {
 	now := f.now()
 	var model *catalog.Model
 	var list []candidate
+	index := make(map[place]int)
 	for _, m := range f.service[q.Service] {
 		if m.model == nil {
 			continue
 		}
 		model = m.model
-		if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) {
+		if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
 			continue
 		}
-		if slices.Contains(q.Avoid, m.ID) {
+		used, capacity := m.load().TokenLayers, m.capacity()
+		if now.Before(m.fullUntil) {
+			used = max(used, refusedFill*capacity)
+		}
+		if room && used+q.Tokens*float64(m.Layers.Len()) > maxFill*capacity {
 			continue
 		}
-		c := candidate{member: m, used: m.load().TokenLayers, capacity: m.capacity(), noise: 1 + spread*(2*f.random()-1)}
-		if now.Before(m.fullUntil) {
-			c.used = max(c.used, refusedFill*c.capacity)
+		c := candidate{member: m, cost: m.layerCost(used, capacity) * (1 + spread*(2*f.random()-1))}
+		at := place{m.Layers, m.Hall}
+		i, known := index[at]
+		switch {
+		case !known:
+			index[at] = len(list)
+			list = append(list, c)
+		case m.ID == q.First || (c.cost < list[i].cost && list[i].member.ID != q.First):
+			list[i] = c
 		}
-		list = append(list, c)
 	}
 
 	return list, model
 }
+
+// layerCost returns the cost of one layer, which rises with how full the
+// server is.
+func (m *member) layerCost(used, capacity float64) float64 {
+	fill := 1.0
+	if capacity > 0 {
+		fill = min(1, used/capacity)
+	}
+
+	return (1 + paceCost*m.card.Pace + fillCost*fill*fill) / float64(m.model.Layers)
+}
