--- a/box/box.go
+++ b/box/box.go
@@ -98,6 +98,7 @@
 		Wire: p.Wire, Fleet: b.fleet, Client: client, Servers: p.Calls,
 		State:  func() forward.State { return *b.state.Load() },
 		Bounds: forwardBounds(s.Bounds),
+		OnDead: func() { b.tell(&foundDead{}) },
 		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
 
--- a/box/control.go
+++ b/box/control.go
@@ -19,6 +19,8 @@
 const (
 	// tickEvery is the pause between two rounds of control work and messages.
 	tickEvery = 250 * time.Millisecond
+	// pushPause is between two messages on dead servers beside the usual rounds.
+	pushPause = 50 * time.Millisecond
 	// returnTime is how long a server whose entry lapsed while the store was
 	// away has to come back: the platform's servers need about two seconds, and
 	// a server that left must get nothing after two seconds.
@@ -48,10 +50,12 @@
 	// storeDown says, by topic, that the last call failed.
 	storeDown map[string]bool
 
-	peers   map[slatebridge.BoxID]*otherBox
-	helping bool
-	round   int
-	leaving bool
+	peers map[slatebridge.BoxID]*otherBox
+	// pushedDead is when the hall was last told at once of a dead server.
+	pushedDead time.Time
+	helping    bool
+	round      int
+	leaving    bool
 	// wasComplete says that at some time every model had all its layers.
 	wasComplete bool
 
@@ -119,6 +123,12 @@
 		listen := c.settings.Listen
 		c.settings = m.settings
 		c.settings.Listen = listen
+	case *foundDead:
+		// A hall that is cut off makes many servers dead at once.
+		if now := time.Now(); now.Sub(c.pushedDead) > pushPause {
+			c.pushedDead = now
+			c.pushNews()
+		}
 	case *stopping:
 		c.leaving = true
 		c.gossip(true)
--- a/box/messages.go
+++ b/box/messages.go
@@ -68,6 +68,8 @@
 		err    error
 		orders []order
 	}
+	// foundDead says that requests have found a server dead.
+	foundDead struct{}
 	// reconfigured carries other settings.
 	reconfigured struct{ settings Settings }
 	// stopping says that the box has been told to stop.
--- a/box/peers.go
+++ b/box/peers.go
@@ -176,10 +176,12 @@
 
 func (c *control) expirePeers(now time.Time) {
 	near, far := c.pauses()
+	crowd := 0
 	for id, o := range c.peers {
 		pause := far
 		if o.near(c.settings.Hall) {
 			pause = near
+			crowd++
 		}
 		silent := now.Sub(o.heardAt)
 		if !o.lost && silent > max(lostLeast, lostAfter*pause) {
@@ -191,6 +193,7 @@
 			delete(c.peers, id)
 		}
 	}
+	c.box.handler.SetCrowd(crowd)
 }
 
 // loadName returns under which name the work of the box is known to the fleet:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -110,6 +110,9 @@
 	budget  *budget
 	runs    *runs
 	drain   drainState
+	// crowd is the longest jitter.
+	crowd  atomic.Int64
+	onDead func()
 }
 
 // Config is what a Handler needs.
@@ -121,7 +124,9 @@
 	State   func() State
 	Bounds  Bounds
 	// Random returns numbers from 0 to 1.
-	Random  func() float64
+	Random func() float64
+	// OnDead is called when a server has been found dead.
+	OnDead  func()
 	Logger  *zap.Logger
 	Metrics *Metrics
 }
@@ -131,7 +136,7 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: newBudget(c.Bounds), runs: newRuns(),
+		budget: newBudget(c.Bounds), runs: newRuns(), onDead: c.OnDead,
 	}
 	h.bounds.Store(&c.Bounds)
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -181,7 +181,7 @@
 	defer cancel(nil)
 	run := t.h.runs.add(&run{
 		id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel,
-		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers,
+		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers, jitter: t.h.jitter(),
 	})
 	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
 	first := path[0].Server
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -40,6 +40,12 @@
 	// firstSilence is the same for the first event, which takes 45 ms in the
 	// middle and 150 ms for the slowest hundredth.
 	firstSilence = 250 * time.Millisecond
+	// crowdPause spreads the questions of boxes whose streams stand still at the
+	// same moment: each box waits a random part of this time for each other box
+	// of its hall, and the first one that finds a server dead tells the others.
+	crowdPause = 5 * time.Millisecond
+	// mostCrowdPause bounds the sum.
+	mostCrowdPause = 100 * time.Millisecond
 	// suspectSilence is the same for a stream that passes a server which is
 	// taken as dead already.
 	suspectSilence = 60 * time.Millisecond
@@ -88,6 +94,8 @@
 	hold    *fleet.Hold
 	lastAt  time.Time
 	started bool
+	// jitter is added to the silence after which servers are asked.
+	jitter time.Duration
 	// next is the path for the next attempt, if it has been chosen.
 	next     fleet.Path
 	nextHold *fleet.Hold
@@ -116,6 +124,7 @@
 	if r.started {
 		limit = silence
 	}
+	limit += r.jitter
 	if slices.ContainsFunc(suspects, r.path.Uses) {
 		limit = suspectSilence
 	}
@@ -251,6 +260,16 @@
 	return slices.Collect(maps.Keys(r.list))
 }
 
+// SetCrowd tells how many other boxes of the hall may notice the same fault.
+func (h *Handler) SetCrowd(n int) {
+	h.crowd.Store(int64(min(mostCrowdPause, time.Duration(n)*crowdPause)))
+}
+
+// jitter returns a random time to wait before servers are asked.
+func (h *Handler) jitter() time.Duration {
+	return time.Duration(h.random() * float64(h.crowd.Load()))
+}
+
 // Watch looks after the streams in flight until ctx ends: those that make no
 // progress are moved away from servers that are dead.
 func (h *Handler) Watch(ctx context.Context) {
@@ -482,6 +501,7 @@
 	if h.runs.isDead(id) || !h.runs.noteDead(id) {
 		return
 	}
+	h.onDead()
 	event.Log(h.logger, event.ServerSuspected, zap.String("server", string(id)), zap.String("why", why))
 	go h.askAgain(ctx, id)
 }
