--- a/fleet/path.go
+++ b/fleet/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
@@ -273,20 +274,10 @@
 			continue
 		}
 		model = m.model
-		if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
+		c, ok := f.candidate(m, q, room, now)
+		if !ok {
 			continue
 		}
-		used, capacity := m.load().TokenLayers, m.capacity()
-		if now.Before(m.fullUntil) {
-			used = max(used, refusedFill*capacity)
-		}
-		if room && used+q.Tokens*float64(m.Layers.Len()) > maxFill*capacity {
-			continue
-		}
-		c := candidate{member: m, cost: m.layerCost(used, capacity) * (1 + spread*(2*f.random()-1))}
-		if now.Before(m.slowUntil) {
-			c.cost *= m.slowness
-		}
 		at := place{m.Layers, m.Hall}
 		i, known := index[at]
 		switch {
@@ -301,6 +292,26 @@
 	return list, model
 }
 
+// candidate returns the server as a candidate, if it may be used.
+func (f *Fleet) candidate(m *member, q Query, room bool, now time.Time) (candidate, bool) {
+	if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
+		return candidate{}, false
+	}
+	used, capacity := m.load().TokenLayers, m.capacity()
+	if now.Before(m.fullUntil) {
+		used = max(used, refusedFill*capacity)
+	}
+	if room && used+q.Tokens*float64(m.Layers.Len()) > maxFill*capacity {
+		return candidate{}, false
+	}
+	cost := m.layerCost(used, capacity) * (1 + spread*(2*f.random()-1))
+	if now.Before(m.slowUntil) {
+		cost *= m.slowness
+	}
+
+	return candidate{member: m, cost: cost}, true
+}
+
 // layerCost returns the cost of one layer, which rises with how full the
 // server is.
 func (m *member) layerCost(used, capacity float64) float64 {
