--- /dev/null
+++ b/fleet/doubt.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+// LeavingSince returns the servers that have been leaving since the time.
+func (f *Fleet) LeavingSince(at time.Time) []slatebridge.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []slatebridge.ServerID
+	for id, m := range f.members {
+		if m.Leaving && m.leavingAt.Before(at) {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
+// Displaced returns the servers of the path that no longer hold the layers
+// they run there. Such a server waits for what passes it before it loads
+// others.
+func (f *Fleet) Displaced(p Path) []slatebridge.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []slatebridge.ServerID
+	for _, s := range p {
+		m, ok := f.members[s.Server.ID]
+		if ok && (m.Layers.From > s.Layers.From || m.Layers.To < s.Layers.To) {
+			out = append(out, m.ID)
+		}
+	}
+
+	return out
+}
+
+// Suspect takes a server as dead until the time. It reports whether the
+// server was not suspected before.
+func (f *Fleet) Suspect(id slatebridge.ServerID, until time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok {
+		return false
+	}
+	fresh := f.now().After(m.suspectUntil)
+	if until.After(m.suspectUntil) {
+		m.suspectUntil = until
+	}
+
+	return fresh
+}
+
+// Trust takes back a suspicion.
+func (f *Fleet) Trust(id slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok {
+		m.suspectUntil = time.Time{}
+	}
+}
+
+// Suspects returns the servers that are taken as dead.
+func (f *Fleet) Suspects() []slatebridge.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var out []slatebridge.ServerID
+	for id, m := range f.members {
+		if now.Before(m.suspectUntil) {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
+// fullPause is how long a server that turned a request away gets no more. It
+// is a few times the time between two answers of a full server.
+const fullPause = 150 * time.Millisecond
+
+// NoteFull notes that the server turned a request away.
+func (f *Fleet) NoteFull(id slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok {
+		m.fullUntil = f.now().Add(fullPause)
+	}
+}
+
+// slowPause is how long a server that told that it is slow is taken to be so.
+const slowPause = 2 * time.Second
+
+// NoteSlow notes how many times as long as usual the server takes.
+func (f *Fleet) NoteSlow(id slatebridge.ServerID, slowness float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok {
+		m.slowness, m.slowUntil = slowness, f.now().Add(slowPause)
+	}
+}
+
+// lackPause is how long a server is taken not to hold the layers that its
+// entry tells. Entries lag by about a second.
+const lackPause = time.Second
+
+// NoteLacking notes that the server does not hold the layers of its entry.
+func (f *Fleet) NoteLacking(id slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok {
+		m.lacksUntil = f.now().Add(lackPause)
+	}
+}
+
+// NoteAnswer notes how a server answered one request.
+func (f *Fleet) NoteAnswer(id slatebridge.ServerID, ok bool, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, found := f.members[id]; found {
+		m.noteAnswer(ok, took)
+	}
+}
--- /dev/null
+++ b/fleet/load.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"github.com/slatebridge/slatebridge"
+)
+
+// Loads returns the work that this box has in flight, by server.
+func (f *Fleet) Loads() map[slatebridge.ServerID]Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[slatebridge.ServerID]Load)
+	for id, m := range f.members {
+		if m.own.Requests > 0 {
+			out[id] = m.own
+		}
+	}
+
+	return out
+}
+
+// HallLoads returns the work in flight of this box and of those that SetPeer
+// was told of under the given names, by server.
+func (f *Fleet) HallLoads(peers []string) map[slatebridge.ServerID]Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[slatebridge.ServerID]Load)
+	for id, m := range f.members {
+		sum := m.own
+		for _, p := range peers {
+			sum = sum.plus(m.peers[p])
+		}
+		if sum.Requests > 0 {
+			out[id] = sum
+		}
+	}
+
+	return out
+}
+
+// SetPeer takes up the work in flight of others: of another box, or of all
+// boxes of another hall. A nil map says that they are gone.
+func (f *Fleet) SetPeer(name string, loads map[slatebridge.ServerID]Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, m := range f.members {
+		if l, ok := loads[id]; ok {
+			m.peers[name] = l
+		} else {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// Hold is work that was reserved at servers.
+type Hold struct {
+	fleet *Fleet
+	parts map[slatebridge.ServerID]Load
+}
+
+func (f *Fleet) reserve(parts map[slatebridge.ServerID]Load) *Hold {
+	for id, l := range parts {
+		if m, ok := f.members[id]; ok {
+			m.own = m.own.plus(l)
+		}
+	}
+
+	return &Hold{fleet: f, parts: parts}
+}
+
+// Release gives the reserved work back. It may be called more than once.
+func (h *Hold) Release() {
+	if h == nil {
+		return
+	}
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	for id, l := range h.parts {
+		if m, ok := h.fleet.members[id]; ok {
+			m.own = m.own.plus(Load{Requests: -l.Requests, TokenLayers: -l.TokenLayers})
+		}
+	}
+	h.parts = nil
+}
--- /dev/null
+++ b/forward/ask.go
@@ -0,0 +1,220 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// Report is what a server says of the streams that started at it.
+type Report struct {
+	// Stalled gives the address of the server that a request waits for, by
+	// the request's ID.
+	Stalled map[string]string
+	// Slowness is how many times as long as usual the server takes; 1 is usual.
+	Slowness float64
+}
+
+// ServerCalls are the calls to servers beside requests.
+type ServerCalls struct {
+	Report func(ctx context.Context, s catalog.Server) (Report, error)
+	// Move lets a running stream go on over another path with the same first
+	// server.
+	Move func(ctx context.Context, first catalog.Server, id string, p fleet.Path) error
+}
+
+// deadOn returns the servers of the path that are dead.
+func (h *Handler) deadOn(ctx context.Context, r *run, path fleet.Path) []slatebridge.ServerID {
+	var dead []slatebridge.ServerID
+	known := h.fleet.Suspects()
+	for _, s := range path {
+		if _, listed := h.fleet.Server(s.Server.ID); !listed || slices.Contains(known, s.Server.ID) {
+			dead = append(dead, s.Server.ID)
+		}
+	}
+	if len(dead) > 0 {
+		return dead
+	}
+	silent, stalled := h.askAll(ctx, path)
+	if address, ok := stalled[r.id]; ok {
+		for _, s := range path {
+			if s.Server.Address == address && !slices.Contains(silent, s.Server.ID) {
+				silent = append(silent, s.Server.ID)
+			}
+		}
+	}
+	if len(silent) > len(path)/2 && !h.reachesOthers(ctx, r, path) {
+		// A box that reaches no server is cut off itself.
+		return nil
+	}
+	for _, id := range silent {
+		h.suspect(ctx, id, "it does not answer, or others wait for it")
+	}
+	h.suspectHalls(ctx, path, silent)
+
+	return silent
+}
+
+// others is how many servers besides those of a path are asked whether the
+// box itself is cut off.
+const others = 3
+
+// reachesOthers reports whether the box reaches any server of its own hall
+// that is not on the path.
+func (h *Handler) reachesOthers(ctx context.Context, r *run, path fleet.Path) bool {
+	asked := 0
+	for _, s := range h.fleet.Near(r.service) {
+		if path.Uses(s.ID) {
+			continue
+		}
+		if h.ask(ctx, s).err == nil {
+			return true
+		}
+		if asked++; asked == others {
+			break
+		}
+	}
+
+	return false
+}
+
+// hallSilent is how many silent servers of another hall, with none that
+// answers, make the whole hall taken as cut off.
+const hallSilent = 3
+
+// suspectHalls takes all servers of a hall as dead of which several do not
+// answer and none does.
+func (h *Handler) suspectHalls(ctx context.Context, path fleet.Path, silent []slatebridge.ServerID) {
+	dead := make(map[slatebridge.HallID]int)
+	for _, s := range path {
+		if slices.Contains(silent, s.Server.ID) {
+			dead[s.Server.Hall]++
+		}
+	}
+	for _, s := range path {
+		if !slices.Contains(silent, s.Server.ID) {
+			delete(dead, s.Server.Hall)
+		}
+	}
+	for hall, n := range dead {
+		if n < hallSilent {
+			continue
+		}
+		for _, s := range h.fleet.Servers() {
+			if s.Hall == hall {
+				h.suspect(ctx, s.ID, "its hall is cut off")
+			}
+		}
+	}
+}
+
+// askAll asks every server of the path for a report, and returns those that
+// did not answer, and what the first said of stalled requests. Servers that are
+// slow get fewer new streams; those that pass them stay, since all their tokens
+// would have to be read again elsewhere.
+func (h *Handler) askAll(ctx context.Context, path fleet.Path) (silent []slatebridge.ServerID, stalled map[string]string) {
+	answers := make([]*question, len(path))
+	var wg sync.WaitGroup
+	for i, s := range path {
+		wg.Go(func() { answers[i] = h.ask(ctx, s.Server) })
+	}
+	wg.Wait()
+	for i, a := range answers {
+		id := path[i].Server.ID
+		switch {
+		case a.err != nil:
+			silent = append(silent, id)
+		case a.report.Slowness >= slowFrom:
+			h.fleet.NoteSlow(id, a.report.Slowness)
+		}
+	}
+
+	return silent, answers[0].report.Stalled
+}
+
+// slowFrom is the slowness from which a server gets fewer new streams. Servers
+// of one kind differ by less than half.
+const slowFrom = 2.0
+
+// question is a question for a report, which streams share.
+type question struct {
+	at     time.Time
+	done   chan struct{}
+	report Report
+	err    error
+}
+
+// ask returns a server's report, which is at most reportAge old.
+func (h *Handler) ask(ctx context.Context, s catalog.Server) *question {
+	h.runs.mu.Lock()
+	q, ok := h.runs.questions[s.ID]
+	if ok && time.Since(q.at) < reportAge {
+		h.runs.mu.Unlock()
+		<-q.done
+
+		return q
+	}
+	q = &question{at: time.Now(), done: make(chan struct{})}
+	h.runs.questions[s.ID] = q
+	h.runs.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	q.report, q.err = h.servers.Report(ctx, s)
+	close(q.done)
+
+	return q
+}
+
+// Dead returns the servers that this box has found dead itself.
+func (h *Handler) Dead() []slatebridge.ServerID {
+	h.runs.mu.Lock()
+	defer h.runs.mu.Unlock()
+
+	return slices.Collect(maps.Keys(h.runs.dead))
+}
+
+// suspect takes a server as dead, and asks it until it answers or has left.
+func (h *Handler) suspect(ctx context.Context, id slatebridge.ServerID, why string) {
+	h.fleet.Suspect(id, time.Now().Add(suspectTime))
+	if h.runs.isDead(id) || !h.runs.noteDead(id) {
+		return
+	}
+	h.onDead()
+	event.Log(h.logger, event.ServerSuspected, zap.String("server", string(id)), zap.String("why", why))
+	go h.askAgain(ctx, id)
+}
+
+func (h *Handler) askAgain(ctx context.Context, id slatebridge.ServerID) {
+	defer h.runs.noteAlive(id)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(askAgainEvery):
+		}
+		s, ok := h.fleet.Server(id)
+		if !ok {
+			return
+		}
+		asking, cancel := context.WithTimeout(ctx, reportTime)
+		_, err := h.servers.Report(asking, s)
+		cancel()
+		if err == nil {
+			h.fleet.Trust(id)
+			event.Log(h.logger, event.ServerTrusted, zap.String("server", string(id)))
+
+			return
+		}
+		h.runs.noteDead(id)
+		h.fleet.Suspect(id, time.Now().Add(suspectTime))
+	}
+}
--- /dev/null
+++ b/forward/runs.go
@@ -0,0 +1,194 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// run is one attempt of a stream in flight.
+type run struct {
+	id      string
+	service string
+	tokens  float64
+	cancel  context.CancelCauseFunc
+	// ran are the first servers that have had the request, with this attempt's,
+	// and most is at how many it may run.
+	ran  []slatebridge.ServerID
+	most int
+
+	mu      sync.Mutex
+	path    fleet.Path
+	hold    *fleet.Hold
+	lastAt  time.Time
+	started bool
+	// jitter is added to the silence after which servers are asked.
+	jitter time.Duration
+	// next is the path for the next attempt, if it has been chosen.
+	next     fleet.Path
+	nextHold *fleet.Hold
+	ended    bool
+	// checkAt is the earliest time of the next check, and checkPause the pause
+	// after it.
+	checkAt    time.Time
+	checkPause time.Duration
+	// leaveAt is the earliest time of the next try to leave a server.
+	leaveAt time.Time
+}
+
+// progress notes an event.
+func (r *run) progress() {
+	r.mu.Lock()
+	r.lastAt, r.started, r.checkPause = time.Now(), true, checkPause
+	r.mu.Unlock()
+}
+
+// due reports whether the run has been silent for so long that its servers
+// should be asked.
+func (r *run) due(now time.Time, suspects []slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := firstSilence
+	if r.started {
+		limit = silence
+	}
+	limit += r.jitter
+	if slices.ContainsFunc(suspects, r.path.Uses) {
+		limit = suspectSilence
+	}
+	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
+		return false
+	}
+	r.checkAt = now.Add(r.checkPause)
+	r.checkPause *= 2
+
+	return true
+}
+
+// mayLeave reports whether no try to move the run has just been made, and
+// notes one.
+func (r *run) mayLeave(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.leaveAt) {
+		return false
+	}
+	r.leaveAt = now.Add(leavePause)
+
+	return true
+}
+
+func (r *run) state() (path fleet.Path, started bool, silent time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.path, r.started, time.Since(r.lastAt)
+}
+
+// handOver notes the path for the next attempt. It reports whether the attempt
+// has not ended before and had no such path yet.
+func (r *run) handOver(p fleet.Path, hold *fleet.Hold) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || r.next != nil {
+		return false
+	}
+	r.next, r.nextHold = p, hold
+
+	return true
+}
+
+// replace takes up another path.
+func (r *run) replace(p fleet.Path, hold *fleet.Hold) {
+	r.mu.Lock()
+	old := r.hold
+	r.path, r.hold, r.lastAt = p, hold, time.Now()
+	r.mu.Unlock()
+	old.Release()
+}
+
+// runs are the attempts of streams in flight at this box.
+type runs struct {
+	mu   sync.Mutex
+	list map[*run]bool
+	// dead are the servers that this box has found dead, with how often in a
+	// row they have not answered.
+	dead map[slatebridge.ServerID]int
+	// questions are the last questions for reports.
+	questions map[slatebridge.ServerID]*question
+}
+
+func newRuns() *runs {
+	return &runs{list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]int), questions: make(map[slatebridge.ServerID]*question)}
+}
+
+// noteDead notes that a server is dead, and reports whether that is news.
+func (r *runs) noteDead(id slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dead[id]++
+
+	return r.dead[id] == 1
+}
+
+// isDead reports whether a server is noted as dead.
+func (r *runs) isDead(id slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.dead[id] > 0
+}
+
+// noteAlive takes noteDead back.
+func (r *runs) noteAlive(id slatebridge.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.dead, id)
+}
+
+// sureAfter is how often in a row a server has not answered when it is taken
+// as surely dead. Questions are half a second apart.
+const sureAfter = 2
+
+// surelyDead reports whether a server has repeatedly not answered.
+func (r *runs) surelyDead(id slatebridge.ServerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.dead[id] >= sureAfter
+}
+
+func (r *runs) add(v *run) *run {
+	v.lastAt, v.checkPause = time.Now(), checkPause
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list[v] = true
+
+	return v
+}
+
+// remove ends a run, and returns the path for the next one if it has been
+// chosen.
+func (r *runs) remove(v *run) (fleet.Path, *fleet.Hold) {
+	r.mu.Lock()
+	delete(r.list, v)
+	r.mu.Unlock()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hold.Release()
+	v.ended = true
+
+	return v.next, v.nextHold
+}
+
+func (r *runs) all() []*run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return slices.Collect(maps.Keys(r.list))
+}
