--- a/box/box.go
+++ b/box/box.go
@@ -68,7 +68,8 @@
 	serversAt atomic.Pointer[time.Time]
 
 	system *actor.ActorSystem
-	pid    *actor.PID
+	// pid is the control actor; nil before Run has started it.
+	pid    atomic.Pointer[actor.PID]
 	socket *mesh.Socket
 
 	state atomic.Pointer[forward.State]
@@ -139,7 +140,7 @@
 		return slog.New(zapslog.NewHandler(b.logger.Core()))
 	}))
 	c := newControl(ctx, b)
-	b.pid = b.system.Root.Spawn(actor.PropsFromFunc(c.receive))
+	b.pid.Store(b.system.Root.Spawn(actor.PropsFromFunc(c.receive)))
 	go socket.Receive(
 		func(m mesh.Message) { b.tell(&heard{message: m, at: time.Now()}) },
 		func(err error) { b.metrics.meshError(err) },
@@ -152,7 +153,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = b.system.Root.StopFuture(b.pid).Wait()
+			_ = b.system.Root.StopFuture(b.pid.Load()).Wait()
 			b.system.Shutdown()
 			_ = socket.Close()
 
@@ -170,9 +171,12 @@
 	b.tell(&stopping{})
 }
 
-// tell sends a message to the control actor.
+// tell sends a message to the control actor. Before the actor is there nothing
+// is known yet that a message could change.
 func (b *Box) tell(m any) {
-	b.system.Root.Send(b.pid, m)
+	if pid := b.pid.Load(); pid != nil {
+		b.system.Root.Send(pid, m)
+	}
 }
 
 // selfAge is the age of a proof from which a box reads the store itself,
