Repair running paths in place, share the retry budget, tell doubt from death

Change: fleet.Repair keeps all stages it can; package retry lets a box take a part of what all boxes have left, as messages tell; a broken connection makes a server dearer and has it asked; a retry is taken before a stream is ended for another path. Streams log their longest pause.

--- a/box/box.go
+++ b/box/box.go
@@ -27,6 +27,7 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/retry"
 )
 
 // Platform is what a box needs of the platform. An adapter fills it in.
@@ -108,8 +109,8 @@
 
 func forwardBounds(b Bounds) forward.Bounds {
 	return forward.Bounds{
-		Proof:      time.Duration(proofMargin * float64(b.Revocation)),
-		RetryShare: b.RetryShare, RetryExtra: b.RetryExtra, RetryWindow: b.RetryWindow,
+		Proof: time.Duration(proofMargin * float64(b.Revocation)),
+		Retry: retry.Bounds{Share: b.RetryShare, Extra: b.RetryExtra, Window: b.RetryWindow},
 	}
 }
 
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -26,9 +26,11 @@
 		near = turn(near, nearTargets, c.round)
 	}
 	m := c.message()
-	m.Loads = c.box.fleet.Loads()
+	budget, now := c.box.handler.Budget(), time.Now()
+	m.Loads, m.Usage = c.box.fleet.Loads(), budget.Usage(now)
 	c.send(m, near, nil)
-	m.Loads = c.box.fleet.HallLoads(c.nearNames())
+	names := c.nearNames()
+	m.Loads, m.Usage = c.box.fleet.HallLoads(names), budget.HallUsage(names, now)
 	c.send(m, far, c.unknownSeeds())
 }
 
--- a/box/peers.go
+++ b/box/peers.go
@@ -77,6 +77,7 @@
 	c.takeChanges(msg)
 	c.takeProof(o, msg)
 	c.box.fleet.SetPeer(c.loadName(o), msg.Loads)
+	c.box.handler.Budget().SetPeer(c.loadName(o), c.boxesOf(c.loadName(o)), msg.Usage, m.at)
 	c.believe(msg, m.at)
 	for id, address := range msg.Boxes {
 		c.learn(id, address)
@@ -189,6 +190,9 @@
 		}
 		if silent > max(forgetLeast, forgetAfter*pause) {
 			delete(c.peers, id)
+			if c.boxesOf(c.loadName(o)) == 0 {
+				c.box.handler.Budget().Forget(c.loadName(o))
+			}
 		}
 	}
 	c.box.handler.SetCrowd(crowd)
@@ -204,6 +208,18 @@
 	return "hall " + string(o.last.Hall)
 }
 
+// boxesOf returns how many boxes have the name.
+func (c *control) boxesOf(name string) int {
+	n := 0
+	for _, o := range c.peers {
+		if c.loadName(o) == name {
+			n++
+		}
+	}
+
+	return n
+}
+
 // dropLoads forgets the work of a box, or of a hall none of whose boxes is
 // heard any more.
 func (c *control) dropLoads(o *otherBox) {
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -91,6 +91,20 @@
 	}
 }
 
+// brokenPause is how long a server to which a connection broke is dearer.
+const brokenPause = 500 * time.Millisecond
+
+// NoteBroken notes that a connection to the server broke before any answer. It
+// may be dead, or only have lost the answer, so it is dearer for a while, and
+// running streams stay.
+func (f *Fleet) NoteBroken(id slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok {
+		m.brokenUntil = f.now().Add(brokenPause)
+	}
+}
+
 // slowPause is how long a server that told that it is slow is taken to be so.
 const slowPause = 2 * time.Second
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -25,6 +25,9 @@
 	// fullUntil is until when the server is taken as full, since it has just
 	// turned a request away.
 	fullUntil time.Time
+	// brokenUntil is until when the server is dearer, since a connection to it
+	// broke.
+	brokenUntil time.Time
 	// lacksUntil is until when the server is taken not to hold its layers.
 	lacksUntil time.Time
 	// slowness is how many times as long as usual the server takes, until
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -77,6 +77,9 @@
 	// paceCost is the weight of a card's pace: a slow card has more time in a
 	// token, but both are far below the pause that is allowed.
 	paceCost = 0.01
+	// brokenFactor makes a server dearer to which a connection just broke. Any
+	// other server of its layers is better.
+	brokenFactor = 4.0
 	// spread is how far random noise moves the cost of a server, so that boxes
 	// with the same knowledge do not all choose the same path.
 	spread = 0.15
@@ -97,12 +100,8 @@
 
 		return nil, nil, NoMemory
 	}
-	parts := make(map[slatebridge.ServerID]Load, len(path))
-	for _, s := range path {
-		parts[s.Server.ID] = Load{Requests: 1, TokenLayers: q.Tokens * float64(s.Layers.Len())}
-	}
 
-	return path, f.reserve(parts), NoShortage
+	return path, f.reserve(path.parts(q.Tokens)), NoShortage
 }
 
 // PathFrom is Path for a path that begins at one of the given servers; an empty
@@ -135,8 +134,8 @@
 // step is the cheapest way found to one layer.
 type step struct {
 	cost   float64
-	via    *member
-	from   int
+	via    catalog.Server
+	layers slatebridge.LayerRange
 	stages int
 	// hall is where the last server is; it is part of the state, since going
 	// on in the same hall is cheaper.
@@ -148,11 +147,16 @@
 // pathSearch is a dynamic program over the layers: the state is the number of
 // layers run and the hall of the last server.
 type pathSearch struct {
-	query Query
-	list  []candidate
-	steps []step
+	query  Query
+	list   []candidate
+	layers int
+	steps  []step
 	// reached has the steps that end at each layer.
 	reached [][]int
+	// present is the path of a running request that is to be changed, and kept
+	// its stages that may stay, by their first layer.
+	present Path
+	kept    map[int]Stage
 }
 
 // search finds the cheapest path. With room, only servers are used that have
@@ -162,10 +166,22 @@
 	if model == nil {
 		return nil
 	}
-	s := pathSearch{query: q, list: list, reached: make([][]int, model.Layers+1)}
-	s.keep(0, step{hall: f.hall, prev: -1})
+	s := newSearch(q, list, model.Layers)
+	s.run(f.hall)
+	path, _ := s.trace()
+
+	return path
+}
+
+func newSearch(q Query, list []candidate, layers int) *pathSearch {
+	return &pathSearch{query: q, list: list, layers: layers, reached: make([][]int, layers+1)}
+}
+
+// run fills in the steps, for a box in the hall.
+func (s *pathSearch) run(hall slatebridge.HallID) {
+	s.keep(0, step{hall: hall, prev: -1})
 	var covering []candidate
-	for at := range model.Layers {
+	for at := range s.layers {
 		if len(s.reached[at]) == 0 {
 			continue
 		}
@@ -174,8 +190,6 @@
 			s.extend(at, i, covering)
 		}
 	}
-
-	return s.trace(model.Layers)
 }
 
 // covering appends the servers that can run on from the layer.
@@ -196,24 +210,53 @@
 
 // extend takes one more server after the step.
 func (s *pathSearch) extend(at, i int, covering []candidate) {
-	before := s.steps[i]
-	if before.stages == maxStages {
+	if s.steps[i].stages == maxStages {
+		return
+	}
+	if k, ok := s.kept[at]; ok {
+		s.add(i, k, 0)
+	}
+	if s.present != nil && at == 0 {
+		// A running request goes on at its first server.
 		return
 	}
 	for _, c := range covering {
-		m := c.member
-		cost := before.cost + c.cost*float64(m.Layers.To-at)
-		switch {
-		case m.Hall == before.hall:
-		case at == 0:
-			cost += awayCost
-		default:
-			cost += crossingCost
+		last := c.member.Layers.To
+		s.addNew(i, c, slatebridge.LayerRange{From: at, To: last})
+		// It may also end where a stage begins that stays.
+		for from := range s.kept {
+			if from > at && from < last {
+				s.addNew(i, c, slatebridge.LayerRange{From: at, To: from})
+			}
 		}
-		s.keep(m.Layers.To, step{cost: cost, via: m, from: at, stages: before.stages + 1, hall: m.Hall, prev: i})
 	}
 }
 
+// addNew adds a stage of a server that does not have it yet.
+func (s *pathSearch) addNew(i int, c candidate, layers slatebridge.LayerRange) {
+	cost := c.cost * float64(layers.Len())
+	if s.present != nil {
+		cost += changeCost
+	}
+	s.add(i, Stage{Server: c.member.Server, Layers: layers}, cost)
+}
+
+// add adds a stage of the cost after the step.
+func (s *pathSearch) add(i int, v Stage, cost float64) {
+	before := s.steps[i]
+	cost += before.cost
+	switch {
+	case v.Server.Hall == before.hall:
+	case v.Layers.From == 0:
+		cost += awayCost
+	default:
+		cost += crossingCost
+	}
+	s.keep(v.Layers.To, step{
+		cost: cost, via: v.Server, layers: v.Layers, stages: before.stages + 1, hall: v.Server.Hall, prev: i,
+	})
+}
+
 // keep adds a step that ends at the layer, unless one in the same hall is
 // cheaper.
 func (s *pathSearch) keep(layer int, v step) {
@@ -230,23 +273,24 @@
 	s.reached[layer] = append(s.reached[layer], len(s.steps)-1)
 }
 
-func (s *pathSearch) trace(layers int) Path {
+// trace returns the cheapest path found, and its cost.
+func (s *pathSearch) trace() (Path, float64) {
 	best := -1
-	for _, i := range s.reached[layers] {
+	for _, i := range s.reached[s.layers] {
 		if best < 0 || s.steps[i].cost < s.steps[best].cost {
 			best = i
 		}
 	}
 	if best < 0 {
-		return nil
+		return nil, 0
 	}
 	path := make(Path, s.steps[best].stages)
-	for i := best; s.steps[i].via != nil; i = s.steps[i].prev {
+	for i := best; s.steps[i].prev >= 0; i = s.steps[i].prev {
 		v := s.steps[i]
-		path[v.stages-1] = Stage{Server: v.via.Server, Layers: slatebridge.LayerRange{From: v.from, To: v.via.Layers.To}}
+		path[v.stages-1] = Stage{Server: v.via, Layers: v.layers}
 	}
 
-	return path
+	return path, s.steps[best].cost
 }
 
 // candidate is a server that may be on the path.
@@ -308,6 +352,9 @@
 	if now.Before(m.slowUntil) {
 		cost *= m.slowness
 	}
+	if now.Before(m.brokenUntil) {
+		cost *= brokenFactor
+	}
 
 	return candidate{member: m, cost: cost}, true
 }
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -113,6 +114,22 @@
 	})
 }
 
+// wantWhole fails the test unless the path runs every layer of the test model
+// once, on different servers that hold them.
+func wantWhole(t *rapid.T, p Path) {
+	t.Helper()
+	ranges := make([]slatebridge.LayerRange, 0, len(p))
+	for _, s := range p {
+		ranges = append(ranges, s.Layers)
+		if s.Layers.From < s.Server.Layers.From || s.Layers.To > s.Server.Layers.To {
+			t.Fatalf("%s does not hold %s", s.Server.ID, s.Layers)
+		}
+	}
+	if !slatebridge.CoversExactly(ranges, 8) || !p.usesEachOnce() {
+		t.Fatalf("%s does not run every layer once, on different servers", p)
+	}
+}
+
 // TestPathsCoverEveryLayerOnce draws fleets at random: every path that is
 // found runs each layer once and in order, on servers that hold it, and no
 // server is planned beyond its memory.
@@ -131,16 +148,7 @@
 			if path == nil {
 				continue
 			}
-			ranges := make([]slatebridge.LayerRange, 0, len(path))
-			for _, s := range path {
-				ranges = append(ranges, s.Layers)
-				if s.Layers.From < s.Server.Layers.From || s.Layers.To > s.Server.Layers.To {
-					t.Fatalf("%s does not hold %s", s.Server.ID, s.Layers)
-				}
-			}
-			if !slatebridge.CoversExactly(ranges, 8) {
-				t.Fatalf("%s does not run every layer once", path)
-			}
+			wantWhole(t, path)
 		}
 		for _, m := range f.members {
 			if m.own.TokenLayers > maxFill*m.capacity() {
@@ -196,3 +204,103 @@
 		}
 	})
 }
+
+// wantRepair fails the test unless the path is repaired to the given one.
+func wantRepair(t *testing.T, f *Fleet, q Query, p Path, want string) {
+	t.Helper()
+	q.Service = "llm"
+	path, _, short := f.Repair(q, p)
+	got := path.String()
+	if path == nil {
+		got = fmt.Sprintf("none: %d", short)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestRepair(t *testing.T) {
+	servers := []testServer{
+		{"a1", "a", 0, 3}, {"a2", "a", 3, 5}, {"a3", "a", 5, 8}, {"a4", "a", 2, 6},
+	}
+	path := func(t *testing.T, f *Fleet) Path {
+		t.Helper()
+		var p Path
+		for _, id := range []slatebridge.ServerID{"a1", "a2", "a3"} {
+			s, _ := f.Server(id)
+			p = append(p, Stage{Server: s, Layers: s.Layers})
+		}
+
+		return p
+	}
+	without := func(ids ...slatebridge.ServerID) Query { return Query{Tokens: 10, Avoid: ids} }
+	t.Run("the other stages stay, and a server runs a part of its layers", func(t *testing.T) {
+		f := newTestFleet(servers...)
+		wantRepair(t, f, without("a2"), path(t, f), "a1[0,3)>a4[3,5)>a3[5,8)")
+	})
+	t.Run("stages side by side are one gap", func(t *testing.T) {
+		f := newTestFleet(append(servers[:3:3], testServer{"a5", "a", 2, 6}, testServer{"a6", "a", 6, 8})...)
+		wantRepair(t, f, without("a2", "a3"), path(t, f), "a1[0,3)>a5[3,6)>a6[6,8)")
+	})
+	t.Run("it stays in the hall of its neighbours", func(t *testing.T) {
+		f := newTestFleet(append(servers[:3:3], testServer{"b1", "b", 3, 7}, testServer{"b2", "b", 2, 6}, testServer{"a5", "a", 2, 5})...)
+		wantRepair(t, f, without("a2"), path(t, f), "a1[0,3)>a5[3,5)>a3[5,8)")
+	})
+	t.Run("a lost first server cannot be repaired", func(t *testing.T) {
+		f := newTestFleet(servers...)
+		wantRepair(t, f, without("a1"), path(t, f), "none: 1")
+	})
+	t.Run("a server that has no room is left out", func(t *testing.T) {
+		f := newTestFleet(servers...)
+		f.SetPeer("box 2", map[slatebridge.ServerID]Load{"a4": {Requests: 1, TokenLayers: 3900}})
+		wantRepair(t, f, without("a2"), path(t, f), "none: 2")
+	})
+	t.Run("the new path holds its memory", func(t *testing.T) {
+		f := newTestFleet(servers...)
+		_, hold, _ := f.Repair(Query{Service: "llm", Tokens: 10, Avoid: []slatebridge.ServerID{"a2"}}, path(t, f))
+		want := map[slatebridge.ServerID]Load{"a1": {1, 30}, "a4": {1, 20}, "a3": {1, 30}}
+		if diff := cmp.Diff(want, f.Loads()); diff != "" {
+			t.Error(diff)
+		}
+		hold.Release()
+	})
+}
+
+// TestRepairKeepsPathsWhole draws fleets at random: a repaired path runs every
+// layer once on different servers that hold it, and keeps all other stages.
+func TestRepairKeepsPathsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []testServer
+		for i := range rapid.IntRange(4, 16).Draw(t, "servers") {
+			from := rapid.IntRange(0, 7).Draw(t, "from")
+			to := rapid.IntRange(from+1, min(8, from+4)).Draw(t, "to")
+			servers = append(servers, testServer{fmt.Sprintf("s%02d", i), "a", from, to})
+		}
+		f := newTestFleet(servers...)
+		p, _, _ := f.Path(Query{Service: "llm", Tokens: 10})
+		if p == nil {
+			return
+		}
+		var out []slatebridge.ServerID
+		for _, s := range p {
+			if rapid.Bool().Draw(t, "lost") {
+				out = append(out, s.Server.ID)
+			}
+		}
+		next, _, _ := f.Repair(Query{Service: "llm", Tokens: 10, Avoid: out}, p)
+		if next == nil {
+			return
+		}
+		wantWhole(t, next)
+		for _, id := range out {
+			if next.Uses(id) {
+				t.Fatalf("%s uses %s, which it must not", next, id)
+			}
+		}
+		for _, s := range p {
+			if !slices.Contains(out, s.Server.ID) && !slices.Contains(next, s) {
+				t.Fatalf("%s does not keep %s of %s", next, s.Server.ID, p)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/fleet/repair.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+// changeCost is what it costs to give a running request a server that it did
+// not have, beside the cost of that server's layers: it has to read all tokens
+// of the request, and others wait there meanwhile. An empty path costs about
+// one.
+const changeCost = 0.15
+
+// Repair finds the cheapest path for a running request that leaves out the
+// servers in q.Avoid, and reserves its memory. It begins with the same stage,
+// and keeps the others as far as it can: a server that is new to a request, or
+// runs other layers of it than before, has to read all its tokens again.
+func (f *Fleet) Repair(q Query, p Path) (Path, *Hold, Shortage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	path := f.repair(q, p, true)
+	if path == nil {
+		if f.repair(q, p, false) == nil {
+			return nil, nil, NoLayers
+		}
+
+		return nil, nil, NoMemory
+	}
+
+	return path, f.reserve(path.parts(q.Tokens)), NoShortage
+}
+
+// Crossings returns how often the path goes on in another hall.
+func (p Path) Crossings() int {
+	n := 0
+	for i := 1; i < len(p); i++ {
+		if p[i].Server.Hall != p[i-1].Server.Hall {
+			n++
+		}
+	}
+
+	return n
+}
+
+// repair looks for servers that are not on the path yet, and for other layers
+// of those that are, and returns the cheaper way.
+func (f *Fleet) repair(q Query, p Path, room bool) Path {
+	if len(p) == 0 || slices.Contains(q.Avoid, p[0].Server.ID) {
+		return nil
+	}
+	q.First = ""
+	kept := f.kept(q, p)
+	list, model := f.candidates(q, room)
+	if model == nil {
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return p.Uses(c.member.ID) })
+	var best Path
+	least := 0.0
+	for _, list := range [][]candidate{others, list} {
+		s := newSearch(q, list, model.Layers)
+		s.present, s.kept = p, kept
+		s.run(f.hall)
+		path, cost := s.trace()
+		if path != nil && path.usesEachOnce() && (best == nil || cost < least) {
+			best, least = path, cost
+		}
+	}
+
+	return best
+}
+
+// kept returns the stages of the path that may stay, by their first layer. A
+// server that is leaving, or gives the layers up, goes on with what it has.
+func (f *Fleet) kept(q Query, p Path) map[int]Stage {
+	now := f.now()
+	kept := make(map[int]Stage, len(p))
+	for _, s := range p {
+		m, ok := f.members[s.Server.ID]
+		if ok && !now.Before(m.suspectUntil) && !slices.Contains(q.Avoid, s.Server.ID) {
+			kept[s.Layers.From] = s
+		}
+	}
+
+	return kept
+}
+
+// usesEachOnce reports whether no server is on the path twice.
+func (p Path) usesEachOnce() bool {
+	seen := make(map[slatebridge.ServerID]bool, len(p))
+	for _, s := range p {
+		if seen[s.Server.ID] {
+			return false
+		}
+		seen[s.Server.ID] = true
+	}
+
+	return true
+}
+
+// parts returns the work of a request of the size at each server of the path.
+func (p Path) parts(tokens float64) map[slatebridge.ServerID]Load {
+	parts := make(map[slatebridge.ServerID]Load, len(p))
+	for _, s := range p {
+		parts[s.Server.ID] = Load{Requests: 1, TokenLayers: tokens * float64(s.Layers.Len())}
+	}
+
+	return parts
+}
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -174,6 +174,27 @@
 	return q
 }
 
+// doubt has a server asked whether it is alive, which another one has named as
+// the reason of a refusal. When many are waiting to be asked, one more is left
+// out: the next refusal names it again.
+func (h *Handler) doubt(id slatebridge.ServerID) {
+	select {
+	case h.doubted <- id:
+	default:
+	}
+}
+
+// verify asks a server that was doubted.
+func (h *Handler) verify(ctx context.Context, id slatebridge.ServerID) {
+	s, ok := h.fleet.Server(id)
+	if !ok || h.runs.isDead(id) {
+		return
+	}
+	if q := h.ask(ctx, s); q.err != nil {
+		h.suspect(ctx, id, "another server turned a request away for it, and it does not answer")
+	}
+}
+
 // Dead returns the servers that this box has found dead itself.
 func (h *Handler) Dead() []slatebridge.ServerID {
 	h.runs.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,9 +10,11 @@
 
 	"go.uber.org/zap"
 
+	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/result"
+	"github.com/slatebridge/slatebridge/retry"
 )
 
 // Request is what a caller's headers say.
@@ -89,11 +91,8 @@
 	// Proof is how old the proof of the configuration may be for requests
 	// with a key.
 	Proof time.Duration
-	// RetryShare and RetryExtra bound what all boxes together send again in
-	// any RetryWindow: the share of the requests, and a fixed number.
-	RetryShare  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
+	// Retry bounds what all boxes together send again.
+	Retry retry.Bounds
 }
 
 // Handler serves callers.
@@ -107,14 +106,19 @@
 	random  func() float64
 	logger  *zap.Logger
 	metrics *Metrics
-	budget  *budget
+	budget  *retry.Budget
 	runs    *runs
 	drain   drainState
 	// crowd is the longest jitter.
 	crowd  atomic.Int64
 	onDead func()
+	// doubted are servers that are to be asked whether they are alive.
+	doubted chan slatebridge.ServerID
 }
 
+// mostDoubted is how many servers may wait to be asked.
+const mostDoubted = 16
+
 // Config is what a Handler needs.
 type Config struct {
 	Wire    Wire
@@ -136,15 +140,19 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: newBudget(c.Bounds), runs: newRuns(), onDead: c.OnDead,
+		budget: retry.New(c.Bounds.Retry), runs: newRuns(), onDead: c.OnDead,
+		doubted: make(chan slatebridge.ServerID, mostDoubted),
 	}
 	h.bounds.Store(&c.Bounds)
 
 	return h
 }
 
+// Budget returns the budget for retries, which the boxes share.
+func (h *Handler) Budget() *retry.Budget { return h.budget }
+
 // SetBounds takes up other bounds for later requests.
 func (h *Handler) SetBounds(b Bounds) {
 	h.bounds.Store(&b)
-	h.budget.setBounds(b)
+	h.budget.SetBounds(b.Retry)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -67,7 +67,7 @@
 
 		return
 	}
-	h.budget.request(c.service, c.began)
+	h.budget.Request(c.service, c.began)
 	ctx, cancel := context.WithDeadline(r.Context(), c.until)
 	defer cancel()
 	if c.route.Kind == catalog.Stream && h.hasModel(c) {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -16,6 +16,8 @@
 	empty    *prometheus.CounterVec
 	streams  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	first    prometheus.Histogram
+	pause    prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -37,8 +39,16 @@
 			Name: "slatebridge_request_seconds", Help: "Time from the request to the end of its answer, by kind of call.",
 			Buckets: []float64{.01, .025, .05, .1, .2, .3, .5, 1, 2, 5, 10, 20},
 		}, []string{"kind"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "slatebridge_stream_first_event_seconds", Help: "Time from the request to the first event, of streams that ended whole.",
+			Buckets: []float64{.025, .05, .1, .2, .3, .5, 1, 2},
+		}),
+		pause: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "slatebridge_stream_longest_pause_seconds", Help: "Longest pause between two events, of streams that ended whole.",
+			Buckets: []float64{.05, .1, .15, .2, .25, .3, .5, 1, 2},
+		}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.empty, m.streams, m.latency)
+	reg.MustRegister(m.requests, m.attempts, m.empty, m.streams, m.latency, m.first, m.pause)
 
 	return m
 }
@@ -52,6 +62,12 @@
 	m.requests.WithLabelValues(kind, strconv.Itoa(int(code))).Inc()
 }
 
+// streamed notes the times of a stream that ended whole.
+func (m *Metrics) streamed(first, pause time.Duration) {
+	m.first.Observe(first.Seconds())
+	m.pause.Observe(pause.Seconds())
+}
+
 func (m *Metrics) attempt(c *call, f fate) {
 	m.attempts.WithLabelValues(c.route.Kind.String(), f.String()).Inc()
 }
--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -70,64 +69,6 @@
 	})
 }
 
-func TestBudget(t *testing.T) {
-	now := time.Unix(1000, 0)
-	bounds := Bounds{RetryShare: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}
-	// spend takes retries until there are none, and returns how many there were.
-	spend := func(b *budget, boxes int, now time.Time) int {
-		n := 0
-		for b.retry("s", boxes, now) {
-			n++
-		}
-
-		return n
-	}
-	t.Run("a part of the extra for each box", func(t *testing.T) {
-		if n := spend(newBudget(bounds), 10, now); n != 7 {
-			t.Errorf("%d retries, want 7", n)
-		}
-	})
-	t.Run("a share of the requests", func(t *testing.T) {
-		b := newBudget(bounds)
-		for range 100 {
-			b.request("s", now)
-		}
-		if n := spend(b, 10, now); n != 21 {
-			t.Errorf("%d retries, want 21", n)
-		}
-	})
-	t.Run("any window holds no more than one budget", func(t *testing.T) {
-		b := newBudget(bounds)
-		spent := make([]int, 300)
-		for i := range spent {
-			spent[i] = spend(b, 1, now.Add(time.Duration(i)*100*time.Millisecond))
-		}
-		for i := range len(spent) - 100 {
-			sum := 0
-			for _, n := range spent[i : i+100] {
-				sum += n
-			}
-			if sum > 100 {
-				t.Fatalf("%d retries in the window from step %d", sum, i)
-			}
-		}
-	})
-	t.Run("services do not share", func(t *testing.T) {
-		b := newBudget(bounds)
-		spend(b, 1, now)
-		if !b.retry("other", 1, now) {
-			t.Error("the other service has no retry")
-		}
-	})
-	t.Run("other bounds hold at once", func(t *testing.T) {
-		b := newBudget(bounds)
-		b.setBounds(Bounds{RetryWindow: bounds.RetryWindow})
-		if b.retry("s", 1, now) {
-			t.Error("a retry is allowed")
-		}
-	})
-}
-
 func TestPassedOn(t *testing.T) {
 	in := http.Header{
 		"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"5"}, "Transfer-Encoding": {"chunked"},
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -145,7 +145,7 @@
 	if t.c.servers-t.refused >= t.c.route.MaxServers || t.refused >= maxRefusals {
 		return
 	}
-	if !t.h.budget.retry(t.c.service, t.c.state.Boxes, time.Now()) {
+	if !t.h.budget.Take(t.c.service, t.c.state.Boxes, time.Now()) {
 		t.h.metrics.budgetEmpty(t.c.service)
 
 		return
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -21,6 +21,8 @@
 	// and most is at how many it may run.
 	ran  []slatebridge.ServerID
 	most int
+	// last says that there may be no other attempt after this one.
+	last bool
 
 	mu      sync.Mutex
 	path    fleet.Path
@@ -90,6 +92,14 @@
 	return r.path, r.started, time.Since(r.lastAt)
 }
 
+// mayEnd reports whether the attempt may be ended for another one.
+func (r *run) mayEnd() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return !r.last && !r.ended && r.next == nil
+}
+
 // handOver notes the path for the next attempt. It reports whether the attempt
 // has not ended before and had no such path yet.
 func (r *run) handOver(p fleet.Path, hold *fleet.Hold) bool {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -44,15 +44,18 @@
 	events   int
 	headSent bool
 	// lastAt is when the last event was passed on.
-	lastAt   time.Time
-	first    time.Duration
+	lastAt time.Time
+	first  time.Duration
+	// longest is the longest pause between two events.
+	longest  time.Duration
 	attempts int
 	rejected int
 	// ran are the first servers of the attempts that may have run.
 	ran []slatebridge.ServerID
 	// avoid are servers that failed this stream.
 	avoid []slatebridge.ServerID
-	// next is the path for the next attempt, if it has been chosen already.
+	// next is the path for the next attempt, if it has been chosen already; its
+	// retry has been taken out of the budget then.
 	next     fleet.Path
 	nextHold *fleet.Hold
 }
@@ -182,6 +185,7 @@
 	run := t.h.runs.add(&run{
 		id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel,
 		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers, jitter: t.h.jitter(),
+		last: t.attempts >= maxAttempts || !t.c.route.MayRepeat(),
 	})
 	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
 	first := path[0].Server
@@ -223,14 +227,13 @@
 		t.blame(path, r.answer)
 	case unsent:
 		t.rejected++
-		t.h.fleet.Suspect(first.ID, time.Now().Add(unreachablePause))
-		t.avoid = append(t.avoid, first.ID)
+		t.noteBrokenConnection(first.ID)
 	default:
 		t.noteRan(first.ID)
-		t.avoid = append(t.avoid, first.ID)
 		if ctx.Err() == nil && !errors.Is(r.err, errWrongAnswer) {
-			// The connection broke before any answer, so the next one may too.
-			t.h.fleet.Suspect(first.ID, time.Now().Add(unreachablePause))
+			t.noteBrokenConnection(first.ID)
+		} else {
+			t.avoid = append(t.avoid, first.ID)
 		}
 	}
 	if gone(t.ctx) {
@@ -246,6 +249,15 @@
 	return false
 }
 
+// noteBrokenConnection notes that the connection to a server could not be
+// opened or broke before any answer. The server is asked whether it is alive:
+// it may only have lost the answer.
+func (t *streamTry) noteBrokenConnection(id slatebridge.ServerID) {
+	t.avoid = append(t.avoid, id)
+	t.h.fleet.NoteBroken(id)
+	t.h.doubt(id)
+}
+
 // blame notes which server of the path turned the request away.
 func (t *streamTry) blame(path fleet.Path, a Answer) {
 	id := path[0].Server.ID
@@ -258,6 +270,10 @@
 		t.h.fleet.NoteLacking(id)
 	} else {
 		t.h.fleet.NoteFull(id)
+		if id != path[0].Server.ID {
+			// The first server speaks for a later one, which may be dead.
+			t.h.doubt(id)
+		}
 	}
 	t.avoid = append(t.avoid, id)
 }
@@ -307,8 +323,12 @@
 	if _, err := t.w.Write(ev.raw); err != nil {
 		return err
 	}
+	now := time.Now()
+	if t.events > 0 {
+		t.longest = max(t.longest, now.Sub(t.lastAt))
+	}
 	t.events++
-	t.lastAt = time.Now()
+	t.lastAt = now
 	if ev.id > 0 || t.last == noEvent {
 		t.last = ev.id
 	}
@@ -359,7 +379,7 @@
 		return result.New(result.Overloaded, "%d paths turned the request away", t.rejected).WithRetryAfter(comeBack)
 	case t.attempts >= maxAttempts || t.rejected > maxRefusals:
 		return result.New(result.AttemptsExhausted, "%d attempts brought no whole answer", t.attempts)
-	case !t.h.budget.retry(c.service, c.state.Boxes, time.Now()):
+	case t.next == nil && !t.h.budget.Take(c.service, c.state.Boxes, time.Now()):
 		t.h.metrics.budgetEmpty(c.service)
 		if !ran {
 			return result.New(result.Overloaded, "the budget for retries is used up").WithRetryAfter(comeBack)
@@ -379,8 +399,9 @@
 	// A stream that is taken up after its last event has no more.
 	t.sendHead(resp)
 	t.h.metrics.done(t.c, result.OK)
+	t.h.metrics.streamed(t.first, t.longest)
 	event.Log(t.h.logger, event.RequestAnswered, append(t.h.lastFields(t.c),
-		zap.Int("events", t.events), zap.Duration("first_event_ms", t.first))...)
+		zap.Int("events", t.events), zap.Duration("first_event_ms", t.first), zap.Duration("longest_pause_ms", t.longest))...)
 }
 
 // fail ends a request that no server answered whole. What was passed on is
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -14,23 +14,23 @@
 
 const (
 	// watchEvery is the pause between two looks at the streams in flight.
-	watchEvery = 40 * time.Millisecond
+	watchEvery = 20 * time.Millisecond
 	// silence is how long a running stream may be silent before its servers
 	// are asked. Events come every 15 to 30 ms, and a pause of 200 ms makes
 	// an answer late.
-	silence = 120 * time.Millisecond
+	silence = 90 * time.Millisecond
 	// firstSilence is the same for the first event, which takes 45 ms in the
 	// middle and 150 ms for the slowest hundredth.
 	firstSilence = 250 * time.Millisecond
 	// crowdPause spreads the questions of boxes whose streams stand still at the
 	// same moment: each box waits a random part of this time for each other box
 	// of its hall, and the first one that finds a server dead tells the others.
-	crowdPause = 5 * time.Millisecond
+	crowdPause = 2 * time.Millisecond
 	// mostCrowdPause bounds the sum.
-	mostCrowdPause = 100 * time.Millisecond
+	mostCrowdPause = 30 * time.Millisecond
 	// suspectSilence is the same for a stream that passes a server which is
 	// taken as dead already.
-	suspectSilence = 60 * time.Millisecond
+	suspectSilence = 45 * time.Millisecond
 	// checkPause is between the first two checks of the same stream; it doubles
 	// with each.
 	checkPause = 150 * time.Millisecond
@@ -43,7 +43,7 @@
 	// leaveEvery is in which looks at the streams one is moved. The new server
 	// reads all tokens of a stream that comes to it, and everything else there
 	// waits: measured, moving all at once made 300 ms of pause for all.
-	leaveEvery = 2
+	leaveEvery = 4
 	// reportAge is how long a server's report is good for other streams. Each
 	// question has a price.
 	reportAge = 300 * time.Millisecond
@@ -79,6 +79,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case id := <-h.doubted:
+			go h.verify(ctx, id)
 		case now := <-tick.C:
 			suspects := h.fleet.Suspects()
 			for _, r := range h.runs.all() {
@@ -112,7 +114,7 @@
 		if len(from) == 0 || slices.Contains(from, path[0].Server.ID) || !r.mayLeave(now) {
 			continue
 		}
-		go h.move(ctx, r, path, from)
+		go h.goOnWithout(ctx, r, path, from)
 
 		return
 	}
@@ -124,19 +126,44 @@
 	dead := h.deadOn(ctx, r, path)
 	event.Log(h.logger, event.StreamStalled, zap.String("request", r.id), zap.Duration("silent_ms", silent),
 		zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", dead))
-	if len(dead) == 0 && silent < hopeless {
+	switch {
+	case len(dead) > 0 && started && !slices.Contains(dead, path[0].Server.ID):
+		h.goOnWithout(ctx, r, path, dead)
+	case len(dead) > 0 || silent >= hopeless:
+		h.takeElsewhere(r, path, dead)
+	}
+}
+
+// goOnWithout lets a stream go on without some of its later servers.
+func (h *Handler) goOnWithout(ctx context.Context, r *run, path fleet.Path, without []slatebridge.ServerID) {
+	next, hold, _ := h.fleet.Repair(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: without}, path)
+	// On a path that goes on in another hall all tokens of the stream have to
+	// cross, and the links are slow: measured, 132 streams that did so after a
+	// crash stood still for a second and more. To begin anew in one hall takes a
+	// tenth of a second.
+	crosses := next != nil && next.Crossings() > path.Crossings()
+	if next != nil && !crosses && h.move(ctx, r, path, next, hold) {
 		return
 	}
-	if len(dead) > 0 && started && !slices.Contains(dead, path[0].Server.ID) && h.move(ctx, r, path, dead) {
+	if h.takeElsewhere(r, path, without) {
+		if crosses {
+			hold.Release()
+		}
+
 		return
 	}
-	h.takeElsewhere(r, path, dead)
+	if crosses {
+		h.move(ctx, r, path, next, hold)
+	}
 }
 
-// takeElsewhere ends the attempt if there is another path for the next one.
-// Without one it is better to wait: the server may go on, or be wrongly taken
-// as dead.
-func (h *Handler) takeElsewhere(r *run, path fleet.Path, dead []slatebridge.ServerID) {
+// takeElsewhere ends the attempt if there is another path for the next one, and
+// a retry left for it, and reports whether it did. Without them it is better to
+// wait: the server may go on, or be wrongly taken as dead.
+func (h *Handler) takeElsewhere(r *run, path fleet.Path, dead []slatebridge.ServerID) bool {
+	if !r.mayEnd() {
+		return false
+	}
 	avoid := dead
 	if len(avoid) == 0 {
 		for _, s := range path {
@@ -145,29 +172,24 @@
 	}
 	next, hold, _ := h.fleet.PathFrom(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: avoid}, h.mayBeginAt(r.ran, r.most))
 	if next == nil {
-		return
+		return false
 	}
-	if !r.handOver(next, hold) {
+	if !h.budget.Take(r.service, h.state().Boxes, time.Now()) || !r.handOver(next, hold) {
 		hold.Release()
 
-		return
+		return false
 	}
 	r.cancel(errStalled)
-}
 
-// move lets a stream go on without the dead servers, and reports whether it
-// does.
-func (h *Handler) move(ctx context.Context, r *run, path fleet.Path, dead []slatebridge.ServerID) bool {
-	first := path[0].Server
-	next, hold, _ := h.fleet.Path(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: dead, First: first.ID})
-	if next == nil || next[0].Layers != path[0].Layers {
-		hold.Release()
+	return true
+}
 
-		return false
-	}
+// move lets a stream go on over another path with the same first server, and
+// reports whether it does. The hold is that of the new path.
+func (h *Handler) move(ctx context.Context, r *run, path, next fleet.Path, hold *fleet.Hold) bool {
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
-	err := h.servers.Move(ctx, first, r.id, next)
+	err := h.servers.Move(ctx, path[0].Server, r.id, next)
 	event.Log(h.logger, event.StreamMoved, zap.String("request", r.id), zap.Stringer("from", path),
 		zap.Stringer("to", next), event.Error(err))
 	if err != nil {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/elect"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/retry"
 )
 
 // maxMessage is the largest message, in bytes: what a datagram can hold.
@@ -48,6 +49,9 @@
 	// Loads is the work in flight: that of the box in messages to its own hall,
 	// that of all boxes of its hall in messages to other halls.
 	Loads map[slatebridge.ServerID]fleet.Load `json:"l,omitempty"`
+	// Usage is what was sent to each service in the last window, of the same
+	// boxes as Loads.
+	Usage map[string]retry.Usage `json:"u,omitempty"`
 	// Dead are servers that do not answer the box.
 	Dead []slatebridge.ServerID `json:"d,omitempty"`
 	Term elect.Term             `json:"t"`
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,200 @@
+// Package retry bounds what all boxes together send to backend servers a
+// second time. Boxes tell each other what they have sent, so that one that is
+// hit by a failure can use what the others leave.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// margin is the part of the budget that is used. The rest is for boxes
+	// that have restarted and forgotten what they sent.
+	margin = 0.7
+	// fresh is how old the word of another box may be: messages come within a
+	// second, by way of a third box within two.
+	fresh = 2 * time.Second
+	// silent is from when on nothing is known of what others send. With twice
+	// fresh, two boxes that were cut off from each other went beyond the budget.
+	silent = fresh + 500*time.Millisecond
+)
+
+// Bounds limits what all boxes together send again to one service in any
+// Window: the Share of the requests for it, and the fixed number Extra.
+type Bounds struct {
+	Share  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// Usage is what was sent to one service within a window.
+type Usage struct {
+	// Requests counts requests, and Retries what was sent again of them.
+	Requests int `json:"q"`
+	Retries  int `json:"r,omitempty"`
+}
+
+func (u Usage) plus(o Usage) Usage {
+	return Usage{Requests: u.Requests + o.Requests, Retries: u.Retries + o.Retries}
+}
+
+// Budget is the budget as one box sees it. It is safe for use by many
+// goroutines.
+type Budget struct {
+	mu     sync.Mutex
+	bounds Bounds
+	own    map[string]*window
+	peers  map[string]*peer
+}
+
+// peer is another box, or all boxes of another hall.
+type peer struct {
+	boxes int
+	// heard is when it was last heard, and told when it told the usage.
+	heard time.Time
+	told  time.Time
+	usage map[string]Usage
+}
+
+// New returns a Budget of which nothing is used.
+func New(b Bounds) *Budget {
+	return &Budget{bounds: b, own: make(map[string]*window), peers: make(map[string]*peer)}
+}
+
+// SetBounds takes up other bounds.
+func (b *Budget) SetBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bounds.Window != b.bounds.Window {
+		// The parts of the windows have another length now.
+		clear(b.own)
+	}
+	b.bounds = bounds
+}
+
+// Request counts a request for the service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	w.slot().Requests++
+}
+
+// Take takes one retry out of the budget, if there is one left. boxes is how
+// many boxes share the budget.
+//
+// What is left may be taken by all boxes at the same time before they hear of
+// each other, so each takes its part of that in the time that news need.
+func (b *Budget) Take(service string, boxes int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service, now)
+	all := w.sum(b.bounds.Window)
+	unknown := boxes - 1
+	for _, p := range b.peers {
+		all = all.plus(b.usageOf(p, service, boxes, now))
+		unknown -= p.boxes
+	}
+	all.Retries += b.part(Usage{}, max(0, unknown), boxes)
+	limit := margin * (b.bounds.Share*float64(all.Requests) + b.bounds.Extra)
+	recent := w.sum(fresh).Retries
+	left := limit - float64(all.Retries-recent)
+	if float64(recent+1) > left/float64(max(1, boxes)) {
+		return false
+	}
+	w.slot().Retries++
+
+	return true
+}
+
+// usageOf returns what a peer is taken to have used. One that is silent may be
+// using its part of the budget.
+func (b *Budget) usageOf(p *peer, service string, boxes int, now time.Time) Usage {
+	u := p.usage[service]
+	if now.Sub(p.heard) > silent {
+		u.Retries = max(u.Retries, b.part(u, p.boxes, boxes))
+	}
+
+	return u
+}
+
+// part returns how many retries n of the boxes may make on their own.
+func (b *Budget) part(u Usage, n, boxes int) int {
+	part := float64(n) / float64(max(1, boxes))
+
+	return int(margin * (b.bounds.Share*float64(u.Requests) + b.bounds.Extra*part))
+}
+
+// Usage returns what this box has sent in the last window, by service.
+func (b *Budget) Usage(now time.Time) map[string]Usage {
+	return b.HallUsage(nil, now)
+}
+
+// HallUsage returns what this box and the given peers have sent.
+func (b *Budget) HallUsage(peers []string, now time.Time) map[string]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]Usage, len(b.own))
+	for service := range b.own {
+		out[service] = b.window(service, now).sum(b.bounds.Window)
+	}
+	for _, name := range peers {
+		p, ok := b.peers[name]
+		if !ok {
+			continue
+		}
+		for service, u := range p.usage {
+			out[service] = out[service].plus(u)
+		}
+	}
+
+	return out
+}
+
+// SetPeer takes up what a peer has sent: another box, or a hall of so many
+// boxes. A smaller number of retries than before is believed only after a
+// while, since boxes of a hall that have just started know little of it.
+func (b *Budget) SetPeer(name string, boxes int, usage map[string]Usage, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.peers[name]
+	if !ok {
+		p = &peer{}
+		b.peers[name] = p
+	}
+	p.boxes, p.heard = boxes, now
+	if now.Sub(p.told) < fresh && total(usage).Retries < total(p.usage).Retries {
+		return
+	}
+	p.usage, p.told = usage, now
+}
+
+// Forget drops a peer that is gone for good.
+func (b *Budget) Forget(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.peers, name)
+}
+
+func total(usage map[string]Usage) Usage {
+	var sum Usage
+	for _, u := range usage {
+		sum = sum.plus(u)
+	}
+
+	return sum
+}
+
+// window returns the service's window, moved on to now. The caller holds mu.
+func (b *Budget) window(service string, now time.Time) *window {
+	w, ok := b.own[service]
+	if !ok {
+		w = &window{}
+		b.own[service] = w
+	}
+	w.length = max(1, b.bounds.Window/slots)
+	w.advance(now.UnixNano() / int64(w.length))
+
+	return w
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,221 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	bounds = Bounds{Share: 0.2, Extra: 100, Window: 10 * time.Second}
+)
+
+// spend takes retries until there are none, and returns how many there were.
+func spend(b *Budget, boxes int, now time.Time) int {
+	n := 0
+	for b.Take("s", boxes, now) {
+		n++
+	}
+
+	return n
+}
+
+func wantSpent(t *testing.T, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%d retries were allowed, want %d", got, want)
+	}
+}
+
+func TestTake(t *testing.T) {
+	// others returns a budget that has heard that nine others sent nothing.
+	others := func() *Budget {
+		b := New(bounds)
+		b.SetPeer("others", 9, nil, start)
+
+		return b
+	}
+	t.Run("a part of what is left for each box", func(t *testing.T) {
+		wantSpent(t, spend(others(), 10, start), 7)
+	})
+	t.Run("the same again once news have come", func(t *testing.T) {
+		b := others()
+		spend(b, 10, start)
+		b.SetPeer("others", 9, nil, start.Add(3*time.Second))
+		wantSpent(t, spend(b, 10, start.Add(3*time.Second)), 6)
+	})
+	t.Run("boxes that were never heard may be using their part", func(t *testing.T) {
+		b := New(bounds)
+		b.SetPeer("box 2", 1, nil, start)
+		wantSpent(t, spend(b, 10, start), 1)
+	})
+	t.Run("requests of all boxes add to it", func(t *testing.T) {
+		b := New(bounds)
+		for range 100 {
+			b.Request("s", start)
+		}
+		b.SetPeer("hall b", 9, map[string]Usage{"s": {Requests: 400}}, start)
+		wantSpent(t, spend(b, 10, start), 14)
+	})
+	t.Run("retries of other boxes use it up", func(t *testing.T) {
+		b := New(bounds)
+		b.SetPeer("hall b", 9, map[string]Usage{"s": {Retries: 70}}, start)
+		wantSpent(t, spend(b, 10, start), 0)
+	})
+	t.Run("a silent hall may be using its part", func(t *testing.T) {
+		b := New(bounds)
+		b.SetPeer("hall b", 9, map[string]Usage{"s": {}}, start)
+		wantSpent(t, spend(b, 10, start.Add(time.Minute)), 0)
+	})
+	t.Run("a box that has just started does not speak for its hall", func(t *testing.T) {
+		b := New(bounds)
+		b.SetPeer("hall b", 9, map[string]Usage{"s": {Retries: 70}}, start)
+		b.SetPeer("hall b", 9, map[string]Usage{}, start.Add(time.Second))
+		wantSpent(t, spend(b, 10, start.Add(time.Second)), 0)
+		b.SetPeer("hall b", 9, map[string]Usage{}, start.Add(3*time.Second))
+		wantSpent(t, spend(b, 10, start.Add(3*time.Second)), 7)
+	})
+	t.Run("services do not share", func(t *testing.T) {
+		b := New(bounds)
+		spend(b, 1, start)
+		if !b.Take("other", 1, start) {
+			t.Error("the other service has no retry")
+		}
+	})
+	t.Run("other bounds hold at once", func(t *testing.T) {
+		b := New(bounds)
+		b.SetBounds(Bounds{Window: bounds.Window})
+		wantSpent(t, spend(b, 1, start), 0)
+	})
+}
+
+func TestHallUsage(t *testing.T) {
+	b := New(bounds)
+	b.Request("s", start)
+	spend(b, 100, start)
+	b.SetPeer("box 2", 1, map[string]Usage{"s": {Requests: 4, Retries: 2}, "t": {Requests: 1}}, start)
+	b.SetPeer("hall b", 1, map[string]Usage{"s": {Requests: 9}}, start)
+	want := map[string]Usage{"s": {Requests: 5, Retries: 2}, "t": {Requests: 1}}
+	if diff := cmp.Diff(want, b.HallUsage([]string{"box 2", "box 3"}, start)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Steps of the boxes in TestBoxesTogetherKeepTheBudget.
+const (
+	step  = 100 * time.Millisecond
+	steps = 400
+	// nearSteps are between two messages within a hall, farSteps between halls.
+	nearSteps = 7
+	farSteps  = 12
+	// cutSteps is how long the halls are cut off from each other.
+	cutSteps = 80
+)
+
+// boxes are the boxes of two halls, which want retries at random.
+type boxes struct {
+	list    []*Budget
+	random  *rand.Rand
+	cutFrom int
+	burst   int
+	// requests and spent count requests and retries by step.
+	requests, spent [steps]int
+}
+
+func hall(i int) int { return i % 2 }
+
+// play makes one step: requests, retries in bursts that strike all boxes at
+// once, and messages.
+func (b *boxes) play(n int) {
+	now := start.Add(time.Duration(n) * step)
+	if b.burst > 0 {
+		b.burst--
+	} else if b.random.IntN(40) == 0 {
+		b.burst = b.random.IntN(30)
+	}
+	for i, v := range b.list {
+		for range b.random.IntN(3) {
+			v.Request("s", now)
+			b.requests[n]++
+		}
+		for range b.random.IntN(4) * b.burst {
+			if v.Take("s", len(b.list), now) {
+				b.spent[n]++
+			}
+		}
+		b.speak(i, n, now)
+	}
+}
+
+// speak sends a box's messages of one step.
+func (b *boxes) speak(i, n int, now time.Time) {
+	cut := n >= b.cutFrom && n < b.cutFrom+cutSteps
+	var names []string
+	for j := range b.list {
+		if j != i && hall(j) == hall(i) {
+			names = append(names, name("box", j))
+		}
+	}
+	for j, o := range b.list {
+		switch {
+		case i == j:
+		case hall(i) == hall(j):
+			if (n+i)%nearSteps == 0 {
+				o.SetPeer(name("box", i), 1, b.list[i].Usage(now), now)
+			}
+		case (n+i)%farSteps == 0 && !cut:
+			o.SetPeer(name("hall", hall(i)), len(names)+1, b.list[i].HallUsage(names, now), now)
+		}
+	}
+}
+
+// TestBoxesTogetherKeepTheBudget lets boxes of two halls want retries at random
+// times and hear of each other late; for some time the halls are cut off from
+// each other. No window may hold more retries than the budget.
+func TestBoxesTogetherKeepTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &boxes{
+			list:    make([]*Budget, rapid.IntRange(1, 12).Draw(t, "boxes")),
+			random:  rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			cutFrom: rapid.IntRange(0, steps).Draw(t, "cut"),
+		}
+		for i := range b.list {
+			b.list[i] = New(bounds)
+		}
+		for n := range steps {
+			b.play(n)
+		}
+		window := int(bounds.Window / step)
+		for n := window; n < steps; n++ {
+			most := bounds.Share*float64(count(b.requests[n-window:n])) + bounds.Extra
+			if got := count(b.spent[n-window : n]); float64(got) > most {
+				t.Fatalf("%d retries of %d boxes in the window before step %d, the budget is %.0f", got, len(b.list), n, most)
+			}
+		}
+	})
+}
+
+func name(kind string, i int) string { return kind + " " + string(rune('a'+i)) }
+
+func count(list []int) int {
+	sum := 0
+	for _, n := range list {
+		sum += n
+	}
+
+	return sum
+}
+
+func BenchmarkTake(b *testing.B) {
+	budget := New(bounds)
+	for i := range 43 {
+		budget.SetPeer(name("box", i), 1, map[string]Usage{"s": {Requests: 100, Retries: 1}}, start)
+	}
+	for b.Loop() {
+		budget.Take("s", 340, start)
+	}
+}
