A box that stood still does not judge servers; slots of first servers count

Change: a box that was late with its own work asks again; a server that passed a stream on since it was asked, or just before another box calls it dead, is alive; a first server costs more with its slots taken; another hall costs 0.6, not 0.2.

--- a/box/peers.go
+++ b/box/peers.go
@@ -40,6 +40,11 @@
 	joinTime = time.Second
 	// helpTime bounds a question for another box's state.
 	helpTime = 500 * time.Millisecond
+	// seenTime is how long ago a stream passed a server on at which the word of
+	// another box, that it is dead, is not believed. A box needs 80 ms and more to
+	// find a server dead. Measured: of 50 servers that single boxes wrongly took
+	// as dead in one second, the streams of all boxes were moved.
+	seenTime = 40 * time.Millisecond
 	// deadTime is for how long the word of another box on a dead server holds.
 	deadTime = 700 * time.Millisecond
 )
@@ -118,7 +123,12 @@
 func (c *control) believe(msg mesh.Message, at time.Time) {
 	for _, id := range msg.Dead {
 		s, ok := c.box.fleet.Server(id)
-		if ok && (msg.Hall == c.settings.Hall || msg.Hall == s.Hall) {
+		if !ok || (msg.Hall != c.settings.Hall && msg.Hall != s.Hall) {
+			continue
+		}
+		// What this box sees itself goes first: an answer to the other one may
+		// have been lost. It says so again if it was not.
+		if !c.box.fleet.AliveSince(id, at.Add(-seenTime)) {
 			c.box.fleet.Suspect(id, at.Add(deadTime))
 		}
 	}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -78,7 +78,7 @@
 	defer h.fleet.mu.Unlock()
 	for id, l := range h.parts {
 		if m, ok := h.fleet.members[id]; ok {
-			m.own = m.own.plus(Load{Requests: -l.Requests, TokenLayers: -l.TokenLayers})
+			m.own = m.own.plus(l.times(-1))
 		}
 	}
 	h.parts = nil
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -52,14 +52,17 @@
 	Requests float64 `json:"n"`
 	// TokenLayers is the memory they need, in tokens times layers.
 	TokenLayers float64 `json:"t"`
+	// First counts the requests that the server received as the first of their
+	// paths; it has a limited number of slots for them.
+	First float64 `json:"f,omitempty"`
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{Requests: l.Requests + o.Requests, TokenLayers: l.TokenLayers + o.TokenLayers}
+	return Load{Requests: l.Requests + o.Requests, TokenLayers: l.TokenLayers + o.TokenLayers, First: l.First + o.First}
 }
 
 func (l Load) times(x float64) Load {
-	return Load{Requests: l.Requests * x, TokenLayers: l.TokenLayers * x}
+	return Load{Requests: l.Requests * x, TokenLayers: l.TokenLayers * x, First: l.First * x}
 }
 
 func (m *member) load() Load {
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -71,6 +71,10 @@
 	// fillCost makes fuller servers dearer, so that servers with the same
 	// layers share the work; at the limit a server costs seven times as much.
 	fillCost = 6.0
+	// slotCost is what it costs to begin at a server all of whose slots are
+	// taken. Beyond that requests wait: measured, 1.4 s at a server that was the
+	// first of 80 paths a second.
+	slotCost = 4.0
 	// mostFill bounds how full a server is taken to be for its cost.
 	mostFill = 2.0
 	// crossingCost is what it costs to go from a server of one hall to one of
@@ -78,8 +82,9 @@
 	// between halls: measured, 50 crossings a second made every event late.
 	crossingCost = 1.5
 	// awayCost is what it costs to begin in another hall than the box's; then
-	// only text crosses.
-	awayCost = 0.2
+	// only text crosses, but what other halls do there is known late. Measured
+	// with 0.2: after a start, all halls chose the same servers of one.
+	awayCost = 0.6
 	// paceCost is the weight of a card's pace. Streams on fast cards end sooner,
 	// and fewer are hit by a failure. Measured on one day: worth 0.529 with 0.01,
 	// 0.553 with 0.08.
@@ -245,6 +250,9 @@
 // addNew adds a stage of a server that does not have it yet.
 func (s *pathSearch) addNew(i int, c candidate, layers slatebridge.LayerRange) {
 	cost := stageCost + c.cost*float64(layers.Len())
+	if layers.From == 0 {
+		cost += c.firstCost
+	}
 	if s.present != nil {
 		cost += changeCost
 	}
@@ -308,6 +316,18 @@
 	member *member
 	// cost is that of one layer. A path of empty servers costs about one.
 	cost float64
+	// firstCost is what it costs to begin there.
+	firstCost float64
+}
+
+// total returns the cost of all layers of the candidate.
+func (c candidate) total() float64 {
+	cost := c.cost * float64(c.member.Layers.Len())
+	if c.member.Layers.From == 0 {
+		cost += c.firstCost
+	}
+
+	return cost
 }
 
 // place is what makes two servers stand in for each other.
@@ -338,7 +358,7 @@
 		case !known:
 			index[at] = len(list)
 			list = append(list, c)
-		case m.ID == q.First || (c.cost < list[i].cost && list[i].member.ID != q.First):
+		case m.ID == q.First || (c.total() < list[i].total() && list[i].member.ID != q.First):
 			list[i] = c
 		}
 	}
@@ -358,9 +378,8 @@
 	if room && used+q.Tokens*float64(m.Layers.Len()) > maxFill*capacity {
 		return candidate{}, false
 	}
-	if others := m.expected(f.others, now).TokenLayers; others > used {
-		used = others
-	}
+	expected := m.expected(f.others, now)
+	used = max(used, expected.TokenLayers)
 	cost := m.layerCost(used, capacity) * (1 + cmp.Or(q.noise, spread)*(2*f.random()-1))
 	if now.Before(m.slowUntil) {
 		cost *= m.slowness
@@ -369,7 +388,18 @@
 		cost *= brokenFactor
 	}
 
-	return candidate{member: m, cost: cost}, true
+	return candidate{member: m, cost: cost, firstCost: m.firstCost(expected)}, true
+}
+
+// firstCost returns what it costs to begin a path at the server, which rises
+// with how many of its slots are taken.
+func (m *member) firstCost(l Load) float64 {
+	if m.Slots <= 0 {
+		return 0
+	}
+	taken := min(mostFill, l.First/float64(m.Slots))
+
+	return slotCost * taken * taken
 }
 
 // layerCost returns the cost of one layer, which rises with how full the
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -100,10 +100,21 @@
 		f.SetPeer("box 2", nil)
 		wantPath(t, f, Query{Tokens: 800}, "a1[0,4)>a2[4,8)")
 	})
+	t.Run("a server whose slots are taken is no first one", func(t *testing.T) {
+		f := newTestFleet(append(two[:2:2], testServer{"a3", "a", 0, 4})...)
+		for _, id := range []slatebridge.ServerID{"a1", "a3"} {
+			s, _ := f.Server(id)
+			s.Slots = 10
+			f.Set(s)
+		}
+		// a1 has less memory in use, but more requests that began there.
+		f.SetPeer("box 2", map[slatebridge.ServerID]Load{"a1": {TokenLayers: 100, First: 9}, "a3": {TokenLayers: 600, First: 1}})
+		wantPath(t, f, Query{Tokens: 10}, "a3[0,4)>a2[4,8)")
+	})
 	t.Run("what others give at the same time is expected, and fades", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(two...)
-			f.SetPeer("box 2", map[slatebridge.ServerID]Load{"b1": {1, 1000}, "b2": {1, 1000}})
+			f.SetPeer("box 2", map[slatebridge.ServerID]Load{"b1": {TokenLayers: 1000}, "b2": {TokenLayers: 1000}})
 			wantPath(t, f, Query{Tokens: 30}, "a1[0,4)>a2[4,8)")
 			f.SetOthers(20)
 			wantPath(t, f, Query{Tokens: 30}, "b1[0,4)>b2[4,8)")
@@ -270,7 +281,7 @@
 	t.Run("the new path holds its memory", func(t *testing.T) {
 		f := newTestFleet(servers...)
 		_, hold, _ := f.Repair(Query{Service: "llm", Tokens: 10, Avoid: []slatebridge.ServerID{"a2"}}, path(t, f))
-		want := map[slatebridge.ServerID]Load{"a1": {1, 30}, "a4": {1, 20}, "a3": {1, 30}}
+		want := map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: 30, First: 1}, "a4": {Requests: 1, TokenLayers: 20}, "a3": {Requests: 1, TokenLayers: 30}}
 		if diff := cmp.Diff(want, f.Loads()); diff != "" {
 			t.Error(diff)
 		}
--- a/fleet/repair.go
+++ b/fleet/repair.go
@@ -132,8 +132,12 @@
 // parts returns the work of a request of the size at each server of the path.
 func (p Path) parts(tokens float64) map[slatebridge.ServerID]Load {
 	parts := make(map[slatebridge.ServerID]Load, len(p))
-	for _, s := range p {
-		parts[s.Server.ID] = Load{Requests: 1, TokenLayers: tokens * float64(s.Layers.Len())}
+	for i, s := range p {
+		l := Load{Requests: 1, TokenLayers: tokens * float64(s.Layers.Len())}
+		if i == 0 {
+			l.First = 1
+		}
+		parts[s.Server.ID] = l
 	}
 
 	return parts
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -121,10 +121,13 @@
 // slow get fewer new streams; those that pass them stay, since all their tokens
 // would have to be read again elsewhere.
 func (h *Handler) askAll(ctx context.Context, path fleet.Path) (silent []slatebridge.ServerID, stalled map[string]string) {
+	began := time.Now()
 	answers := h.collect(ctx, path)
 	for i, a := range answers {
 		id := path[i].Server.ID
 		switch {
+		case (a == nil || a.err != nil) && h.fleet.AliveSince(id, began):
+			// Its answer is late or lost.
 		case a == nil || a.err != nil:
 			silent = append(silent, id)
 		case a.report.Slowness >= slowFrom:
@@ -169,7 +172,7 @@
 			answers[a.i], slowest = a.q, time.Since(began)
 			n++
 		case <-quick.C:
-			if n > len(path)/2 && slowest < quickAnswer {
+			if n > len(path)/2 && slowest < quickAnswer && !h.stalledSince(began, quickTime) {
 				return answers
 			}
 		}
@@ -228,14 +231,40 @@
 	q = &question{at: time.Now(), done: make(chan struct{})}
 	h.runs.questions[s.ID] = q
 	h.runs.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, reportTime)
-	defer cancel()
-	q.report, q.err = h.servers.Report(ctx, s)
+	for range mostAsked {
+		began := time.Now()
+		q.report, q.err = h.report(ctx, s)
+		if q.err == nil || !h.stalledSince(began, reportTime) {
+			break
+		}
+	}
 	close(q.done)
 
 	return q
 }
 
+func (h *Handler) report(ctx context.Context, s catalog.Server) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+
+	return h.servers.Report(ctx, s)
+}
+
+const (
+	// stallLag is by how much the box may be late with its own work. A box that
+	// is later can not tell whether a server was.
+	stallLag = 25 * time.Millisecond
+	// mostAsked is how often a server is asked, when the box itself was late.
+	mostAsked = 3
+)
+
+// stalledSince reports whether the box itself stood still since the time, of
+// which no more should have gone by than the given one. It may have had no
+// processor, or much to do, such as to read a large configuration.
+func (h *Handler) stalledSince(began time.Time, due time.Duration) bool {
+	return time.Since(began) > due+stallLag || h.stalledAt.Load() > began.UnixNano()
+}
+
 // doubt has a server asked whether it is alive, which another one has named as
 // the reason of a refusal. When many are waiting to be asked, one more is left
 // out: the next refusal names it again.
--- /dev/null
+++ b/forward/ask_test.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// askOnce asks a server that is silent at first and then answers, and returns
+// the answer. meanwhile is called while it is silent.
+func askOnce(t *testing.T, meanwhile func(h *Handler)) (err error) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		h := &Handler{runs: newRuns(), fleet: fleet.New("a")}
+		h.servers.Report = func(ctx context.Context, _ catalog.Server) (Report, error) {
+			if asked++; asked > 1 {
+				return Report{Slowness: 1}, nil
+			}
+			<-ctx.Done()
+			meanwhile(h)
+
+			return Report{}, ctx.Err()
+		}
+		err = h.ask(t.Context(), catalog.Server{ID: "a1"}, reportAge).err
+	})
+
+	return err
+}
+
+func TestAsk(t *testing.T) {
+	t.Run("a silent server has not answered", func(t *testing.T) {
+		if askOnce(t, func(*Handler) {}) == nil {
+			t.Error("the question has an answer")
+		}
+	})
+	t.Run("a box that came to its work late asks again", func(t *testing.T) {
+		if err := askOnce(t, func(*Handler) { time.Sleep(2 * stallLag) }); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("a box that stood still meanwhile asks again", func(t *testing.T) {
+		if err := askOnce(t, func(h *Handler) { h.stalledAt.Store(time.Now().UnixNano()) }); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("a failure is shared for a short time, an answer longer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			done := make(chan struct{})
+			close(done)
+			good, bad := &question{at: time.Now(), done: done}, &question{at: time.Now(), done: done, err: context.DeadlineExceeded}
+			time.Sleep(reportAge)
+			if !good.usable(aliveReportAge) || bad.usable(aliveReportAge) {
+				t.Errorf("an answer is usable: %t, a failure: %t", good.usable(aliveReportAge), bad.usable(aliveReportAge))
+			}
+		})
+	})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -112,6 +112,8 @@
 	// crowd is the longest jitter.
 	crowd   atomic.Int64
 	onDoubt func()
+	// stalledAt is when the box was last found to have stood still.
+	stalledAt atomic.Int64
 	// doubted are servers that are to be asked whether they are alive.
 	doubted chan slatebridge.ServerID
 }
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -50,6 +50,9 @@
 	gapWeight = 0.2
 	// gapFactor is how many usual gaps of a slow stream its silence may last.
 	gapFactor = 2.5
+	// suspectFactor is the same for a stream that passes a server which is taken
+	// as dead.
+	suspectFactor = 1.6
 )
 
 // progress notes an event, and returns the path that it came on.
@@ -76,7 +79,7 @@
 	}
 	limit += r.jitter
 	if slices.ContainsFunc(suspects, r.path.Uses) {
-		limit = suspectSilence
+		limit = min(max(suspectSilence, time.Duration(suspectFactor*float64(r.gap))), limit)
 	}
 	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
 		return false
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -89,13 +89,19 @@
 func (h *Handler) Watch(ctx context.Context) {
 	tick := time.NewTicker(watchEvery)
 	defer tick.Stop()
+	last := time.Now()
 	for looks := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case id := <-h.doubted:
 			go h.verify(ctx, id)
-		case now := <-tick.C:
+		case <-tick.C:
+			now := time.Now()
+			if now.Sub(last) > watchEvery+stallLag {
+				h.stalledAt.Store(now.UnixNano())
+			}
+			last = now
 			suspects := h.fleet.Suspects()
 			for _, r := range h.runs.all() {
 				if r.due(now, suspects) {
@@ -109,8 +115,8 @@
 	}
 }
 
-// leaveOne moves one stream away from servers that are leaving, slow, or have
-// given the stream's layers up, if there is one that passes them after its first
+// leaveOne moves one stream away from servers that are leaving or have given
+// the stream's layers up, if there is one that passes them after its first
 // server.
 func (h *Handler) leaveOne(ctx context.Context, now time.Time) {
 	leaving := h.fleet.LeavingSince(now.Add(-leaveTime))
@@ -126,37 +132,17 @@
 				from = append(from, id)
 			}
 		}
-		slow := h.fleet.SlowOn(path)
 		// A stream cannot leave its first server.
-		isFirst := func(id slatebridge.ServerID) bool { return id == first }
-		from, slow = slices.DeleteFunc(from, isFirst), slices.DeleteFunc(slow, isFirst)
-		switch {
-		case len(from)+len(slow) == 0 || !r.mayLeave(now):
+		from = slices.DeleteFunc(from, func(id slatebridge.ServerID) bool { return id == first })
+		if len(from) == 0 || !r.mayLeave(now) {
 			continue
-		case len(from) > 0:
-			go h.goOnWithout(ctx, r, path, from)
-		default:
-			go h.leave(ctx, r, path, slow)
 		}
+		go h.goOnWithout(ctx, r, path, from)
 
 		return
 	}
 }
 
-// leave lets a stream go on without servers that still serve it.
-func (h *Handler) leave(ctx context.Context, r *run, path fleet.Path, from []slatebridge.ServerID) {
-	next, hold, _ := h.fleet.Repair(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: from}, path)
-	if next == nil {
-		return
-	}
-	if next.Crossings() > path.Crossings() {
-		hold.Release()
-
-		return
-	}
-	h.move(ctx, r, path, next, hold)
-}
-
 // check finds out why a stream makes no progress, and acts on it.
 func (h *Handler) check(ctx context.Context, r *run) {
 	path, started, silent := r.state()
