--- a/box/ready.go
+++ b/box/ready.go
@@ -1,11 +1,11 @@
 package box
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/event"
 )
 
@@ -14,31 +14,14 @@
 // more than no answer.
 const completeTime = 9 * time.Second
 
-// Status is what operators see of a box.
-type Status struct {
-	Box       slatebridge.BoxID  `json:"box"`
-	Hall      slatebridge.HallID `json:"hall"`
-	Ready     bool               `json:"ready"`
-	Config    int64              `json:"config"`
-	ConfigAge time.Duration      `json:"config_age"`
-	Servers   int                `json:"servers"`
-	Complete  bool               `json:"complete"`
-	// Orders is the box that gives orders, and Token its fencing token.
-	Orders slatebridge.BoxID `json:"orders"`
-	Token  int64             `json:"token"`
-	Boxes  int               `json:"boxes"`
-	// Suspects are the servers taken as dead.
-	Suspects []slatebridge.ServerID `json:"suspects"`
-	InFlight int64                  `json:"in_flight"`
-}
-
 // judgeReady decides whether the box takes callers, and notes the status.
 func (c *control) judgeReady(now time.Time) {
 	b := c.box
 	s := Status{
 		Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.entries), Complete: c.complete(),
 		Orders: c.term.Box, Token: c.term.Token, Boxes: c.liveBoxes(),
-		Suspects: b.fleet.Suspects(), InFlight: b.handler.InFlight(),
+		Suspects: b.fleet.Suspects(), Slow: b.handler.Slow(), InFlight: b.handler.InFlight(),
+		Reads: b.reader.Load(), StoreLost: c.lostTopics(),
 	}
 	if c.catalog != nil {
 		s.Config, s.ConfigAge = c.catalog.Version, now.Sub(c.current)
@@ -77,3 +60,16 @@
 
 	return n
 }
+
+// lostTopics returns the topics of the store whose last call failed.
+func (c *control) lostTopics() []string {
+	var lost []string
+	for topic, down := range c.storeDown {
+		if down {
+			lost = append(lost, topic)
+		}
+	}
+	slices.Sort(lost)
+
+	return lost
+}
--- /dev/null
+++ b/box/status.go
@@ -0,0 +1,116 @@
+package box
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+const (
+	// statusPath is where a box tells its status.
+	statusPath = "/status"
+	// maxStatus is the largest status that is read, in bytes.
+	maxStatus = 1 << 20
+)
+
+// Status is what operators see of a box. It needs neither the store nor other
+// boxes.
+type Status struct {
+	Box   slatebridge.BoxID  `json:"box"`
+	Hall  slatebridge.HallID `json:"hall"`
+	Ready bool               `json:"ready"`
+	// Config is the version of the configuration, and ConfigAge how long ago it
+	// was proved to be the newest.
+	Config    int64         `json:"config"`
+	ConfigAge time.Duration `json:"config_age"`
+	// Servers counts the backend servers that are listed, and Complete says that
+	// every model has all its layers on some that may be used.
+	Servers  int  `json:"servers"`
+	Complete bool `json:"complete"`
+	// Reads says that this box reads the store for its hall, and StoreLost names
+	// the topics whose last call failed.
+	Reads     bool     `json:"reads"`
+	StoreLost []string `json:"store_lost"`
+	// Orders is the box that gives orders, and Token its fencing token.
+	Orders slatebridge.BoxID `json:"orders"`
+	Token  int64             `json:"token"`
+	// Boxes counts the boxes that are heard, with this one.
+	Boxes int `json:"boxes"`
+	// Suspects are the servers taken as dead, and Slow those that this box found
+	// slow, with how many times as long as usual they take.
+	Suspects []slatebridge.ServerID           `json:"suspects"`
+	Slow     map[slatebridge.ServerID]float64 `json:"slow"`
+	InFlight int64                            `json:"in_flight"`
+}
+
+// String returns the status in lines of "name value".
+func (s Status) String() string {
+	slow := make([]string, 0, len(s.Slow))
+	for id, x := range s.Slow {
+		slow = append(slow, fmt.Sprintf("%s x%.1f", id, x))
+	}
+	slices.Sort(slow)
+	var b strings.Builder
+	for _, v := range []struct {
+		name  string
+		value any
+	}{
+		{"box", s.Box},
+		{"hall", s.Hall},
+		{"ready", s.Ready},
+		{"configuration", fmt.Sprintf("version %d, proved current %s ago", s.Config, s.ConfigAge.Round(time.Millisecond))},
+		{"servers", fmt.Sprintf("%d, all layers there: %t", s.Servers, s.Complete)},
+		{"store", fmt.Sprintf("read for the hall: %t, lost: %v", s.Reads, s.StoreLost)},
+		{"orders", fmt.Sprintf("given by %s with token %d", s.Orders, s.Token)},
+		{"boxes", s.Boxes},
+		{"suspects", s.Suspects},
+		{"slow", slow},
+		{"in flight", s.InFlight},
+	} {
+		fmt.Fprintf(&b, "%-14s %v\n", v.name, v.value)
+	}
+
+	return b.String()
+}
+
+// HandleStatus serves the status on the mux.
+func HandleStatus(mux *http.ServeMux, status func() Status) {
+	mux.HandleFunc("GET "+statusPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the operator has gone.
+		_ = json.NewEncoder(w).Encode(status())
+	})
+}
+
+// FetchStatus gets the status of the box whose operators' listener is at the
+// address.
+func FetchStatus(ctx context.Context, client *http.Client, address string) (Status, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statusPath, http.NoBody)
+	if err != nil {
+		return Status{}, errors.Wrapf(err, "status of %s", address)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Status{}, errors.Wrapf(err, "status of %s", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStatus))
+	if err != nil {
+		return Status{}, errors.Wrapf(err, "status of %s", address)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Status{}, errors.Newf("status of %s: answered %s; is this the operators' listener of a box?", address, resp.Status)
+	}
+	var s Status
+
+	return s, errors.Wrapf(json.Unmarshal(data, &s), "status of %s", address)
+}
--- /dev/null
+++ b/box/status_test.go
@@ -0,0 +1,66 @@
+package box
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+func TestFetchStatus(t *testing.T) {
+	want := Status{
+		Box: "box-1", Hall: "hall-a", Ready: true, Config: 7, ConfigAge: 1500 * time.Millisecond, Servers: 9, Complete: true,
+		Reads: true, StoreLost: []string{"servers"}, Orders: "box-2", Token: 3, Boxes: 4,
+		Suspects: []slatebridge.ServerID{"s-1"}, Slow: map[slatebridge.ServerID]float64{"s-2": 12}, InFlight: 5,
+	}
+	mux := http.NewServeMux()
+	HandleStatus(mux, func() Status { return want })
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	t.Run("it comes as it was told", func(t *testing.T) {
+		got, err := FetchStatus(t.Context(), srv.Client(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("another server is named", func(t *testing.T) {
+		other := httptest.NewServer(http.NotFoundHandler())
+		defer other.Close()
+		_, err := FetchStatus(t.Context(), srv.Client(), strings.TrimPrefix(other.URL, "http://"))
+		if err == nil || !strings.Contains(err.Error(), "404") {
+			t.Errorf("error %v", err)
+		}
+	})
+	t.Run("an address that is none is named", func(t *testing.T) {
+		if _, err := FetchStatus(t.Context(), srv.Client(), "no where"); err == nil || !strings.Contains(err.Error(), "no where") {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+func ExampleStatus_String() {
+	s := Status{Box: "box-1", Hall: "hall-a", Config: 7, ConfigAge: time.Second, Servers: 9, Complete: true, Orders: "box-2", Token: 3, Boxes: 4}
+	fmt.Print(s)
+	// Output:
+	// box            box-1
+	// hall           hall-a
+	// ready          false
+	// configuration  version 7, proved current 1s ago
+	// servers        9, all layers there: true
+	// store          read for the hall: false, lost: []
+	// orders         given by box-2 with token 3
+	// boxes          4
+	// suspects       []
+	// slow           []
+	// in flight      0
+}
--- a/cmd/slatebridge/commands.go
+++ b/cmd/slatebridge/commands.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/slatebridge/slatebridge/box"
 	"github.com/slatebridge/slatebridge/config"
 	"github.com/slatebridge/slatebridge/daemon"
 	"github.com/slatebridge/slatebridge/logstore"
@@ -26,6 +27,7 @@
 		{"delete", "delete an object", &deleteCommand{base: base{opts: opts}}},
 		{"stop", "announce the stop of a box or a backend server", &stopCommand{base: base{opts: opts}}},
 		{"status", "show what is in force", &statusCommand{base: base{opts: opts}}},
+		{"box", "show what one box knows, without the store", &boxCommand{}},
 		{"key", "print a new Idempotency-Key", &keyCommand{}},
 	}
 	for _, c := range commands {
@@ -189,6 +191,26 @@
 	return nil
 }
 
+type boxCommand struct {
+	Wait time.Duration `long:"wait" description:"how long to wait for the box" default:"5s"`
+	Args struct {
+		Address string `positional-arg-name:"HOST:PORT" required:"yes" description:"the operators' listener of the box"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints the status of the box.
+func (c *boxCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	s, err := box.FetchStatus(ctx, daemon.NewHTTPClient(), c.Args.Address)
+	if err != nil {
+		return err
+	}
+	fmt.Print(s)
+
+	return nil
+}
+
 type keyCommand struct{}
 
 // Execute prints a version 7 UUID, as calls that may not be repeated need.
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"os"
@@ -53,10 +52,7 @@
 		return err
 	}
 	operators := OperatorMux(reg, b.Ready)
-	operators.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		// A failed write means that the operator has gone.
-		_ = json.NewEncoder(w).Encode(b.Status())
-	})
+	box.HandleStatus(operators, b.Status)
 	control, err := Listen(ctx, logger,
 		Listener{Name: "boxes", Addr: s.Listen.Mesh, Handler: b.HelpHandler()},
 		Listener{Name: "operators", Addr: s.Listen.Operators, Handler: operators},
