--- a/box/control.go
+++ b/box/control.go
@@ -126,7 +126,7 @@
 		// A hall that is cut off makes many servers dead at once.
 		if now := time.Now(); now.Sub(c.pushedDoubt) > pushPause {
 			c.pushedDoubt = now
-			c.pushNews()
+			c.pushDoubt()
 		}
 	case *stopping:
 		c.leaving = true
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -122,6 +122,23 @@
 	c.gossip(true)
 }
 
+// pushDoubt tells the boxes of the hall at once which servers are dead or slow.
+func (c *control) pushDoubt() {
+	var to []string
+	for _, o := range c.peers {
+		if o.live() && o.near(c.settings.Hall) {
+			to = append(to, o.address)
+		}
+	}
+	m := mesh.Message{
+		Box: c.settings.Box, Hall: c.settings.Hall, Brief: true,
+		Dead: c.box.handler.Dead(), Slow: c.box.handler.Slow(),
+	}
+	if err := c.box.socket.Send(m, to); err != nil {
+		c.box.metrics.meshError(err)
+	}
+}
+
 func (c *control) message() mesh.Message {
 	now := time.Now()
 	m := mesh.Message{
--- a/box/peers.go
+++ b/box/peers.go
@@ -75,6 +75,11 @@
 	if msg.Box == c.settings.Box {
 		return
 	}
+	if msg.Brief {
+		c.believe(msg, m.at)
+
+		return
+	}
 	o, ok := c.peers[msg.Box]
 	if !ok {
 		o = &otherBox{id: msg.Box, lost: true}
--- /dev/null
+++ b/box/peers_test.go
@@ -0,0 +1,74 @@
+package box
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/mesh"
+)
+
+// newTestControl returns the control of a box in hall a, with a server in each
+// of two halls.
+func newTestControl(t *testing.T) *control {
+	t.Helper()
+	b := New(Settings{Box: "box-1", Hall: "a", Bounds: Bounds{News: 2 * time.Second}}, Platform{}, http.DefaultClient, zap.NewNop(), prometheus.NewRegistry())
+	for _, s := range []catalog.Server{{ID: "a1", Service: "llm", Hall: "a"}, {ID: "b1", Service: "llm", Hall: "b"}} {
+		b.fleet.Set(s)
+	}
+
+	return newControl(t.Context(), b)
+}
+
+func TestBelieve(t *testing.T) {
+	// told returns which servers are suspected after the word of a box.
+	told := func(t *testing.T, hall slatebridge.HallID, dead slatebridge.ServerID, before func(c *control)) []slatebridge.ServerID {
+		t.Helper()
+		var got []slatebridge.ServerID
+		synctest.Test(t, func(t *testing.T) {
+			c := newTestControl(t)
+			if before != nil {
+				before(c)
+			}
+			c.onHeard(&heard{message: mesh.Message{Box: "box-2", Hall: hall, Brief: true, Dead: []slatebridge.ServerID{dead}}, at: time.Now()})
+			got = c.box.fleet.Suspects()
+		})
+
+		return got
+	}
+	progress := func(ago time.Duration) func(c *control) {
+		return func(c *control) {
+			s, _ := c.box.fleet.Server("a1")
+			c.box.fleet.NoteProgress(fleet.Path{{Server: s}})
+			time.Sleep(ago)
+		}
+	}
+	want := func(t *testing.T, got []slatebridge.ServerID, want ...slatebridge.ServerID) {
+		t.Helper()
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	t.Run("a box of the same hall is believed", func(t *testing.T) {
+		want(t, told(t, "a", "a1", nil), "a1")
+		want(t, told(t, "a", "b1", nil), "b1")
+	})
+	t.Run("a box of another hall is believed on its own hall", func(t *testing.T) {
+		want(t, told(t, "b", "b1", nil), "b1")
+		want(t, told(t, "b", "a1", nil))
+	})
+	t.Run("a server that just passed a stream on is alive", func(t *testing.T) {
+		want(t, told(t, "a", "a1", progress(seenTime/2)))
+	})
+	t.Run("one that did so a while ago may be dead", func(t *testing.T) {
+		want(t, told(t, "a", "a1", progress(2*seenTime)), "a1")
+	})
+}
--- a/fleet/repair.go
+++ b/fleet/repair.go
@@ -73,8 +73,8 @@
 	return n
 }
 
-// repair looks for servers that are not on the path yet, and for other layers
-// of those that are, and returns the cheaper way.
+// repair looks for servers that are not on the path yet; if there are none, or
+// only in other halls, also for other layers of those that are.
 func (f *Fleet) repair(q Query, p Path, room bool) Path {
 	if len(p) == 0 || slices.Contains(q.Avoid, p[0].Server.ID) {
 		return nil
@@ -89,6 +89,9 @@
 	var best Path
 	least := 0.0
 	for _, list := range [][]candidate{others, list} {
+		if best != nil && best.Crossings() <= p.Crossings() {
+			break
+		}
 		s := newSearch(q, list, model.Layers)
 		s.present, s.kept = p, kept
 		s.run(f.hall)
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -144,7 +144,7 @@
 const (
 	// quickTime is after how long a server counts as silent if the others have
 	// answered quickly. An answer takes about a millisecond.
-	quickTime = 45 * time.Millisecond
+	quickTime = 35 * time.Millisecond
 	// quickAnswer is what a quick answer takes at most. Where answers take
 	// longer the box itself may be slow, and waits for the whole reportTime.
 	quickAnswer = 20 * time.Millisecond
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -18,7 +18,7 @@
 	// silence is how long a running stream may be silent before its servers
 	// are asked. Events come every 15 to 30 ms, and a pause of 200 ms makes
 	// an answer late.
-	silence = 80 * time.Millisecond
+	silence = 70 * time.Millisecond
 	// mostSilence is the same for a stream whose events come slowly.
 	mostSilence = 180 * time.Millisecond
 	// firstSilence is the same for the first event, which takes 45 ms in the
@@ -30,9 +30,9 @@
 	// crowdPause spreads the questions of boxes whose streams stand still at the
 	// same moment: each box waits a random part of this time for each other box
 	// of its hall, and the first one that finds a server dead tells the others.
-	crowdPause = 2 * time.Millisecond
+	crowdPause = time.Millisecond
 	// mostCrowdPause bounds the sum.
-	mostCrowdPause = 30 * time.Millisecond
+	mostCrowdPause = 15 * time.Millisecond
 	// suspectSilence is the same for a stream that passes a server which is
 	// taken as dead already.
 	suspectSilence = 45 * time.Millisecond
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -24,14 +24,14 @@
 	Box  slatebridge.BoxID  `json:"b"`
 	Hall slatebridge.HallID `json:"h"`
 	// Boot names the process.
-	Boot string `json:"o"`
+	Boot string `json:"o,omitempty"`
 	// Address is where the box hears messages, as host and port.
-	Address string `json:"a"`
+	Address string `json:"a,omitempty"`
 	// Sent is the sender's steady clock in microseconds since its start.
-	Sent int64 `json:"s"`
+	Sent int64 `json:"s,omitempty"`
 	// Echo is, by the boot of a receiver, the newest Sent heard from it. It
 	// proves to that receiver how old this message can be at most.
-	Echo map[string]int64 `json:"e"`
+	Echo map[string]int64 `json:"e,omitempty"`
 	// Config is the version of the configuration; zero if none is known.
 	Config int64 `json:"c"`
 	// ConfigAge is how long ago that version was proved to be the newest, in
@@ -61,6 +61,9 @@
 	// HolderAge is how long ago the box that won the term was last heard, by
 	// the sender or by a box it heard, in microseconds; -1 if never.
 	HolderAge int64 `json:"ta"`
+	// Brief says that the message has nothing but Dead and Slow. It is sent at
+	// once when a server is found dead, often by many boxes.
+	Brief bool `json:"k,omitempty"`
 	// Leaving says that the box is stopping.
 	Leaving bool `json:"x,omitempty"`
 	// Ready says that the box could give orders.
