Shorter messages between boxes: names of processes have 12 digits, loads whole numbers

Measured (mesh.BenchmarkMessage, with the usage of the retry budget in it): 964 to 753 bytes without load, 2300 to 2089 with streams at 38 servers, 4435 to 4224 at 99; 14, 52 and 130 us on a busy machine.

--- a/box/box.go
+++ b/box/box.go
@@ -88,7 +88,7 @@
 func New(s Settings, p Platform, client *http.Client, logger *zap.Logger, reg prometheus.Registerer) *Box {
 	b := &Box{
 		settings: s, platform: p, logger: logger, client: client,
-		boot: uuid.NewString(), started: time.Now(),
+		boot: newBoot(), started: time.Now(),
 		fleet: fleet.New(s.Hall), metrics: newMetrics(reg),
 	}
 	b.config, b.servers = b.followConfig(), b.followServers()
@@ -107,6 +107,16 @@
 	return b
 }
 
+// newBoot returns a name for this process: the last 12 digits of a random UUID.
+// Messages carry a dozen of these names, and 48 random bits tell the starts of
+// some hundred boxes apart.
+func newBoot() string {
+	const digits = 12
+	id := uuid.NewString()
+
+	return id[len(id)-digits:]
+}
+
 func forwardBounds(b Bounds) forward.Bounds {
 	return forward.Bounds{
 		Proof: time.Duration(proofMargin * float64(b.Revocation)),
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -11,7 +11,7 @@
 	out := make(map[slatebridge.ServerID]Load)
 	for id, m := range f.members {
 		if m.own.Requests > 0 {
-			out[id] = m.own
+			out[id] = m.own.rounded()
 		}
 	}
 
@@ -30,7 +30,7 @@
 			sum = sum.plus(m.peers[p])
 		}
 		if sum.Requests > 0 {
-			out[id] = sum
+			out[id] = sum.rounded()
 		}
 	}
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -65,6 +65,11 @@
 	return Load{Requests: l.Requests * x, TokenLayers: l.TokenLayers * x, First: l.First * x}
 }
 
+// rounded returns the load with whole numbers, which are shorter in messages.
+func (l Load) rounded() Load {
+	return Load{Requests: math.Round(l.Requests), TokenLayers: math.Round(l.TokenLayers), First: math.Round(l.First)}
+}
+
 func (m *member) load() Load {
 	sum := m.own
 	for _, l := range m.peers {
