Silences follow what the route promises; hedges leave a part of the retry budget

Streams were taken as silent after fixed times that fit allowed pauses of 200 and 250 ms. They now are parts of the pause and the objective of the route, so that deployments with others are served alike. A second server that is asked only for speed takes a spare retry.

--- a/forward/ask_test.go
+++ b/forward/ask_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
 )
@@ -60,3 +62,22 @@
 		})
 	})
 }
+
+func TestLimitsFor(t *testing.T) {
+	const ms = time.Millisecond
+	for name, v := range map[string]struct {
+		route catalog.Route
+		want  limits
+	}{
+		"a route that says nothing": {catalog.Route{}, limits{running: 70 * ms, first: 180 * ms, slow: 250 * ms}},
+		"a pause of 200 ms":         {catalog.Route{MaxPause: 200 * ms, Objective: 500 * ms}, limits{running: 60 * ms, first: 180 * ms, slow: 250 * ms}},
+		"a very short pause":        {catalog.Route{MaxPause: 80 * ms, Objective: 200 * ms}, limits{running: 50 * ms, first: 72 * ms, slow: 100 * ms}},
+		"a long pause":              {catalog.Route{MaxPause: time.Second, Objective: 2 * time.Second}, limits{running: 300 * ms, first: 720 * ms, slow: time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(v.want, limitsFor(&v.route), cmp.AllowUnexported(limits{})); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -93,7 +93,7 @@
 			return best
 		case <-hedge.C:
 			if t.c.route.MayRepeat() {
-				t.again()
+				t.again(t.h.budget.TakeSpare)
 			}
 		case o := <-t.results:
 			t.closed(o)
@@ -104,7 +104,7 @@
 				best = o
 			}
 			if t.mayAskAgain(o) {
-				t.again()
+				t.again(t.h.budget.Take)
 			}
 		}
 	}
@@ -141,11 +141,11 @@
 }
 
 // again asks one more server if the budget allows it.
-func (t *plainTry) again() {
+func (t *plainTry) again(take func(service string, boxes int, now time.Time) bool) {
 	if t.c.servers-t.refused >= t.c.route.MaxServers || t.refused >= maxRefusals {
 		return
 	}
-	if !t.h.budget.Take(t.c.service, t.c.state.Boxes, time.Now()) {
+	if !take(t.c.service, t.c.state.Boxes, time.Now()) {
 		t.h.metrics.budgetEmpty(t.c.service)
 
 		return
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -19,8 +19,9 @@
 	cancel  context.CancelCauseFunc
 	// ran are the first servers that have had the request, with this attempt's,
 	// and most is at how many it may run.
-	ran  []slatebridge.ServerID
-	most int
+	ran    []slatebridge.ServerID
+	most   int
+	limits limits
 	// last says that there may be no other attempt after this one.
 	last bool
 
@@ -73,9 +74,9 @@
 func (r *run) due(now time.Time, suspects []slatebridge.ServerID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	limit := firstSilence
+	limit := r.limits.first
 	if r.started {
-		limit = min(max(silence, time.Duration(gapFactor*float64(r.gap))), mostSilence)
+		limit = max(r.limits.running, min(time.Duration(gapFactor*float64(r.gap)), mostSilence))
 	}
 	limit += r.jitter
 	if slices.ContainsFunc(suspects, r.path.Uses) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -185,7 +185,8 @@
 	run := t.h.runs.add(&run{
 		id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel,
 		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers, jitter: t.h.jitter(),
-		last: t.attempts >= maxAttempts || !t.c.route.MayRepeat(),
+		limits: limitsFor(t.c.route),
+		last:   t.attempts >= maxAttempts || !t.c.route.MayRepeat(),
 	})
 	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
 	first := path[0].Server
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
 )
@@ -15,18 +17,25 @@
 const (
 	// watchEvery is the pause between two looks at the streams in flight.
 	watchEvery = 20 * time.Millisecond
-	// silence is how long a running stream may be silent before its servers
-	// are asked. Events come every 15 to 30 ms, and a pause of 200 ms makes
-	// an answer late.
-	silence = 70 * time.Millisecond
-	// mostSilence is the same for a stream whose events come slowly.
+	// silenceShare is the part of the pause that its route allows for which a
+	// running stream may be silent before its servers are asked: to find a dead
+	// one, and for another to read all tokens, takes the rest. Events come every
+	// 15 to 35 ms, and 200 or 250 ms are allowed. usualSilence is for routes that
+	// do not say, and leastSilence keeps usual gaps from being taken as silence.
+	silenceShare = 0.3
+	usualSilence = 70 * time.Millisecond
+	leastSilence = 50 * time.Millisecond
+	// mostSilence is the longest silence of a stream whose events come slowly.
 	mostSilence = 180 * time.Millisecond
-	// firstSilence is the same for the first event, which takes 45 ms in the
-	// middle and 150 ms for the slowest hundredth.
-	firstSilence = 180 * time.Millisecond
-	// slowSilence is how long a stream on a slow server waits for its first event
-	// until it is taken up elsewhere. The objective is 500 ms.
-	slowSilence = 250 * time.Millisecond
+	// firstShare is the part of its objective after which the servers of a stream
+	// without any event are asked. The first event takes 45 ms in the middle and
+	// 150 ms for the slowest hundredth, and the objective is 500 ms.
+	firstShare = 0.36
+	// slowShare is the part of its objective after which a stream that waits for
+	// its first event on a slow server is taken up elsewhere.
+	slowShare = 0.5
+	// usualObjective is for routes that state none.
+	usualObjective = 500 * time.Millisecond
 	// crowdPause spreads the questions of boxes whose streams stand still at the
 	// same moment: each box waits a random part of this time for each other box
 	// of its hall, and the first one that finds a server dead tells the others.
@@ -74,6 +83,25 @@
 	askAgainEvery = 500 * time.Millisecond
 )
 
+// limits are how long a stream may be silent.
+type limits struct {
+	// running and first are before its servers are asked, with and without an
+	// event; slow is before it leaves a slow server without an event.
+	running, first, slow time.Duration
+}
+
+// limitsFor returns the limits that fit what the route promises.
+func limitsFor(r *catalog.Route) limits {
+	l := limits{running: usualSilence}
+	if r.MaxPause > 0 {
+		l.running = max(leastSilence, time.Duration(silenceShare*float64(r.MaxPause)))
+	}
+	objective := float64(cmp.Or(r.Objective, usualObjective))
+	l.first, l.slow = time.Duration(firstShare*objective), time.Duration(slowShare*objective)
+
+	return l
+}
+
 // SetCrowd tells how many other boxes of the hall may notice the same fault.
 func (h *Handler) SetCrowd(n int) {
 	h.crowd.Store(int64(min(mostCrowdPause, time.Duration(n)*crowdPause)))
@@ -154,7 +182,7 @@
 		h.goOnWithout(ctx, r, path, dead)
 	case len(dead) > 0 || silent >= hopeless:
 		h.takeElsewhere(r, path, dead)
-	case !started && silent >= slowSilence:
+	case !started && silent >= r.limits.slow:
 		// A slow server reads prompts for all that wait; without it there is time
 		// to begin anew within the objective.
 		if slow := h.fleet.SlowOn(path); len(slow) > 0 {
