Requests that come while a box starts wait for what it does not know yet

A box that starts knows configuration and servers after about 0.1 s.

Change: within three seconds of its start a box lets requests wait up to 0.6 s for both. Not measured yet.

--- a/box/control.go
+++ b/box/control.go
@@ -184,7 +184,7 @@
 
 // publish makes the state known to requests.
 func (c *control) publish() {
-	c.box.state.Store(&forward.State{Catalog: c.catalog, Current: c.current, Boxes: c.boxesForBudget()})
+	c.box.state.Store(&forward.State{Catalog: c.catalog, Current: c.current, Boxes: c.boxesForBudget(), Informed: c.catalog != nil && len(c.entries) > 0})
 }
 
 func (c *control) publishHelp() {
@@ -213,6 +213,7 @@
 		c.changeServers(m)
 	}
 	c.next = m.next
+	c.publish()
 	c.publishHelp()
 	if m.fromStore {
 		c.pushNews()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,6 +82,9 @@
 	Catalog *catalog.Catalog
 	// Current is the time of the last proof that the configuration is current.
 	Current time.Time
+	// Informed says that the configuration and the backend servers are known,
+	// which takes a moment after a start.
+	Informed bool
 	// Boxes is how many boxes share the work and the retry budget.
 	Boxes int
 }
@@ -109,6 +112,7 @@
 	budget  *retry.Budget
 	runs    *runs
 	drain   drainState
+	started time.Time
 	// crowd is the longest jitter.
 	crowd   atomic.Int64
 	onDoubt func()
@@ -143,7 +147,7 @@
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
 		budget: retry.New(c.Bounds.Retry), runs: newRuns(), onDoubt: c.OnDoubt,
-		doubted: make(chan slatebridge.ServerID, mostDoubted),
+		started: time.Now(), doubted: make(chan slatebridge.ServerID, mostDoubted),
 	}
 	h.bounds.Store(&c.Bounds)
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -88,11 +88,35 @@
 // back: a box learns the configuration within about a second of its start.
 const comeBack = 500 * time.Millisecond
 
+const (
+	// startWait is how long a request waits for what a box that has just started
+	// does not know yet. Usually it does after 0.1 s, and most objectives are
+	// longer; a caller that is refused has to come back.
+	startWait = 600 * time.Millisecond
+	// startPause is between two looks.
+	startPause = 10 * time.Millisecond
+	// startTime is how long after its start a box may learn that any moment.
+	// Later it refuses at once.
+	startTime = 3 * time.Second
+)
+
+// awaitStart returns the state, once it can serve requests or after startWait.
+func (h *Handler) awaitStart(ctx context.Context) State {
+	s := h.state()
+	began := time.Now()
+	for !s.Informed && ctx.Err() == nil && began.Sub(h.started) < startTime && time.Since(began) < startWait {
+		time.Sleep(startPause)
+		s = h.state()
+	}
+
+	return s
+}
+
 // admit decides whether and how a request is served. It always returns a call,
 // so that a refusal can be logged.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request) (*call, *result.Error) {
 	c := &call{
-		method: r.Method, target: target(r), host: r.Host, began: time.Now(), state: h.state(),
+		method: r.Method, target: target(r), host: r.Host, began: time.Now(), state: h.awaitStart(r.Context()),
 	}
 	var err error
 	if c.Request, err = h.wire.Request(r); err != nil {
