--- a/box/box.go
+++ b/box/box.go
@@ -65,6 +65,8 @@
 	servers *follow.Follower
 	// reader says that this box reads the store for its hall.
 	reader atomic.Bool
+	// near is how many other boxes of the hall are known.
+	near atomic.Int64
 	// serversAt is the time of the last proof of the servers' entries.
 	serversAt atomic.Pointer[time.Time]
 
@@ -201,10 +203,13 @@
 )
 
 // Pauses after a call to the store that failed. Each call has a price. The
-// reader of a hall is the first to know that the store is back.
+// reader of a hall is the first to know that the store is back. It may be turned
+// away alone; the others of the hall together find that out about as fast.
 const (
 	readerPause = 300 * time.Millisecond
 	otherPause  = 2 * time.Second
+	// otherShare is added to the pause for each other box of the hall.
+	otherShare = 400 * time.Millisecond
 )
 
 // newFollower returns a follower of a topic. at returns the time of the last
@@ -221,7 +226,7 @@
 				return readerPause
 			}
 
-			return otherPause
+			return max(otherPause, time.Duration(b.near.Load())*otherShare)
 		},
 		OnCurrent: func(at time.Time) { current(at); b.tell(&storeAnswered{name}) },
 		OnError:   func(err error) { b.tell(&storeFailed{topic: name, err: err}) },
--- a/box/peers.go
+++ b/box/peers.go
@@ -240,6 +240,7 @@
 	c.expireHalls(now, far)
 	c.box.handler.SetCrowd(crowd)
 	c.box.fleet.SetOthers(crowd)
+	c.box.near.Store(int64(crowd))
 }
 
 // expireHalls forgets the work of halls from which nothing is heard. Each box
