--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -42,3 +42,15 @@
 		})
 	}
 }
+
+// BenchmarkBrief reports the size of the message that a server is dead.
+func BenchmarkBrief(b *testing.B) {
+	m := Message{Box: "front-pl-hall-a-1", Hall: "pl-hall-a", Brief: true, Dead: []slatebridge.ServerID{"i-0d7f9f3f5b"}}
+	for b.Loop() {
+		data, err := json.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "bytes")
+	}
+}
