--- a/fleet/member.go
+++ b/fleet/member.go
@@ -109,6 +109,11 @@
 	return m.model.TokenLayers(m.card, m.Layers.Len())
 }
 
+// holds reports whether the server holds the layer.
+func (m *member) holds(layer int) bool {
+	return m.Layers.From <= layer && layer < m.Layers.To
+}
+
 // usable reports whether the server may get new work.
 func (m *member) usable(now time.Time) bool {
 	return !m.Leaving && now.After(m.suspectUntil)
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -210,8 +210,7 @@
 // covering appends the servers that can run on from the layer.
 func (s *pathSearch) covering(out []candidate, at int) []candidate {
 	for _, c := range s.list {
-		l := c.member.Layers
-		if l.From > at || l.To <= at {
+		if !c.member.holds(at) {
 			continue
 		}
 		if at == 0 && s.query.First != "" && c.member.ID != s.query.First {
--- a/fleet/repair.go
+++ b/fleet/repair.go
@@ -51,7 +51,7 @@
 		}
 		n := 0
 		for _, o := range f.service[m.Service] {
-			if o.Hall == m.Hall && o.usable(now) && !slices.Contains(lost, o.ID) && o.Layers.From <= s.Layers.From && s.Layers.From < o.Layers.To {
+			if o.Hall == m.Hall && o.holds(s.Layers.From) && o.usable(now) && !slices.Contains(lost, o.ID) {
 				n++
 			}
 		}
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -9,6 +9,21 @@
 	"github.com/slatebridge/slatebridge/fleet"
 )
 
+// Timing of questions to servers.
+const (
+	// reportAge is how long a server's report is good for other streams. Each
+	// question has a price.
+	reportAge = 300 * time.Millisecond
+	// aliveAge is how long ago a stream made progress at a server that is taken
+	// to be alive, and aliveReportAge how old the report of such a server may be.
+	// Measured with 13 slow servers: 98,851 questions a day, 0.024 of worth.
+	aliveAge       = 60 * time.Millisecond
+	aliveReportAge = 1500 * time.Millisecond
+	// reportTime bounds how long a server may take to report. It answers in
+	// about a millisecond.
+	reportTime = 100 * time.Millisecond
+)
+
 // Report is what a server says of the streams that started at it.
 type Report struct {
 	// Stalled gives the address of the server that a request waits for, by
--- a/forward/doubt.go
+++ b/forward/doubt.go
@@ -13,6 +13,15 @@
 	"github.com/slatebridge/slatebridge/fleet"
 )
 
+// Timing of doubts.
+const (
+	// suspectTime is for how long a server that does not report is taken as
+	// dead; it is asked again before.
+	suspectTime = 1500 * time.Millisecond
+	// askAgainEvery is the pause between two questions to a suspected server.
+	askAgainEvery = 500 * time.Millisecond
+)
+
 // deadOn returns the servers of the path that are dead.
 func (h *Handler) deadOn(ctx context.Context, r *run, path fleet.Path) []slatebridge.ServerID {
 	var dead []slatebridge.ServerID
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -62,25 +62,9 @@
 	// reads all tokens of a stream that comes to it, and everything else there
 	// waits: measured, moving all at once made 300 ms of pause for all.
 	leaveEvery = 4
-	// reportAge is how long a server's report is good for other streams. Each
-	// question has a price.
-	reportAge = 300 * time.Millisecond
-	// aliveAge is how long ago a stream made progress at a server that is taken
-	// to be alive, and aliveReportAge how old the report of such a server may be.
-	// Measured with 13 slow servers: 98,851 questions a day, 0.024 of worth.
-	aliveAge       = 60 * time.Millisecond
-	aliveReportAge = 1500 * time.Millisecond
 	// hopeless is after how long a silent stream is taken up elsewhere without
 	// a reason found: callers leave after two seconds.
 	hopeless = 1500 * time.Millisecond
-	// reportTime bounds how long a server may take to report. It answers in
-	// about a millisecond.
-	reportTime = 100 * time.Millisecond
-	// suspectTime is for how long a server that does not report is taken as
-	// dead; it is asked again before.
-	suspectTime = 1500 * time.Millisecond
-	// askAgainEvery is the pause between two questions to a suspected server.
-	askAgainEvery = 500 * time.Millisecond
 )
 
 // limits are how long a stream may be silent.
