--- a/box/peers.go
+++ b/box/peers.go
@@ -89,7 +89,7 @@
 		return
 	}
 	if o.lost || o.boot != msg.Boot {
-		event.Log(c.box.logger, event.PeerFound, zap.String("box", string(msg.Box)), zap.String("address", msg.Address), zap.String("boot", msg.Boot))
+		event.Log(c.box.logger, event.PeerFound, zap.String("peer", string(msg.Box)), zap.String("address", msg.Address), zap.String("boot", msg.Boot))
 	}
 	o.boot, o.sent, o.address = msg.Boot, msg.Sent, msg.Address
 	o.heardAt, o.last, o.lost = m.at, msg, false
@@ -220,7 +220,7 @@
 			if o.near(c.settings.Hall) {
 				c.box.fleet.SetPeer(c.loadName(o), nil)
 			}
-			event.Log(c.box.logger, event.PeerLost, zap.String("box", string(id)), zap.Duration("silent_ms", silent))
+			event.Log(c.box.logger, event.PeerLost, zap.String("peer", string(id)), zap.Duration("silent_ms", silent))
 		}
 		if silent > max(forgetLeast, forgetAfter*pause) {
 			delete(c.peers, id)
--- a/event/event.go
+++ b/event/event.go
@@ -65,6 +65,7 @@
 	StreamResumed         ID = 414
 	StreamMoved           ID = 415
 	StreamStalled         ID = 416
+	StreamWaits           ID = 417
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -46,6 +46,11 @@
 	NoMemory
 )
 
+// String returns the reason as logs show it.
+func (s Shortage) String() string {
+	return [...]string{"none", "some layers are on no server", "no memory left"}[s]
+}
+
 // Query is what a path is looked for.
 type Query struct {
 	Service string
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -183,7 +183,7 @@
 	if crowding*h.random() > crowdLimit && h.takeElsewhere(r, path, without) {
 		return
 	}
-	next, hold, _ := h.fleet.Repair(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: without}, path)
+	next, hold, short := h.fleet.Repair(fleet.Query{Service: r.service, Tokens: r.tokens, Avoid: without}, path)
 	// On a path that goes on in another hall all tokens of the stream have to
 	// cross, and the links are slow: measured, 132 streams that did so after a
 	// crash stood still for a second and more. To begin anew in one hall takes a
@@ -201,7 +201,11 @@
 	}
 	if crosses {
 		h.move(ctx, r, path, next, hold)
+
+		return
 	}
+	event.Log(h.logger, event.StreamWaits, zap.String("request", r.id), zap.Any("without", without),
+		zap.Stringer("repair", short), zap.Int("servers", len(r.ran)), zap.Int("most_servers", r.most), zap.Bool("last_attempt", r.last))
 }
 
 // takeElsewhere ends the attempt if there is another path for the next one, and
