A server that does not answer a slow box counts among those a request may run on

A box that runs six times slower got no answers in time from servers that were well, and five requests ran on three servers where two were allowed.

Change: a server is not counted if its machine refuses connections, or if it has not answered three times while this box was well for two seconds and no stream passed it on. Test: TestServersThatCount (the cases of the slow box failed before).

--- a/forward/ask.go
+++ b/forward/ask.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
@@ -159,11 +162,18 @@
 			break
 		}
 	}
+	h.noteAsked(s.ID, q.err)
 	close(q.done)
 
 	return q
 }
 
+// noteAsked notes what an answer, or its error, says of whether the server has
+// ended.
+func (h *Handler) noteAsked(id slatebridge.ServerID, err error) {
+	h.runs.noteEnded(id, errors.Is(err, syscall.ECONNREFUSED))
+}
+
 func (h *Handler) report(ctx context.Context, s catalog.Server) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -148,6 +148,8 @@
 	// dead are the servers that this box has found dead, with how often in a
 	// row they have not answered.
 	dead map[slatebridge.ServerID]int
+	// ended are the servers that refuse connections.
+	ended map[slatebridge.ServerID]bool
 	// slow are the servers that this box has found slow, with how many times as
 	// long as usual they take.
 	slow map[slatebridge.ServerID]float64
@@ -157,7 +159,7 @@
 
 func newRuns() *runs {
 	return &runs{
-		list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]int),
+		list: make(map[*run]bool), dead: make(map[slatebridge.ServerID]int), ended: make(map[slatebridge.ServerID]bool),
 		slow: make(map[slatebridge.ServerID]float64), questions: make(map[slatebridge.ServerID]*question),
 	}
 }
@@ -184,6 +186,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.dead, id)
+	delete(r.ended, id)
 }
 
 // noteSlow notes that a server is slow, and reports whether that was known.
@@ -203,16 +206,28 @@
 	delete(r.slow, id)
 }
 
-// sureAfter is how often in a row a server has not answered when it is taken
+// noteEnded notes whether a server has ended: its machine refuses connections.
+func (r *runs) noteEnded(id slatebridge.ServerID, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ended {
+		r.ended[id] = true
+	} else {
+		delete(r.ended, id)
+	}
+}
+
+// sureAfter is how often in a row a server has not answered when it may be taken
 // as surely dead. Questions are half a second apart.
-const sureAfter = 2
+const sureAfter = 3
 
-// surelyDead reports whether a server has repeatedly not answered.
-func (r *runs) surelyDead(id slatebridge.ServerID) bool {
+// hasEnded reports whether a server refuses connections, and whether it has not
+// answered again and again.
+func (r *runs) hasEnded(id slatebridge.ServerID) (ended, silent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return r.dead[id] >= sureAfter
+	return r.ended[id], r.dead[id] >= sureAfter
 }
 
 func (r *runs) add(v *run) *run {
--- /dev/null
+++ b/forward/runs_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// TestServersThatCount: a request may run on so many servers that have not
+// ended. One that only does not answer counts while this box may be at fault.
+func TestServersThatCount(t *testing.T) {
+	ran := []slatebridge.ServerID{"a1", "a2"}
+	counted := func(prepare func(h *Handler)) []slatebridge.ServerID {
+		h := &Handler{runs: newRuns(), fleet: fleet.New("a")}
+		for _, id := range ran {
+			h.fleet.Set(catalog.Server{ID: id, Service: "llm", Hall: "a"})
+		}
+		prepare(h)
+
+		return h.mayBeginAt(ran, 2)
+	}
+	silent := func(h *Handler) {
+		for range sureAfter {
+			h.runs.noteDead("a1")
+		}
+	}
+	for name, v := range map[string]struct {
+		prepare func(h *Handler)
+		want    []slatebridge.ServerID
+	}{
+		"both are well":                        {func(*Handler) {}, ran},
+		"one does not answer":                  {func(h *Handler) { h.runs.noteDead("a1") }, ran},
+		"one does not answer, again and again": {silent, nil},
+		"the same, and this box stood still": {func(h *Handler) {
+			silent(h)
+			h.stalledAt.Store(time.Now().UnixNano())
+		}, ran},
+		"the same, and it just passed a stream on": {func(h *Handler) {
+			silent(h)
+			s, _ := h.fleet.Server("a1")
+			h.fleet.NoteProgress(fleet.Path{{Server: s}})
+		}, ran},
+		"one refuses connections": {func(h *Handler) { h.noteAsked("a1", syscall.ECONNREFUSED) }, nil},
+		"it has answered since": {func(h *Handler) {
+			h.noteAsked("a1", syscall.ECONNREFUSED)
+			h.noteAsked("a1", nil)
+		}, ran},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(v.want, counted(v.prepare)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -161,11 +161,11 @@
 
 // mayBeginAt returns the servers at which another attempt may begin, when the
 // request has been at the given ones and may run at most servers; nil stands
-// for any. Servers that have left or are surely dead do not count.
+// for any. Servers that have left or ended do not count.
 func (h *Handler) mayBeginAt(ran []slatebridge.ServerID, most int) []slatebridge.ServerID {
 	var counted []slatebridge.ServerID
 	for _, id := range ran {
-		if _, ok := h.fleet.Server(id); ok && !h.runs.surelyDead(id) {
+		if _, ok := h.fleet.Server(id); ok && !h.surelyEnded(id) {
 			counted = append(counted, id)
 		}
 	}
@@ -176,6 +176,20 @@
 	return counted
 }
 
+// wellTime is for how long this box must have been well, so that a server that
+// does not answer it is surely at fault.
+const wellTime = 2 * time.Second
+
+// surelyEnded reports whether a server has ended or is cut off. One that only
+// does not answer may be well, and this box slow: measured, a slow box let five
+// requests run on three servers where two were allowed.
+func (h *Handler) surelyEnded(id slatebridge.ServerID) bool {
+	ended, silent := h.runs.hasEnded(id)
+	well := time.Now().Add(-wellTime)
+
+	return ended || (silent && h.stalledAt.Load() < well.UnixNano() && !h.fleet.AliveSince(id, well))
+}
+
 // attempt makes one attempt and reports whether the request is done with.
 func (t *streamTry) attempt(path fleet.Path, hold *fleet.Hold) bool {
 	t.attempts++
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +15,7 @@
 
 var (
 	// ErrRefused is the error of a dial to an address nobody listens on.
-	ErrRefused = errors.New("memnet: connection refused")
+	ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "memnet")
 	errClosed  = errors.New("memnet: listener closed")
 )
 
