Servers without an entry count and are asked before they are taken as dead

Change: servers without an entry are asked like others, count unless they refuse connections or stay silent, and running streams leave them one at a time.

--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -44,16 +44,16 @@
 }
 
 // Displaced returns the servers of the path that no longer hold the layers
-// they run there. Such a server waits for what passes it before it loads
-// others.
+// they run there, or have no entry any more. Such a server waits for what passes
+// it before it loads others or ends.
 func (f *Fleet) Displaced(p Path) []slatebridge.ServerID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []slatebridge.ServerID
 	for _, s := range p {
 		m, ok := f.members[s.Server.ID]
-		if ok && (m.Layers.From > s.Layers.From || m.Layers.To < s.Layers.To) {
-			out = append(out, m.ID)
+		if !ok || m.Layers.From > s.Layers.From || m.Layers.To < s.Layers.To {
+			out = append(out, s.Server.ID)
 		}
 	}
 
--- a/forward/doubt.go
+++ b/forward/doubt.go
@@ -22,12 +22,13 @@
 	askAgainEvery = 500 * time.Millisecond
 )
 
-// deadOn returns the servers of the path that are dead.
+// deadOn returns the servers of the path that are dead. One that has no entry any
+// more may serve on, and is asked like the others.
 func (h *Handler) deadOn(ctx context.Context, r *run, path fleet.Path) []slatebridge.ServerID {
 	var dead []slatebridge.ServerID
 	known := h.fleet.Suspects()
 	for _, s := range path {
-		if _, listed := h.fleet.Server(s.Server.ID); !listed || slices.Contains(known, s.Server.ID) {
+		if slices.Contains(known, s.Server.ID) {
 			dead = append(dead, s.Server.ID)
 		}
 	}
--- a/forward/runs_test.go
+++ b/forward/runs_test.go
@@ -46,7 +46,8 @@
 			s, _ := h.fleet.Server("a1")
 			h.fleet.NoteProgress(fleet.Path{{Server: s}})
 		}, ran},
-		"one refuses connections": {func(h *Handler) { h.noteAsked("a1", syscall.ECONNREFUSED) }, nil},
+		"one has no entry any more, and serves on": {func(h *Handler) { h.fleet.Remove("a1", time.Time{}) }, ran},
+		"one refuses connections":                  {func(h *Handler) { h.noteAsked("a1", syscall.ECONNREFUSED) }, nil},
 		"it has answered since": {func(h *Handler) {
 			h.noteAsked("a1", syscall.ECONNREFUSED)
 			h.noteAsked("a1", nil)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -161,11 +161,12 @@
 
 // mayBeginAt returns the servers at which another attempt may begin, when the
 // request has been at the given ones and may run at most servers; nil stands
-// for any. Servers that have left or ended do not count.
+// for any. Servers that
+// have surely ended do not count; one that has no entry any more may serve on.
 func (h *Handler) mayBeginAt(ran []slatebridge.ServerID, most int) []slatebridge.ServerID {
 	var counted []slatebridge.ServerID
 	for _, id := range ran {
-		if _, ok := h.fleet.Server(id); ok && !h.surelyEnded(id) {
+		if !h.surelyEnded(id) {
 			counted = append(counted, id)
 		}
 	}
