--- a/box/peers.go
+++ b/box/peers.go
@@ -42,8 +42,8 @@
 	helpTime = 500 * time.Millisecond
 	// seenTime is how long ago a stream passed a server on at which the word of
 	// another box, that it is dead, is not believed. A box needs 80 ms and more to
-	// find a server dead. Measured: of 50 servers that single boxes wrongly took
-	// as dead in one second, the streams of all boxes were moved.
+	// find a server dead. Measured: within one second up to four boxes each wrongly
+	// took 46 servers as dead, and 1,136 streams were moved.
 	seenTime = 40 * time.Millisecond
 	// deadTime is for how long the word of another box on a dead server holds.
 	deadTime = 700 * time.Millisecond
