Boxes that start together keep the retry budget, and spread

Replayed on untouched code, with logs: 59 boxes had lost power, and in the first second after their return 1,097 streams began; 1,047 were turned away by first servers, and 892 sent again. A box that has just started knows of few others, and took their part of the budget; not knowing their choices either, all chose the fast first servers.

Change: for as long as news need (2 s) a box repeats at most the share of its own requests, which holds for any number of boxes; in that time noise of 0.9 in place of 0.15 moves the cost of servers; a server that turned a request away is not asked again for 150 ms, then twice as long each time, up to a second.

Ruled out: late news alone (retry.TestBoxesTogetherKeepTheBudget holds with news of 1.2 s); a margin on the budget does not bound boxes that are not known.

Test that failed first: retry.TestBoxesThatStartTogether, 1,180 retries of 336 without the mechanism.

--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -101,17 +101,33 @@
 	return out
 }
 
-// fullPause is how long a server that turned a request away gets no more. It
-// is a few times the time between two answers of a full server.
-const fullPause = 150 * time.Millisecond
+// A server that turned a request away gets no more for fullPause, a few times
+// the time between two answers of a full server, and twice as long each time that
+// it turns the next one away, up to mostFullPause: streams end within seconds.
+const (
+	fullPause     = 150 * time.Millisecond
+	mostFullPause = time.Second
+)
 
 // NoteFull notes that the server turned a request away.
 func (f *Fleet) NoteFull(id slatebridge.ServerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m, ok := f.members[id]; ok {
-		m.fullUntil = f.now().Add(fullPause)
+	m, ok := f.members[id]
+	if !ok {
+		return
+	}
+	now := f.now()
+	switch {
+	case now.Before(m.fullUntil):
+		// Requests that were on their way tell nothing new.
+		return
+	case now.Sub(m.fullUntil) < m.fullPause:
+		m.fullPause = min(2*m.fullPause, mostFullPause)
+	default:
+		m.fullPause = fullPause
 	}
+	m.fullUntil = now.Add(m.fullPause)
 }
 
 // brokenPause is how long a server to which a connection broke is dearer.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,8 @@
 	// now and random are seams for tests.
 	now    func() time.Time
 	random func() float64
+	// began is when the box started.
+	began time.Time
 
 	mu sync.Mutex
 	// others is how many other boxes of the hall give work to the same servers.
@@ -50,6 +52,7 @@
 	for _, o := range opts {
 		o(f)
 	}
+	f.began = f.now()
 
 	return f
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -28,8 +28,9 @@
 	// suspectUntil is until when the server is taken as dead.
 	suspectUntil time.Time
 	// fullUntil is until when the server is taken as full, since it has just
-	// turned a request away.
+	// turned a request away; fullPause is how long the last such time was.
 	fullUntil time.Time
+	fullPause time.Duration
 	// aliveAt is when a stream last made progress that passes the server.
 	aliveAt time.Time
 	// brokenUntil is until when the server is dearer, since a connection to it
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -70,9 +70,6 @@
 	// is for answers that grow longer than expected and for work of other
 	// boxes that is not known yet.
 	maxFill = 0.92
-	// refusedFill is how full a server is taken to be at least that has just
-	// turned a request away for want of memory.
-	refusedFill = 0.88
 	// fillCost makes fuller servers dearer, so that servers with the same
 	// layers share the work; at the limit a server costs seven times as much.
 	fillCost = 6.0
@@ -376,16 +373,16 @@
 	if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
 		return candidate{}, false
 	}
-	used, capacity := m.load().TokenLayers, m.capacity()
-	if now.Before(m.fullUntil) {
-		used = max(used, refusedFill*capacity)
+	if room && now.Before(m.fullUntil) {
+		return candidate{}, false
 	}
+	used, capacity := m.load().TokenLayers, m.capacity()
 	if room && used+q.Tokens*float64(m.Layers.Len()) > maxFill*capacity {
 		return candidate{}, false
 	}
 	expected := m.expected(f.others, now)
 	used = max(used, expected.TokenLayers)
-	cost := m.layerCost(used, capacity) * (1 + cmp.Or(q.noise, spread)*(2*f.random()-1))
+	cost := m.layerCost(used, capacity) * (1 + f.noise(q, now)*(2*f.random()-1))
 	if now.Before(m.slowUntil) {
 		cost *= m.slowness
 	}
@@ -396,6 +393,21 @@
 	return candidate{member: m, cost: cost, firstCost: m.firstCost(expected)}, true
 }
 
+// youngTime is for how long a box that has started may not know what others do.
+const youngTime = 2 * time.Second
+
+// noise returns how far random noise moves the cost of servers. Boxes that
+// start together know nothing of each other, and must not all choose the same
+// servers. Measured with 59 boxes and the usual noise: 1,047 of 1,097 requests
+// of the first second were turned away.
+func (f *Fleet) noise(q Query, now time.Time) float64 {
+	if now.Sub(f.began) < youngTime {
+		return repairNoise
+	}
+
+	return cmp.Or(q.noise, spread)
+}
+
 // firstCost returns what it costs to begin a path at the server, which rises
 // with how many of its slots are taken.
 func (m *member) firstCost(l Load) float64 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -149,7 +149,7 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: retry.New(c.Bounds.Retry), runs: newRuns(), onDoubt: c.OnDoubt,
+		budget: retry.New(c.Bounds.Retry, retry.WithStart(time.Now())), runs: newRuns(), onDoubt: c.OnDoubt,
 		streamTimes: observe.NewTimes(observedSpan),
 		started:     time.Now(), doubted: make(chan slatebridge.ServerID, mostDoubted),
 	}
--- a/place/tile_test.go
+++ b/place/tile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,21 +86,23 @@
 	})
 }
 
+// without returns the servers but one of the card that is not a first one.
+func without(servers []Holder, card string) []Holder {
+	for i, s := range servers {
+		if s.Card == card && s.Layers.From > 0 {
+			return append(servers[:i:i], servers[i+1:]...)
+		}
+	}
+
+	return nil
+}
+
 func TestMend(t *testing.T) {
 	m := mixedModel()
 	hall := mixedHall("a", 2, 4, 4)
 	servers := placed(hall, Cover(m, hall))
-	without := func(card string) []Holder {
-		for i, s := range servers {
-			if s.Card == card && s.Layers.From > 0 {
-				return append(servers[:i:i], servers[i+1:]...)
-			}
-		}
-
-		return nil
-	}
 	t.Run("those beside a small gap grow, and give nothing up", func(t *testing.T) {
-		left := without("middle")
+		left := without(servers, "middle")
 		mended := placed(left, Mend(m, left))
 		if uncoveredIn(copiesIn(m, mended)) > 0 {
 			t.Error("layers are still lacking")
@@ -111,7 +114,7 @@
 		}
 	})
 	t.Run("a hall with a large gap is shifted, as long as another one is whole", func(t *testing.T) {
-		left := without("large")
+		left := without(servers, "large")
 		if got := Mend(m, left); len(got) > 0 {
 			t.Errorf("grown: %v", got)
 		}
@@ -128,10 +131,16 @@
 			t.Errorf("loading takes %s", got)
 		}
 	})
+}
+
+func TestTrim(t *testing.T) {
+	m := mixedModel()
+	hall := mixedHall("a", 2, 4, 4)
+	servers := placed(hall, Cover(m, hall))
 	t.Run("what grew is trimmed once the gap is filled again", func(t *testing.T) {
-		left := without("middle")
+		left := without(servers, "middle")
 		mended := placed(left, Mend(m, left))
-		back := append(mended, Holder{ID: "new", Hall: "a", Card: "middle"})
+		back := slices.Concat(mended, []Holder{{ID: "new", Hall: "a", Card: "middle"}})
 		back = placed(back, Cover(m, back))
 		for range len(back) {
 			back = placed(back, Trim(m, back))
@@ -142,15 +151,16 @@
 			t.Errorf("the scarcest layer had room for %.0f tokens, and has for %.0f", before, after)
 		}
 	})
-	t.Run("a server whose layers others hold moves into a gap", func(t *testing.T) {
-		m := &catalog.Model{Layers: 8, LayerMB: 1000, TokenBytes: 2e6, Cards: []catalog.Card{{Name: "c", MemoryMB: 5000}}}
-		hall := []Holder{
-			{ID: "1", Hall: "a", Card: "c", Layers: slatebridge.LayerRange{From: 0, To: 4}},
-			{ID: "2", Hall: "a", Card: "c", Layers: slatebridge.LayerRange{From: 0, To: 4}},
-		}
-		want := []Holder{{ID: "1", Hall: "a", Card: "c", Layers: slatebridge.LayerRange{From: 4, To: 8}}}
-		if diff := cmp.Diff(want, Mend(m, hall)); diff != "" {
-			t.Error(diff)
-		}
-	})
+}
+
+func TestMoveInto(t *testing.T) {
+	m := &catalog.Model{Layers: 8, LayerMB: 1000, TokenBytes: 2e6, Cards: []catalog.Card{{Name: "c", MemoryMB: 5000}}}
+	hall := []Holder{
+		{ID: "1", Hall: "a", Card: "c", Layers: slatebridge.LayerRange{From: 0, To: 4}},
+		{ID: "2", Hall: "a", Card: "c", Layers: slatebridge.LayerRange{From: 0, To: 4}},
+	}
+	want := []Holder{{ID: "1", Hall: "a", Card: "c", Layers: slatebridge.LayerRange{From: 4, To: 8}}}
+	if diff := cmp.Diff(want, Mend(m, hall)); diff != "" {
+		t.Error(diff)
+	}
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -46,6 +46,9 @@
 // Budget is the budget as one box sees it. It is safe for use by many
 // goroutines.
 type Budget struct {
+	// began is when the box started.
+	began time.Time
+
 	mu     sync.Mutex
 	bounds Bounds
 	own    map[string]*window
@@ -61,9 +64,26 @@
 	usage map[string]Usage
 }
 
+// Option changes a Budget.
+type Option func(*Budget)
+
+// WithStart tells when the box started. For as long as news need, it does not
+// know how many boxes there are, and takes only the share of its own requests:
+// that holds for any number of boxes. Measured without: 59 boxes that started
+// together made 892 retries in one second, of 522 that were allowed for what
+// they had been asked until then.
+func WithStart(t time.Time) Option {
+	return func(b *Budget) { b.began = t }
+}
+
 // New returns a Budget of which nothing is used.
-func New(b Bounds) *Budget {
-	return &Budget{bounds: b, own: make(map[string]*window), peers: make(map[string]*peer)}
+func New(bounds Bounds, opts ...Option) *Budget {
+	b := &Budget{bounds: bounds, own: make(map[string]*window), peers: make(map[string]*peer)}
+	for _, o := range opts {
+		o(b)
+	}
+
+	return b
 }
 
 // SetBounds takes up other bounds.
@@ -105,6 +125,9 @@
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	all := w.sum(b.bounds.Window)
+	if now.Sub(b.began) < fresh && float64(all.Retries+1) > margin*b.bounds.Share*float64(all.Requests) {
+		return false
+	}
 	unknown := boxes - 1
 	for _, p := range b.peers {
 		all = all.plus(b.usageOf(p, service, boxes, now))
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -219,6 +219,33 @@
 	})
 }
 
+// TestBoxesThatStartTogether lets boxes that have just started want a retry for
+// each request before they have heard of each other.
+func TestBoxesThatStartTogether(t *testing.T) {
+	const (
+		many     = 59
+		requests = 20
+	)
+	spent := 0
+	for range many {
+		b := New(bounds, WithStart(start))
+		for i := range requests {
+			now := start.Add(time.Duration(i) * step)
+			b.Request("s", now)
+			if b.Take("s", 1, now) {
+				spent++
+			}
+		}
+	}
+	if most := int(bounds.Share*many*requests + bounds.Extra); spent > most {
+		t.Errorf("%d retries, the budget is %d", spent, most)
+	}
+	t.Run("a box that has heard of the others takes its part", func(t *testing.T) {
+		b := New(bounds, WithStart(start))
+		wantSpent(t, spend(b, 2, start.Add(fresh)), spend(New(bounds), 2, start.Add(fresh)))
+	})
+}
+
 func name(kind string, i int) string { return kind + " " + string(rune('a'+i)) }
 
 func count(list []int) int {
