New servers and spare ones go where a hall is in least want

Copies are chosen by the requests that find memory and a slot, so that a hall whose slots bind holds more copies.

Tests: place.TestImprove; before, the scarcest layer had half of its memory after a loss and a return.

--- a/box/control.go
+++ b/box/control.go
@@ -41,6 +41,9 @@
 	serversAt time.Time
 	// newServer is when the last new server appeared.
 	newServer time.Time
+	// unsettledAt is when a server last came, left or changed its layers without
+	// an order of this box.
+	unsettledAt time.Time
 	// firstSeen is when each server first appeared.
 	firstSeen map[slatebridge.ServerID]time.Time
 	// storeDown says, by topic, that the last call failed.
@@ -67,6 +70,8 @@
 	absent time.Time
 	// holderHeard is when the box that gives orders was last heard by any box.
 	holderHeard time.Time
+	// holderGone is when it last said itself that it does not go on.
+	holderGone time.Time
 	// pending are the orders that servers have not yet shown to be done.
 	pending  map[slatebridge.ServerID]pendingOrder
 	ordering bool
@@ -272,10 +277,15 @@
 		c.firstSeen[s.ID] = c.newServer
 	}
 	c.entries[e.Key] = e.Value
-	c.box.fleet.Set(s)
-	if p, ok := c.pending[s.ID]; ok && p.layers == s.Layers {
+	before, known := c.box.fleet.Server(s.ID)
+	p, ordered := c.pending[s.ID]
+	switch {
+	case ordered && p.layers == s.Layers:
 		delete(c.pending, s.ID)
+	case !known || before.Layers != s.Layers || before.Leaving != s.Leaving:
+		c.unsettledAt = time.Now()
 	}
+	c.box.fleet.Set(s)
 	event.Log(c.box.logger, event.ServerChanged, zap.String("server", string(s.ID)), zap.String("service", s.Service),
 		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset))
 }
@@ -288,6 +298,7 @@
 	}
 	delete(c.entries, key)
 	delete(c.firstSeen, slatebridge.ServerID(key))
+	c.unsettledAt = time.Now()
 	c.box.fleet.Remove(slatebridge.ServerID(key), time.Now().Add(grace))
 	event.Log(c.box.logger, event.ServerRemoved, zap.String("server", key), zap.Duration("grace_ms", grace))
 }
--- a/box/orders.go
+++ b/box/orders.go
@@ -251,11 +251,12 @@
 	alive := slices.DeleteFunc(slices.Clone(holders), func(h place.Holder) bool { return slices.Contains(dead, h.ID) })
 	if !slices.ContainsFunc(alive, func(h place.Holder) bool { return place.Lacks(m, alive, h.Hall) }) {
 		c.lacking = time.Time{}
-		if len(c.pending) > 0 || len(dead) > 0 {
+		if len(c.pending) > 0 || len(dead) > 0 || now.Sub(c.unsettledAt) < spareTime {
+			// What is changing may make a move needless.
 			return nil
 		}
 
-		return place.Trim(m, alive)
+		return place.Improve(m, alive)
 	}
 	if c.lacking.IsZero() {
 		c.lacking = now
--- a/box/peers.go
+++ b/box/peers.go
@@ -114,12 +114,15 @@
 	}
 	if o.id == c.term.Box {
 		if msg.Boot != c.term.Boot || msg.Leaving || !msg.Ready {
-			c.holderHeard = time.Time{}
+			c.holderHeard, c.holderGone = time.Time{}, at
 
 			return
 		}
 	}
-	c.holderHeard = later(c.holderHeard, at.Add(-time.Duration(msg.HolderAge)*time.Microsecond))
+	// Others may not have heard yet what it said itself.
+	if heard := at.Add(-time.Duration(msg.HolderAge) * time.Microsecond); heard.After(c.holderGone) {
+		c.holderHeard = later(c.holderHeard, heard)
+	}
 }
 
 // believe takes up which servers do not answer the other box, or are slow. A box of another
--- a/place/cover.go
+++ b/place/cover.go
@@ -2,21 +2,13 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 )
 
-const (
-	// otherHalls is the weight of layers that other halls lack, beside those
-	// of the server's own hall.
-	otherHalls = 0.02
-	// uncovered is the need for a layer that no server of the hall holds, as a
-	// multiple of the need for one that has the usual memory.
-	uncovered = 1000.0
-)
-
 // Holder is a server and the layers that it holds or was told to load.
 type Holder struct {
 	ID     slatebridge.ServerID
@@ -40,9 +32,24 @@
 			out = append(out, tileAll(m, group, copiesOf(m, group, len(groups)))...)
 		}
 	}
-	c := newCoverage(m, servers, out)
 
-	return append(out, c.fillAll()...)
+	return append(out, fill(m, given(servers, out))...)
+}
+
+// given returns the servers with the layers of the orders.
+func given(servers, orders []Holder) []Holder {
+	byID := make(map[slatebridge.ServerID]slatebridge.LayerRange, len(orders))
+	for _, o := range orders {
+		byID[o.ID] = o.Layers
+	}
+	out := slices.Clone(servers)
+	for i, s := range out {
+		if r, ok := byID[s.ID]; ok {
+			out[i].Layers = r
+		}
+	}
+
+	return out
 }
 
 func isEmpty(s Holder) bool { return s.Layers.Len() == 0 }
@@ -88,76 +95,26 @@
 	return out
 }
 
-// coverage is how much memory for requests there is for each layer, in tokens.
-type coverage struct {
-	model *catalog.Model
-	halls map[slatebridge.HallID][]float64
-	all   []float64
-	// copies is how many servers of each hall hold each layer.
-	copies map[slatebridge.HallID][]int
-	// perLayer is the memory, in MB, that each layer of a hall is to have, and
-	// empty are the servers that hold no layers.
-	perLayer map[slatebridge.HallID]float64
-	empty    []Holder
-}
-
-// newCoverage returns the coverage of the servers once those of the orders hold
-// their layers.
-func newCoverage(m *catalog.Model, servers, orders []Holder) *coverage {
-	c := &coverage{
-		model: m, all: make([]float64, m.Layers),
-		halls: make(map[slatebridge.HallID][]float64), copies: make(map[slatebridge.HallID][]int),
-		perLayer: make(map[slatebridge.HallID]float64),
-	}
-	ordered := make(map[slatebridge.ServerID]Holder, len(orders))
-	for _, o := range orders {
-		ordered[o.ID] = o
-	}
+// fill assigns layers to the servers that hold none, the largest first, beside
+// those of all servers.
+func fill(m *catalog.Model, servers []Holder) []Holder {
 	halls := make(map[slatebridge.HallID][]Holder)
+	var empty []Holder
 	for _, s := range servers {
-		if o, ok := ordered[s.ID]; ok {
-			s = o
-		}
-		if _, ok := m.Card(s.Card); !ok {
-			continue
-		}
-		halls[s.Hall] = append(halls[s.Hall], s)
-		if s.Layers.Len() == 0 {
-			c.empty = append(c.empty, s)
-		}
-	}
-	for hall, list := range halls {
-		c.halls[hall], c.copies[hall] = make([]float64, m.Layers), make([]int, m.Layers)
-		for _, s := range list {
-			c.add(s)
+		switch _, known := m.Card(s.Card); {
+		case !known:
+		case isEmpty(s):
+			empty = append(empty, s)
+		default:
+			halls[s.Hall] = append(halls[s.Hall], s)
 		}
-		c.perLayer[hall], _ = level(m, list, max(1, Copies(m, list)))
 	}
-
-	return c
-}
-
-func (c *coverage) add(s Holder) {
-	n := s.Layers.Len()
-	if n <= 0 {
-		return
-	}
-	card, _ := c.model.Card(s.Card)
-	tokens := c.model.TokenLayers(card, n) / float64(n)
-	for l := s.Layers.From; l < min(s.Layers.To, c.model.Layers); l++ {
-		c.halls[s.Hall][l] += tokens
-		c.all[l] += tokens
-		c.copies[s.Hall][l]++
-	}
-}
-
-// fillAll assigns layers to the servers that hold none, the largest first.
-func (c *coverage) fillAll() []Holder {
 	var out []Holder
-	for _, s := range bySize(c.model, c.empty) {
-		if n := c.sizeFor(s); n > 0 {
-			s.Layers = c.best(s.Hall, n)
-			c.add(s)
+	for _, s := range bySize(m, empty) {
+		perLayer := usualMemory(m, append(halls[s.Hall], s))
+		if n := sizeFor(m, s, halls[s.Hall], perLayer); n > 0 {
+			s = bestPlace(m, s, n, halls[s.Hall], perLayer)
+			halls[s.Hall] = append(halls[s.Hall], s)
 			out = append(out, s)
 		}
 	}
@@ -165,58 +122,74 @@
 	return out
 }
 
-// sizeFor returns how many layers the server is to hold: as many as give each
-// the usual memory, or as many in a row as its hall lacks.
-func (c *coverage) sizeFor(s Holder) int {
-	card, _ := c.model.Card(s.Card)
-	most := mostLayers(c.model, card)
+// usualMemory returns how much memory, in MB, the servers of a hall can give
+// each layer; zero if they cannot hold all.
+func usualMemory(m *catalog.Model, hall []Holder) float64 {
+	perLayer, _ := level(m, hall, max(1, Copies(m, hall)))
+
+	return perLayer
+}
+
+// sizeFor returns how many layers the server is to hold beside the others of its
+// hall: as many as give each the usual memory, or as many in a row as the hall
+// lacks.
+func sizeFor(m *catalog.Model, s Holder, hall []Holder, perLayer float64) int {
+	card, _ := m.Card(s.Card)
+	most := mostLayers(m, card)
 	n := most
-	if perLayer := c.perLayer[s.Hall]; perLayer > 0 {
-		n = max(1, layersAt(c.model, card, perLayer))
+	if perLayer > 0 {
+		n = max(1, layersAt(m, card, perLayer))
 	}
 
-	return min(most, max(n, longestRun(c.copies[s.Hall])))
+	return min(most, max(n, longestRun(copiesIn(m, hall))))
 }
 
-// best returns the n layers that the hall needs most.
-func (c *coverage) best(hall slatebridge.HallID, n int) slatebridge.LayerRange {
-	own, usual := c.halls[hall], mean(c.all)
-	value := make([]float64, c.model.Layers)
-	for l := range value {
-		value[l] = need(own[l], usual) + otherHalls*need(c.all[l], usual)
-	}
-	sum := 0.0
-	for l := range n {
-		sum += value[l]
-	}
-	best, from := sum, 0
-	for l := 1; l+n <= c.model.Layers; l++ {
-		sum += value[l+n-1] - value[l-1]
-		if sum > best*(1+1e-9) {
-			best, from = sum, l
+// bestPlace returns the server with the n layers with which its hall is in least
+// want, once those that hold more than usual have been trimmed.
+func bestPlace(m *catalog.Model, s Holder, n int, hall []Holder, perLayer float64) Holder {
+	best, least := s, math.Inf(1)
+	for from := 0; from+n <= m.Layers; from++ {
+		s.Layers = slatebridge.LayerRange{From: from, To: from + n}
+		with := trimAll(m, append(slices.Clone(hall), s), perLayer)
+		if w := want(m, with); w < least*(1-1e-9) {
+			best, least = s, w
 		}
 	}
 
-	return slatebridge.LayerRange{From: from, To: from + n}
+	return best
 }
 
-// need returns how much a layer is wanted that has the given memory, where so
-// much is usual.
-func need(tokens, usual float64) float64 {
-	if tokens < 1 {
-		return uncovered
+// uncovered is the want for a layer that no server of the hall holds, as a
+// multiple of the want for one that the smallest batch fits beside.
+const uncovered = 1000.0
+
+// want returns how short of memory for requests the servers of a hall are: the
+// sum of the inverse of each layer's memory. So the scarcest layers count most.
+func want(m *catalog.Model, hall []Holder) float64 {
+	sum := 0.0
+	for _, tokens := range room(m, hall) {
+		if tokens < 1 {
+			sum += uncovered
+		} else {
+			sum += 1 / tokens
+		}
 	}
 
-	return usual / tokens
+	return sum
 }
 
-func mean(list []float64) float64 {
-	sum := 0.0
-	for _, v := range list {
-		sum += v
+// room returns the memory for requests of each layer, in tokens.
+func room(m *catalog.Model, servers []Holder) []float64 {
+	tokens := make([]float64, m.Layers)
+	for _, s := range servers {
+		card, _ := m.Card(s.Card)
+		each := roomOf(m, card, s.Layers)
+		for l := s.Layers.From; l < min(s.Layers.To, m.Layers); l++ {
+			tokens[l] += each
+		}
 	}
 
-	return sum / float64(max(1, len(list)))
+	return tokens
 }
 
 // Lacks reports whether the hall has servers with layers and lacks some layer.
--- a/place/cover_test.go
+++ b/place/cover_test.go
@@ -34,23 +34,6 @@
 	return out
 }
 
-// placed gives the servers the layers of the orders.
-func placed(servers, orders []Holder) []Holder {
-	byID := make(map[slatebridge.ServerID]slatebridge.LayerRange)
-	for _, o := range orders {
-		byID[o.ID] = o.Layers
-	}
-	out := make([]Holder, 0, len(servers))
-	for _, s := range servers {
-		if r, ok := byID[s.ID]; ok {
-			s.Layers = r
-		}
-		out = append(out, s)
-	}
-
-	return out
-}
-
 // checkRanges fails the test if a server is to hold more than fits.
 func checkRanges(t interface{ Errorf(string, ...any) }, m *catalog.Model, servers []Holder) {
 	for _, s := range servers {
@@ -63,7 +46,7 @@
 
 func TestCover(t *testing.T) {
 	m := coverModel()
-	servers := placed(coverServers(), Cover(m, coverServers()))
+	servers := given(coverServers(), Cover(m, coverServers()))
 	checkRanges(t, m, servers)
 	for _, hall := range []slatebridge.HallID{"a", "b", "c"} {
 		if Lacks(m, servers, hall) {
@@ -93,16 +76,16 @@
 func TestMendAfterLosses(t *testing.T) {
 	m := coverModel()
 	rapid.Check(t, func(t *rapid.T) {
-		servers := placed(coverServers(), Cover(m, coverServers()))
+		servers := given(coverServers(), Cover(m, coverServers()))
 		for range rapid.IntRange(1, 2).Draw(t, "losses") {
 			i := rapid.IntRange(0, len(servers)-1).Draw(t, "lost")
 			servers = append(servers[:i:i], servers[i+1:]...)
 		}
 		for range 8 {
-			servers = placed(servers, Mend(m, servers))
+			servers = given(servers, Mend(m, servers))
 		}
 		for range 3 {
-			servers = placed(servers, Shift(m, servers))
+			servers = given(servers, Shift(m, servers))
 		}
 		checkRanges(t, m, servers)
 		room := make(map[slatebridge.HallID]int)
@@ -133,7 +116,7 @@
 		for i := range 16 {
 			one = append(one, Holder{ID: slatebridge.ServerID(fmt.Sprint(i)), Hall: "a", Card: "a100s"})
 		}
-		for l, n := range copiesIn(m, placed(one, Cover(m, one))) {
+		for l, n := range copiesIn(m, given(one, Cover(m, one))) {
 			if n != 2 {
 				t.Errorf("layer %d has %d copies", l, n)
 			}
@@ -144,7 +127,7 @@
 		for i := range 12 {
 			small = append(small, Holder{ID: slatebridge.ServerID(fmt.Sprint(i)), Hall: slatebridge.HallID(fmt.Sprint(i % 4)), Card: "l4"})
 		}
-		for l, n := range copiesIn(m, placed(small, Cover(m, small))) {
+		for l, n := range copiesIn(m, given(small, Cover(m, small))) {
 			if n == 0 {
 				t.Errorf("layer %d has no copy", l)
 			}
--- a/place/tile.go
+++ b/place/tile.go
@@ -42,15 +42,14 @@
 // had lost one of three halls: first events after 1 s in the middle, at 90 ms
 // without waiting for slots.
 func firstsOf(m *catalog.Model, servers []Holder) int {
-	tokens := float64(m.UsualPrompt + m.UsualAnswer)
 	perLayer, ok := levelWith(m, servers, 1)
-	if !ok || m.Slots <= 0 || tokens <= 0 {
+	if !ok || m.Slots <= 0 {
 		return 1
 	}
-	const bytesPerMB = 1e6
-	requests := (perLayer - m.LayerMB) * bytesPerMB * float64(m.Layers) / m.TokenBytes / tokens
+	needed := int(math.Ceil(requestsAt(m, perLayer) / float64(m.Slots)))
 
-	return max(1, min(len(servers)-1, int(math.Ceil(requests/float64(m.Slots)))))
+	// Later layers need servers as well.
+	return max(1, min(needed, len(servers)/2))
 }
 
 // sizesAt returns how many layers each of the servers holds that together give
@@ -144,18 +143,17 @@
 }
 
 // Copies returns how many copies of the model the servers hold best: those with
-// which the memory that is left, times the chance of a request to pass no server
-// in trouble, is largest. It is zero if they cannot hold the model.
+// which the requests that find room, times the chance of a request to pass no
+// server in trouble, are most. It is zero if they cannot hold the model.
 func Copies(m *catalog.Model, servers []Holder) int {
-	memory, size := memoryOf(m, servers), m.LayerMB*float64(m.Layers)
 	best, most := 0, 0.0
 	for n := 1; n <= len(servers); n++ {
-		if _, ok := level(m, servers, n); !ok {
+		requests, ok := requestsOf(m, divide(m, servers, n))
+		if !ok {
 			break
 		}
 		passed := float64(len(servers)) / float64(n)
-		value := (memory - float64(n)*size) * math.Pow(1-troubled, passed)
-		if best == 0 || value > most {
+		if value := requests * math.Pow(1-troubled, passed); best == 0 || value > most {
 			best, most = n, value
 		}
 	}
@@ -163,6 +161,40 @@
 	return best
 }
 
+// requestsOf returns how many usual requests find memory and a slot where each
+// group holds the model once. It returns false if one cannot.
+func requestsOf(m *catalog.Model, groups [][]Holder) (float64, bool) {
+	sum := 0.0
+	for _, group := range groups {
+		firsts := firstsOf(m, group)
+		perLayer, ok := levelWith(m, group, firsts)
+		if !ok {
+			return 0, false
+		}
+		sum += min(requestsAt(m, perLayer), slotsOf(m, firsts))
+	}
+
+	return sum, len(groups) > 0
+}
+
+// requestsAt returns how many usual requests find room where each layer is given
+// so much memory, in MB.
+func requestsAt(m *catalog.Model, perLayer float64) float64 {
+	const bytesPerMB = 1e6
+	tokens := (perLayer - m.LayerMB) * bytesPerMB * float64(m.Layers) / m.TokenBytes
+
+	return tokens / float64(max(1, m.UsualPrompt+m.UsualAnswer))
+}
+
+// slotsOf returns how many requests so many first servers receive at once.
+func slotsOf(m *catalog.Model, firsts int) float64 {
+	if m.Slots <= 0 {
+		return math.Inf(1)
+	}
+
+	return float64(firsts * m.Slots)
+}
+
 // tileAll assigns the layers of so many copies of the model to the servers. Each
 // copy is held by servers of its own with about equal memory, each layer once,
 // and all layers of a copy have about the same memory. It returns nil if some
--- a/place/tile_test.go
+++ b/place/tile_test.go
@@ -41,13 +41,12 @@
 
 // roomIn returns the memory for requests of the scarcest layer, and the mean.
 func roomIn(m *catalog.Model, servers []Holder) (scarcest, average float64) {
-	c := newCoverage(m, servers, nil)
-	scarcest = c.all[0]
-	for _, v := range c.all {
-		scarcest = min(scarcest, v)
+	tokens := room(m, servers)
+	for _, v := range tokens {
+		average += v / float64(len(tokens))
 	}
 
-	return scarcest, mean(c.all)
+	return slices.Min(tokens), average
 }
 
 func TestTile(t *testing.T) {
@@ -55,7 +54,7 @@
 	t.Run("all layers of a hall have about the same memory", func(t *testing.T) {
 		const even = 0.85
 		hall := mixedHall("a", 2, 4, 4)
-		if scarcest, average := roomIn(m, placed(hall, Cover(m, hall))); scarcest < even*average {
+		if scarcest, average := roomIn(m, given(hall, Cover(m, hall))); scarcest < even*average {
 			t.Errorf("the scarcest layer has room for %.0f tokens, the average for %.0f", scarcest, average)
 		}
 	})
@@ -73,7 +72,7 @@
 	})
 	t.Run("the fastest cards make a copy of their own", func(t *testing.T) {
 		hall := mixedHall("a", 3, 10, 14)
-		servers := placed(hall, Cover(m, hall))
+		servers := given(hall, Cover(m, hall))
 		var fast []Holder
 		for _, s := range servers {
 			if s.Card == "large" {
@@ -100,10 +99,10 @@
 func TestMend(t *testing.T) {
 	m := mixedModel()
 	hall := mixedHall("a", 2, 4, 4)
-	servers := placed(hall, Cover(m, hall))
+	servers := given(hall, Cover(m, hall))
 	t.Run("those beside a small gap grow, and give nothing up", func(t *testing.T) {
 		left := without(servers, "middle")
-		mended := placed(left, Mend(m, left))
+		mended := given(left, Mend(m, left))
 		if uncoveredIn(copiesIn(m, mended)) > 0 {
 			t.Error("layers are still lacking")
 		}
@@ -122,9 +121,9 @@
 			t.Errorf("shifted without another hall: %v", got)
 		}
 		other := mixedHall("b", 2, 4, 4)
-		both := append(placed(other, Cover(m, other)), left...)
+		both := append(given(other, Cover(m, other)), left...)
 		shifted := Shift(m, both)
-		if Lacks(m, placed(both, shifted), "a") {
+		if Lacks(m, given(both, shifted), "a") {
 			t.Error("layers are still lacking")
 		}
 		if got := LoadTime(m, both, shifted); got < time.Second || got > m.LoadTime {
@@ -133,21 +132,21 @@
 	})
 }
 
-func TestTrim(t *testing.T) {
+func TestImprove(t *testing.T) {
 	m := mixedModel()
 	hall := mixedHall("a", 2, 4, 4)
-	servers := placed(hall, Cover(m, hall))
+	servers := given(hall, Cover(m, hall))
 	t.Run("what grew is trimmed once the gap is filled again", func(t *testing.T) {
 		left := without(servers, "middle")
-		mended := placed(left, Mend(m, left))
+		mended := given(left, Mend(m, left))
 		back := slices.Concat(mended, []Holder{{ID: "new", Hall: "a", Card: "middle"}})
-		back = placed(back, Cover(m, back))
+		back = given(back, Cover(m, back))
 		for range len(back) {
-			back = placed(back, Trim(m, back))
+			back = given(back, Improve(m, back))
 		}
 		before, _ := roomIn(m, servers)
 		after, _ := roomIn(m, back)
-		if after < before/2 || uncoveredIn(copiesIn(m, back)) > 0 {
+		if after < 0.9*before || uncoveredIn(copiesIn(m, back)) > 0 {
 			t.Errorf("the scarcest layer had room for %.0f tokens, and has for %.0f", before, after)
 		}
 	})
--- a/place/trim.go
+++ b/place/trim.go
@@ -1,42 +1,88 @@
 package place
 
 import (
+	"slices"
+
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 )
 
-// Trim returns a server of each hall that holds more layers than usual for its
-// card, with those that it should keep: the layers that it gives up are held by
-// others of its hall. A server takes up more when another one is lost; once that
-// one is replaced, the memory is better used for requests. Of all servers it
-// takes the one after which the hall has most memory where it has least. A hall
-// that lacks layers keeps what it has.
-func Trim(m *catalog.Model, servers []Holder) []Holder {
+// leastGain is the part of a hall's want by which a move has to lessen it. A
+// move costs loads, and the server takes no requests meanwhile.
+const leastGain = 0.05
+
+// Improve returns a server of each hall that should hold other layers, so that
+// the hall has more memory where it has least. Servers take up more layers when
+// another one is lost; once that one is back, those that hold more than usual are
+// trimmed, and servers whose layers others hold as well are moved. A hall that
+// lacks layers keeps what it has.
+func Improve(m *catalog.Model, servers []Holder) []Holder {
 	return eachHall(servers, func(hall []Holder) []Holder {
-		copies := copiesIn(m, hall)
-		if uncoveredIn(copies) > 0 {
+		if uncoveredIn(copiesIn(m, hall)) > 0 {
 			return nil
 		}
-		perLayer, ok := level(m, hall, max(1, Copies(m, hall)))
+		perLayer := usualMemory(m, hall)
+		if s, ok := trim(m, hall, perLayer); ok {
+			return []Holder{s}
+		}
+
+		return relocate(m, hall, perLayer)
+	})
+}
+
+// relocate returns the server that lessens the want of the hall most with other
+// layers, of those whose layers others hold as well.
+func relocate(m *catalog.Model, hall []Holder, perLayer float64) []Holder {
+	copies := copiesIn(m, hall)
+	least := want(m, hall) * (1 - leastGain)
+	var best []Holder
+	for i, s := range hall {
+		if !heldTwice(copies, s.Layers) {
+			continue
+		}
+		others := slices.Delete(slices.Clone(hall), i, i+1)
+		moved := bestPlace(m, s, sizeFor(m, s, others, perLayer), others, perLayer)
+		if w := want(m, append(others, moved)); w < least && moved != s {
+			best, least = []Holder{moved}, w
+		}
+	}
+
+	return best
+}
+
+// trimAll returns the servers of a hall, trimmed as far as it helps.
+func trimAll(m *catalog.Model, hall []Holder, perLayer float64) []Holder {
+	for range hall {
+		s, ok := trim(m, hall, perLayer)
 		if !ok {
-			return nil
+			break
 		}
-		best, most := Holder{}, 1.0
-		for _, s := range hall {
-			card, _ := m.Card(s.Card)
-			for _, r := range trimmed(s.Layers, max(1, layersAt(m, card, perLayer)), copies) {
-				if gain := roomOf(m, card, r) / roomOf(m, card, s.Layers); gain > most {
-					best, most = s, gain
-					best.Layers = r
-				}
+		hall = given(hall, []Holder{s})
+	}
+
+	return hall
+}
+
+// trim returns the server of a hall that gains most memory for each layer by
+// giving up layers that others of the hall hold, of those that have less than
+// the given memory for each.
+func trim(m *catalog.Model, hall []Holder, perLayer float64) (Holder, bool) {
+	if perLayer <= 0 {
+		return Holder{}, false
+	}
+	copies := copiesIn(m, hall)
+	best, most := Holder{}, 1.0
+	for _, s := range hall {
+		card, _ := m.Card(s.Card)
+		for _, r := range trimmed(s.Layers, max(1, layersAt(m, card, perLayer)), copies) {
+			if gain := roomOf(m, card, r) / roomOf(m, card, s.Layers); gain > most {
+				best, most = s, gain
+				best.Layers = r
 			}
 		}
-		if best.ID == "" {
-			return nil
-		}
+	}
 
-		return []Holder{best}
-	})
+	return best, best.ID != ""
 }
 
 // roomOf returns the memory that the card has for each layer of the range, in
