When to come back, and when to ask a second server, follow what the box sees

Cause: a caller refused for want of memory was told to come back after 500 ms whatever the shortage was, and was mostly refused again.

Cause: a second server was asked after 100 ms at the earliest, while one objective is 100 ms.

Tests: forward.TestTimesFollowWhatIsSeen (no time followed anything before).

--- a/fleet/plain.go
+++ b/fleet/plain.go
@@ -61,22 +61,3 @@
 
 	return cost * (1 + spread*(2*f.random()-1))
 }
-
-// Latency returns the usual time of an answer at the service's servers.
-func (f *Fleet) Latency(service string) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var sum time.Duration
-	n := 0
-	for _, m := range f.service[service] {
-		if m.latency > 0 {
-			sum += m.latency
-			n++
-		}
-	}
-	if n == 0 {
-		return usualLatency
-	}
-
-	return sum / time.Duration(n)
-}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -229,12 +229,12 @@
 }
 
 // shortage returns the refusal for a request for which there is no server.
-func shortage(s fleet.Shortage) *result.Error {
+func (h *Handler) shortage(s fleet.Shortage) *result.Error {
 	if s == fleet.NoMemory {
-		return result.New(result.Overloaded, "no path has memory left for the request").WithRetryAfter(comeBack)
+		return result.New(result.Overloaded, "no path has memory left for the request").WithRetryAfter(h.roomIn())
 	}
 
-	return result.New(result.NoPipeline, "some layers are on no server that can be used").WithRetryAfter(comeBack)
+	return result.New(result.NoPipeline, "some layers are on no server that can be used").WithRetryAfter(h.roomIn())
 }
 
 // gone reports whether the caller has left.
--- a/forward/observed.go
+++ b/forward/observed.go
@@ -21,12 +21,24 @@
 type observed struct {
 	// streams is how long streams took.
 	streams *observe.Times
-	// gaps are the times between two events, by service.
-	gaps *sync.Map
+	// gaps are the times between two events, and answers those until a whole
+	// answer of a service without a model; both by service.
+	gaps    *sync.Map
+	answers *sync.Map
 }
 
 func newObserved() observed {
-	return observed{streams: observe.NewTimes(observedSpan), gaps: &sync.Map{}}
+	return observed{streams: observe.NewTimes(observedSpan), gaps: &sync.Map{}, answers: &sync.Map{}}
+}
+
+// timesOf returns the times of the service.
+func timesOf(byService *sync.Map, service string) *observe.Times {
+	v, ok := byService.Load(service)
+	if !ok {
+		v, _ = byService.LoadOrStore(service, observe.NewTimes(observedSpan))
+	}
+
+	return v.(*observe.Times)
 }
 
 // StreamTime returns how long nearly all streams lately took; zero if there were
@@ -38,14 +50,10 @@
 }
 
 // gapsOf returns the times between two events of the service's streams.
-func (h *Handler) gapsOf(service string) *observe.Times {
-	if v, ok := h.seen.gaps.Load(service); ok {
-		return v.(*observe.Times)
-	}
-	v, _ := h.seen.gaps.LoadOrStore(service, observe.NewTimes(observedSpan))
+func (h *Handler) gapsOf(service string) *observe.Times { return timesOf(h.seen.gaps, service) }
 
-	return v.(*observe.Times)
-}
+// answersOf returns the times until the service's whole answers.
+func (h *Handler) answersOf(service string) *observe.Times { return timesOf(h.seen.answers, service) }
 
 // usualGap returns the time between two events of the service's streams in the
 // middle; zero if none were seen. A stream that has just begun is taken to go as
@@ -56,3 +64,13 @@
 
 	return d
 }
+
+// roomIn returns when room is expected for a request that finds none: memory is
+// given back when streams end, so that about half of it is new after the time
+// that a stream takes in the middle. Callers are told times around that one, so
+// that they do not all come back at once.
+func (h *Handler) roomIn() time.Duration {
+	usual, _ := h.seen.streams.Quantile(middle)
+
+	return max(comeBack, time.Duration((0.5+h.random())*float64(usual)))
+}
--- /dev/null
+++ b/forward/observed_test.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/slatebridge/slatebridge/catalog"
+)
+
+// TestTimesFollowWhatIsSeen: when a second server is asked, and when a refused
+// caller comes back, follow from the answers and streams that the box saw.
+func TestTimesFollowWhatIsSeen(t *testing.T) {
+	h := &Handler{seen: newObserved(), random: func() float64 { return 0.5 }}
+	hedge := func(objective time.Duration) time.Duration {
+		return (&plainTry{h: h, c: &call{service: "till", route: &catalog.Route{Objective: objective}}}).hedgeAfter()
+	}
+	within := func(t *testing.T, got, least, most time.Duration) {
+		t.Helper()
+		if got < least || got > most {
+			t.Errorf("got %s, want %s to %s", got, least, most)
+		}
+	}
+	t.Run("nothing was seen", func(t *testing.T) {
+		within(t, hedge(time.Second), hedgeUnknown, hedgeUnknown)
+		within(t, h.roomIn(), comeBack, comeBack)
+	})
+	for i := range 100 {
+		h.answersOf("till").Record(time.Duration(i) * time.Millisecond)
+		h.seen.streams.Record(time.Duration(i) * 40 * time.Millisecond)
+	}
+	t.Run("a second server is asked when nearly all have answered", func(t *testing.T) {
+		within(t, hedge(time.Second), 90*time.Millisecond, 100*time.Millisecond)
+	})
+	t.Run("and while its answer can be in time", func(t *testing.T) {
+		within(t, hedge(120*time.Millisecond), 65*time.Millisecond, 75*time.Millisecond)
+	})
+	t.Run("room is expected when streams have ended", func(t *testing.T) {
+		within(t, h.roomIn(), 1900*time.Millisecond, 2100*time.Millisecond)
+	})
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -24,13 +24,11 @@
 	// on, in bytes. Larger answers are passed on as they come, and can't be
 	// asked for again.
 	maxWhole = 1 << 20
-	// hedgeFactor is after how many usual answer times a second server is
-	// asked, and hedgeLeast and hedgeMost bound that time.
-	hedgeFactor = 4
-	hedgeLeast  = 100 * time.Millisecond
-	// hedgeShare is the part of the route's objective after which a second
-	// server is asked in any case.
-	hedgeShare = 0.5
+	// hedgePart is the part of the answers of a service that lie below the time
+	// after which a second server is asked: one in twenty is asked twice.
+	hedgePart = 0.95
+	// hedgeUnknown is that time as long as no answers were seen.
+	hedgeUnknown = 100 * time.Millisecond
 )
 
 // outcome is what came of one attempt at a server without a model.
@@ -112,12 +110,21 @@
 	return best
 }
 
-// hedgeAfter returns when a second server is asked, should none answer.
+// hedgeAfter returns when a second server is asked, should none answer: when
+// nearly all answers are there, but while an answer that takes as long as the
+// one in the middle still meets the objective.
 func (t *plainTry) hedgeAfter() time.Duration {
-	most := time.Duration(hedgeShare * float64(t.c.route.Objective))
-	usual := hedgeFactor * t.h.fleet.Latency(t.c.service)
+	answers := t.h.answersOf(t.c.service)
+	most, n := answers.Quantile(hedgePart)
+	if n == 0 {
+		return hedgeUnknown
+	}
+	usual, _ := answers.Quantile(middle)
+	if latest := t.c.route.Objective - usual; latest > usual {
+		return min(most, latest)
+	}
 
-	return max(hedgeLeast, min(usual, most))
+	return most
 }
 
 // ask sends the request to one more server.
@@ -233,6 +240,7 @@
 func (h *Handler) noteOutcome(c *call, o *outcome) {
 	h.metrics.attempt(c, o.fate)
 	if o.good() {
+		h.answersOf(c.service).Record(o.took)
 		h.fleet.NoteAnswer(o.server.ID, true, o.took)
 
 		return
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -156,7 +156,7 @@
 	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: t.avoid}
 	path, hold, short := t.h.fleet.PathFrom(q, firsts)
 	if path == nil {
-		return nil, nil, shortage(short)
+		return nil, nil, t.h.shortage(short)
 	}
 
 	return path, hold, nil
