Halls wait for crashed servers, and orders of another box are not crossed

A server with a quarter of a hall's layers crashed; its entry lapsed after 3.6 s, and the hall was shifted at once, as though it had left, 1.2 s before it was back. The next elected box saw servers in the midst of that with no layers, took them as empty and ordered them elsewhere; many orders were refused, and the hall was of little use for 15 s.

Change: a server that was taken as dead when its entry went may come back, and a hall is shifted for it after the time that the cure itself takes; a server that gave its layers up is left alone for as long as an order may take (8 s).

Ruled out: the wait alone does not help when the elected box changes, since its clock of the lack begins anew.

--- a/box/control.go
+++ b/box/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -14,6 +15,7 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/place"
 )
 
 const (
@@ -46,6 +48,12 @@
 	unsettledAt time.Time
 	// firstSeen is when each server first appeared.
 	firstSeen map[slatebridge.ServerID]time.Time
+	// emptied is when servers that held layers were seen with none. They are
+	// carrying an order out, which may be that of another box.
+	emptied map[slatebridge.ServerID]time.Time
+	// crashed are the servers that were taken as dead when their entries went,
+	// since some hall lacks layers. They may come back.
+	crashed []place.Holder
 	// storeDown says, by topic, that the last call failed.
 	storeDown map[string]bool
 
@@ -84,6 +92,7 @@
 		box: b, ctx: ctx, settings: b.settings,
 		entries:   make(map[string][]byte),
 		firstSeen: make(map[slatebridge.ServerID]time.Time),
+		emptied:   make(map[slatebridge.ServerID]time.Time),
 		storeDown: make(map[string]bool),
 		peers:     make(map[slatebridge.BoxID]*otherBox),
 		hallHeard: make(map[slatebridge.HallID]time.Time),
@@ -285,21 +294,37 @@
 	case !known || before.Layers != s.Layers || before.Leaving != s.Leaving:
 		c.unsettledAt = time.Now()
 	}
+	c.noteEmptied(before, s)
 	c.box.fleet.Set(s)
 	event.Log(c.box.logger, event.ServerChanged, zap.String("server", string(s.ID)), zap.String("service", s.Service),
 		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset))
 }
 
+// noteEmptied notes whether a server has just given all its layers up.
+func (c *control) noteEmptied(before, now catalog.Server) {
+	switch {
+	case now.Layers.Len() > 0:
+		delete(c.emptied, now.ID)
+	case before.Layers.Len() > 0:
+		c.emptied[now.ID] = time.Now()
+	}
+}
+
 // removeServer drops a server. Entries also lapse while the store is away, so
 // after an outage a server has some time to come back.
 func (c *control) removeServer(key string, grace time.Duration) {
 	if _, known := c.entries[key]; !known {
 		return
 	}
+	id := slatebridge.ServerID(key)
 	delete(c.entries, key)
-	delete(c.firstSeen, slatebridge.ServerID(key))
+	delete(c.firstSeen, id)
+	delete(c.emptied, id)
 	c.unsettledAt = time.Now()
-	c.box.fleet.Remove(slatebridge.ServerID(key), time.Now().Add(grace))
+	if s, ok := c.box.fleet.Server(id); ok && !s.Leaving && slices.Contains(c.box.fleet.Suspects(), id) {
+		c.crashed = append(c.crashed, holderOf(s, s.Layers))
+	}
+	c.box.fleet.Remove(id, time.Now().Add(grace))
 	event.Log(c.box.logger, event.ServerRemoved, zap.String("server", key), zap.Duration("grace_ms", grace))
 }
 
--- a/box/orders.go
+++ b/box/orders.go
@@ -216,9 +216,11 @@
 		layers := v.Layers
 		if p, ok := c.pending[v.ID]; ok {
 			layers = p.layers
+		} else if now.Sub(c.emptied[v.ID]) < orderAgain {
+			continue
 		}
 		servers[v.ID] = v
-		holders = append(holders, place.Holder{ID: v.ID, Hall: v.Hall, Card: v.Card, Layers: layers})
+		holders = append(holders, holderOf(v, layers))
 	}
 	slices.SortFunc(holders, func(a, b place.Holder) int { return compareIDs(a.ID, b.ID) })
 	todo := place.Cover(s.Model, c.ripe(s.Model, holders, now))
@@ -233,6 +235,10 @@
 	return orders
 }
 
+func holderOf(s catalog.Server, layers slatebridge.LayerRange) place.Holder {
+	return place.Holder{ID: s.ID, Hall: s.Hall, Card: s.Card, Layers: layers}
+}
+
 func compareIDs(a, b slatebridge.ServerID) int {
 	switch {
 	case a < b:
@@ -250,7 +256,7 @@
 	dead := c.box.fleet.Suspects()
 	alive := slices.DeleteFunc(slices.Clone(holders), func(h place.Holder) bool { return slices.Contains(dead, h.ID) })
 	if !slices.ContainsFunc(alive, func(h place.Holder) bool { return place.Lacks(m, alive, h.Hall) }) {
-		c.lacking = time.Time{}
+		c.lacking, c.crashed = time.Time{}, nil
 		if len(c.pending) > 0 || len(dead) > 0 || now.Sub(c.unsettledAt) < spareTime {
 			// What is changing may make a move needless.
 			return nil
@@ -268,15 +274,20 @@
 		return todo
 	}
 	todo := place.Shift(m, alive)
-	if len(todo) > 0 && !place.Lacks(m, holders, todo[0].Hall) && now.Sub(c.lacking) < place.LoadTime(m, alive, todo)+c.box.handler.StreamTime() {
-		// A server that is taken as dead may come back. To wait as long as the cure
-		// takes costs at most twice as much as to know. One that has left does not.
+	if len(todo) > 0 && c.mayComeBack(m, holders, todo[0].Hall) && now.Sub(c.lacking) < place.LoadTime(m, alive, todo)+c.box.handler.StreamTime() {
+		// To wait as long as the cure takes costs at most twice as much as to know.
 		return nil
 	}
 
 	return todo
 }
 
+// mayComeBack reports whether the hall would lack no layers if the servers that
+// crashed came back. Those that have left do not.
+func (c *control) mayComeBack(m *catalog.Model, holders []place.Holder, hall slatebridge.HallID) bool {
+	return !place.Lacks(m, slices.Concat(holders, c.crashed), hall)
+}
+
 func (c *control) onVerified(m *verified) {
 	c.ordering, c.verifiedAt = false, time.Now()
 	if m.err != nil {
