Silences follow the gaps and answers seen; a dead server is told to other halls at once

Boxes whose streams passed servers of another hall heard of its dead ones up to half a second later.

Change: a stream may be silent for 1.2 times what 98 in 100 gaps took (1.6 to 2.5 usual ones), a server for three times what 98 in 100 answers took (12 to 35 ms). A relay passes words on its own hall's servers on to the relays of other halls at once.

Tests: TestSilenceFactor, TestQuickTime; TestDoubtAcrossHalls, which failed at the four boxes of the other hall without the push.

--- a/box/gossip.go
+++ b/box/gossip.go
@@ -198,7 +198,8 @@
 }
 
 // pushDoubt tells the boxes of the hall at once which servers are dead or slow:
-// the relays, and those that report to this one.
+// the relays, and those that report to this one. A relay also tells the other
+// halls, if servers of its own are among them.
 func (c *control) pushDoubt(now time.Time) {
 	c.pushedDoubt, c.doubtDue = now, false
 	to := make(map[string]mesh.Target)
@@ -209,9 +210,32 @@
 	}
 	m := mesh.Message{Kind: mesh.Doubt, Box: c.settings.Box, Hall: c.settings.Hall}
 	m.Dead, m.Slow = c.words(now)
+	if c.isRelay(now) && c.concerns(m) {
+		for _, hall := range c.farHalls() {
+			for _, o := range c.farRelays(hall, now) {
+				to[o.address] = o.target()
+			}
+		}
+	}
 	c.send(m, slices.Collect(maps.Values(to)))
 }
 
+// concerns reports whether the message tells of servers of this hall.
+func (c *control) concerns(m mesh.Message) bool {
+	own := func(id slatebridge.ServerID) bool {
+		s, ok := c.box.fleet.Server(id)
+
+		return ok && s.Hall == c.settings.Hall
+	}
+	for id := range m.Slow {
+		if own(id) {
+			return true
+		}
+	}
+
+	return slices.ContainsFunc(m.Dead, own)
+}
+
 // send sends the message to the targets.
 func (c *control) send(m mesh.Message, to []mesh.Target) {
 	size, err := c.box.socket.Send(m, to)
--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -14,6 +15,8 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/internal/standin/memnet"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/relay"
 )
@@ -98,3 +101,63 @@
 		}
 	})
 }
+
+// TestDoubtAcrossHalls: the word that a server is dead reaches boxes of other
+// halls before the next round of messages.
+func TestDoubtAcrossHalls(t *testing.T) {
+	const finder slatebridge.BoxID = "a-3"
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		defer network.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		start := func(name string, hall slatebridge.HallID, address string) *Box {
+			b := New(Settings{
+				Box: slatebridge.BoxID(name), Hall: hall, Listen: Listen{Mesh: address}, Seeds: []string{"10.1.0.1:7340"},
+				Bounds: Bounds{News: 2 * time.Second, Revocation: 5 * time.Second, RetryWindow: time.Second},
+			}, silentPlatform(), http.DefaultClient, zap.NewNop(), prometheus.NewRegistry())
+			for _, s := range []catalog.Server{{ID: "a1", Service: "llm", Hall: "a"}, {ID: "b1", Service: "llm", Hall: "b"}} {
+				b.fleet.Set(s)
+			}
+			go b.Run(ctx, mesh.NewSocket(network.ListenPacket(address)))
+
+			return b
+		}
+		var boxes []*Box
+		for i := range 4 {
+			boxes = append(boxes, start(fmt.Sprintf("a-%d", i), "a", fmt.Sprintf("10.1.0.%d:7340", i+1)))
+			boxes = append(boxes, start(fmt.Sprintf("b-%d", i), "b", fmt.Sprintf("10.2.0.%d:7340", i+1)))
+		}
+		// Rounds are made together; this is between two of them.
+		time.Sleep(4*time.Second + tickEvery/2)
+		for _, b := range boxes {
+			if b.settings.Hall == "a" && b.settings.Box != finder {
+				b.tell(&heard{at: time.Now(), message: mesh.Received{Message: mesh.Message{
+					Kind: mesh.Doubt, Box: finder, Hall: "a", Dead: []slatebridge.ServerID{"a1"},
+				}}})
+			}
+		}
+		time.Sleep(pushPause + 10*time.Millisecond)
+		for _, b := range boxes {
+			if diff := cmp.Diff([]slatebridge.ServerID{"a1"}, b.fleet.Suspects()); diff != "" && b.settings.Box != finder {
+				t.Errorf("%s: %s", b.settings.Box, diff)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// silentPlatform returns a platform whose store does not answer.
+func silentPlatform() Platform {
+	silent := logstore.Keyed{
+		Newest: func(ctx context.Context) (logstore.Changes, error) {
+			return logstore.Changes{}, logstore.ErrUnreachable
+		},
+		Read: func(ctx context.Context, _ int64, _ time.Duration) (logstore.Changes, error) {
+			return logstore.Changes{}, logstore.ErrUnreachable
+		},
+	}
+
+	return Platform{Config: silent, Servers: silent}
+}
--- a/box/words.go
+++ b/box/words.go
@@ -27,13 +27,16 @@
 	until    time.Time
 }
 
-// onDoubt takes up what another box just found out, and passes it on to the
-// boxes that report to this one.
+// onDoubt takes up what another box just found out, and passes it on: a relay to
+// the boxes that report to it, and to the other halls what concerns its own.
+//
+// Load pattern: servers of one hall crash while streams of others pass them. A word
+// that waits for the next round of messages comes up to half a second late, and a
+// stream may pause for 200 to 300 ms.
 func (c *control) onDoubt(msg mesh.Message, at time.Time) {
 	o, ok := c.peers[msg.Box]
-	reports := ok && o.reports(at)
-	c.believe(msg, at, reports)
-	if reports && msg.Hall == c.settings.Hall {
+	pass := ok && (o.reports(at) || !o.near(c.settings.Hall))
+	if news := c.believe(msg, at, pass); news && pass {
 		c.doubtSoon(at)
 	}
 }
@@ -53,9 +56,11 @@
 }
 
 // believe takes up which servers do not answer the other box, or are slow, and
-// passes that on if told to. A box of another hall is believed on the servers of
-// its own hall only: for the rest, the link between the halls may be at fault.
-func (c *control) believe(msg mesh.Message, at time.Time, pass bool) {
+// notes them to be passed on if told to. It reports whether any of that is news. A
+// box of another hall is believed on the servers of its own hall only: for the
+// rest, the link between the halls may be at fault.
+func (c *control) believe(msg mesh.Message, at time.Time, pass bool) bool {
+	news := false
 	for _, id := range msg.Dead {
 		s, ok := c.box.fleet.Server(id)
 		if !ok || (msg.Hall != c.settings.Hall && msg.Hall != s.Hall) {
@@ -68,15 +73,19 @@
 		}
 		c.box.fleet.Suspect(id, at.Add(deadTime))
 		if pass {
+			news = news || !c.said[id].dead || at.After(c.said[id].until)
 			c.said[id] = word{dead: true, slowness: c.said[id].slowness, until: at.Add(wordTime)}
 		}
 	}
 	for id, slowness := range msg.Slow {
 		c.box.fleet.NoteSlow(id, slowness)
 		if pass {
+			news = news || c.said[id].slowness == 0 || at.After(c.said[id].until)
 			c.said[id] = word{dead: c.said[id].dead, slowness: slowness, until: at.Add(wordTime)}
 		}
 	}
+
+	return news
 }
 
 // words returns which servers are dead and slow, by what this box has found and
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -70,9 +70,9 @@
 }
 
 const (
-	// quickTime is after how long a server counts as silent if the others have
-	// answered quickly. An answer takes about a millisecond.
-	quickTime = 35 * time.Millisecond
+	// mostQuick is after how long a server counts as silent at the latest if the
+	// others have answered quickly. An answer takes about a millisecond.
+	mostQuick = 35 * time.Millisecond
 	// quickAnswer is what a quick answer takes at most. Where answers take
 	// longer the box itself may be slow, and waits for the whole reportTime.
 	quickAnswer = 20 * time.Millisecond
@@ -92,7 +92,8 @@
 	}
 	answers := make([]*question, len(path))
 	slowest, n := time.Duration(0), 0
-	quick := time.NewTimer(quickTime)
+	limit := h.quickTime()
+	quick := time.NewTimer(limit)
 	defer quick.Stop()
 	for n < len(path) {
 		select {
@@ -100,7 +101,7 @@
 			answers[a.i], slowest = a.q, time.Since(began)
 			n++
 		case <-quick.C:
-			if n > len(path)/2 && slowest < quickAnswer && !h.stalledSince(began, quickTime) {
+			if n > len(path)/2 && slowest < min(quickAnswer, limit) && !h.stalledSince(began, limit) {
 				return answers
 			}
 		}
@@ -158,6 +159,9 @@
 	for range mostAsked {
 		began := time.Now()
 		q.report, q.err = h.report(ctx, s)
+		if q.err == nil {
+			h.seen.reports.Record(time.Since(began))
+		}
 		if q.err == nil || !h.stalledSince(began, reportTime) {
 			break
 		}
--- a/forward/observed.go
+++ b/forward/observed.go
@@ -25,10 +25,12 @@
 	// answer of a service without a model; both by service.
 	gaps    *sync.Map
 	answers *sync.Map
+	// reports are the times until a server's report.
+	reports *observe.Times
 }
 
 func newObserved() observed {
-	return observed{streams: observe.NewTimes(observedSpan), gaps: &sync.Map{}, answers: &sync.Map{}}
+	return observed{streams: observe.NewTimes(observedSpan), gaps: &sync.Map{}, answers: &sync.Map{}, reports: observe.NewTimes(observedSpan)}
 }
 
 // timesOf returns the times of the service.
@@ -65,6 +67,54 @@
 	return d
 }
 
+const (
+	// fewGaps is how many gaps must have been seen to judge a silence by them.
+	fewGaps = 200
+	// nearlyAll is the part of gaps that a silence has to exceed, and beyondAll by
+	// how many times.
+	nearlyAll = 0.98
+	beyondAll = 1.2
+)
+
+// silenceFactor returns how many usual gaps a stream of the service may be silent
+// until its servers are asked: as many as nearly all gaps lately took, and some
+// more.
+//
+// Load pattern: servers crash, and streams may pause for 200 to 300 ms, which is
+// four to seven gaps. Each tenth of that in which nothing is done costs streams
+// that would still have been in time, and each question too early its price.
+func (h *Handler) silenceFactor(service string) float64 {
+	usual, _ := h.gapsOf(service).Quantile(middle)
+	most, n := h.gapsOf(service).Quantile(nearlyAll)
+	if n < fewGaps || usual <= 0 {
+		return gapFactor
+	}
+
+	return min(gapFactor, max(leastGapFactor, beyondAll*float64(most)/float64(usual)))
+}
+
+const (
+	// fewReports is how many reports must have been seen to judge one by them.
+	fewReports = 20
+	// reportFactor is how many times as long as nearly all reports lately took a
+	// server may take that counts as silent while others have answered.
+	reportFactor = 3
+	// leastQuick is the least such time: a lost packet and two ticks of a slow box.
+	leastQuick = 12 * time.Millisecond
+)
+
+// quickTime returns after how long a server counts as silent if the others have
+// answered quickly: in some multiple of what answers lately took, since a box with
+// a part of a processor gets them later.
+func (h *Handler) quickTime() time.Duration {
+	most, n := h.seen.reports.Quantile(nearlyAll)
+	if n < fewReports {
+		return mostQuick
+	}
+
+	return min(mostQuick, max(leastQuick, reportFactor*most))
+}
+
 // roomIn returns when room is expected for a request that finds none: memory is
 // given back when streams end, so that about half of it is new after the time
 // that a stream takes in the middle. Callers are told times around that one, so
--- a/forward/observed_test.go
+++ b/forward/observed_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -38,3 +39,59 @@
 		within(t, h.roomIn(), 1900*time.Millisecond, 2100*time.Millisecond)
 	})
 }
+
+// TestSilenceFactor: how long a stream may be silent follows the gaps seen.
+func TestSilenceFactor(t *testing.T) {
+	for name, v := range map[string]struct {
+		gaps func(i int) time.Duration
+		want float64
+	}{
+		"too few were seen": {func(i int) time.Duration {
+			if i >= fewGaps/2 {
+				return 0
+			}
+
+			return 40 * time.Millisecond
+		}, gapFactor},
+		"steady gaps":         {func(int) time.Duration { return 40 * time.Millisecond }, leastGapFactor},
+		"gaps that vary some": {func(i int) time.Duration { return time.Duration(40+i%41) * time.Millisecond }, beyondAll * 80 / 60},
+		"gaps that vary much": {func(i int) time.Duration { return time.Duration(40+40*(i%10/9*4)) * time.Millisecond }, gapFactor},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &Handler{seen: newObserved()}
+			for i := range 10 * fewGaps {
+				if d := v.gaps(i); d > 0 {
+					h.gapsOf("llm").Record(d)
+				}
+			}
+			if got := h.silenceFactor("llm"); math.Abs(got-v.want) > 0.05 {
+				t.Errorf("%.2f usual gaps, want %.2f", got, v.want)
+			}
+		})
+	}
+}
+
+// TestQuickTime: after which time a server counts as silent follows the answers
+// seen, within bounds.
+func TestQuickTime(t *testing.T) {
+	for name, v := range map[string]struct {
+		answer time.Duration
+		n      int
+		want   time.Duration
+	}{
+		"too few were seen":  {time.Millisecond, fewReports - 1, mostQuick},
+		"answers at once":    {time.Millisecond, fewReports, leastQuick},
+		"a box that is slow": {6 * time.Millisecond, fewReports, 18 * time.Millisecond},
+		"one that is slower": {40 * time.Millisecond, fewReports, mostQuick},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &Handler{seen: newObserved()}
+			for range v.n {
+				h.seen.reports.Record(v.answer)
+			}
+			if got := h.quickTime(); (got - v.want).Abs() > time.Millisecond {
+				t.Errorf("%s, want %s", got, v.want)
+			}
+		})
+	}
+}
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -30,8 +31,10 @@
 	hold    *fleet.Hold
 	lastAt  time.Time
 	started bool
-	// gap is a moving average of the time between two events.
-	gap time.Duration
+	// gap is a moving average of the time between two events, and gapFactor how
+	// many of them the stream may be silent.
+	gap       time.Duration
+	gapFactor float64
 	// jitter is added to the silence after which servers are asked.
 	jitter time.Duration
 	// next is the path for the next attempt, if it has been chosen.
@@ -49,8 +52,11 @@
 const (
 	// gapWeight is the weight of the newest gap in the average.
 	gapWeight = 0.2
-	// gapFactor is how many usual gaps of a slow stream its silence may last.
-	gapFactor = 2.5
+	// gapFactor is how many usual gaps of a slow stream its silence may last at
+	// most, and leastGapFactor at least; between the two it follows how far the gaps
+	// of other streams lately were from the usual one.
+	gapFactor      = 2.5
+	leastGapFactor = 1.6
 	// suspectFactor is the same for a stream that passes a server which is taken
 	// as dead.
 	suspectFactor = 1.6
@@ -76,7 +82,7 @@
 	defer r.mu.Unlock()
 	limit := r.limits.first
 	if r.started {
-		limit = max(r.limits.running, min(time.Duration(gapFactor*float64(r.gap)), mostSilence))
+		limit = max(r.limits.running, min(time.Duration(cmp.Or(r.gapFactor, gapFactor)*float64(r.gap)), mostSilence))
 	}
 	limit += r.jitter
 	if slices.ContainsFunc(suspects, r.path.Uses) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -203,7 +203,7 @@
 	run := t.h.runs.add(&run{
 		id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel,
 		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers, jitter: t.h.jitter(),
-		limits: limitsFor(t.c.route), gap: t.h.usualGap(t.c.service),
+		limits: limitsFor(t.c.route), gap: t.h.usualGap(t.c.service), gapFactor: t.h.silenceFactor(t.c.service),
 		last: t.attempts >= maxAttempts || !t.c.route.MayRepeat(),
 	})
 	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
