--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -151,10 +151,10 @@
 // silentPlatform returns a platform whose store does not answer.
 func silentPlatform() Platform {
 	silent := logstore.Keyed{
-		Newest: func(ctx context.Context) (logstore.Changes, error) {
+		Newest: func(context.Context) (logstore.Changes, error) {
 			return logstore.Changes{}, logstore.ErrUnreachable
 		},
-		Read: func(ctx context.Context, _ int64, _ time.Duration) (logstore.Changes, error) {
+		Read: func(context.Context, int64, time.Duration) (logstore.Changes, error) {
 			return logstore.Changes{}, logstore.ErrUnreachable
 		},
 	}
