Words of boxes count once: relays tell what is first-hand; lost boxes share the budget

Cause: a relay took what the other relay passed on for a report of its own, so that the word on a dead server kept itself alive between the two, and looked like that of two boxes. And a box that heard its relays no more took itself for the only one of its hall within two seconds: it could have used more than its part of the retry budget.

Change: Doubt carries what a box found itself, Passed what others found. Other halls are told at once only of servers that two boxes have found dead. The number of boxes of the hall holds for 20 s.

--- a/box/control.go
+++ b/box/control.go
@@ -74,6 +74,10 @@
 	reported work
 	near     work
 	halls    map[slatebridge.HallID]work
+	// nearBoxes is how many boxes of the hall may be using the retry budget, as was
+	// known at nearBoxesAt.
+	nearBoxes   int
+	nearBoxesAt time.Time
 	// told are the last reports of this box, and sent the clock reading of the
 	// last message.
 	told []told
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -197,47 +196,44 @@
 	c.sendRelay(c.reporters(now), now)
 }
 
-// pushDoubt tells the boxes of the hall at once which servers are dead or slow:
-// the relays, and those that report to this one. A relay also tells the other
-// halls, if servers of its own are among them.
+// pushDoubt tells at once which servers are dead or slow: the relays what this box
+// has found itself, and the boxes that report to it what it knows. A relay also
+// tells the other halls which servers of its own are surely dead.
 func (c *control) pushDoubt(now time.Time) {
 	c.pushedDoubt, c.doubtDue = now, false
-	to := make(map[string]mesh.Target)
-	for _, o := range slices.Concat(c.relays(now), c.reporters(now)) {
-		if o.near(c.settings.Hall) {
-			to[o.address] = o.target()
-		}
-	}
 	m := mesh.Message{Kind: mesh.Doubt, Box: c.settings.Box, Hall: c.settings.Hall}
+	m.Dead, m.Slow = c.box.handler.Dead(), c.box.handler.Slow()
+	c.sendDoubt(m, c.relays(now))
+	m.Kind = mesh.Passed
 	m.Dead, m.Slow = c.words(now)
-	if c.isRelay(now) && c.concerns(m) {
-		for _, hall := range c.farHalls() {
-			for _, o := range c.farRelays(hall, now) {
-				to[o.address] = o.target()
-			}
-		}
+	near := slices.DeleteFunc(c.reporters(now), func(o *otherBox) bool { return !o.near(c.settings.Hall) })
+	c.sendDoubt(m, near)
+	if !c.isRelay(now) {
+		return
+	}
+	m.Dead, m.Slow = c.sureDead(now), nil
+	for _, hall := range c.farHalls() {
+		c.sendDoubt(m, c.farRelays(hall, now))
 	}
-	c.send(m, slices.Collect(maps.Values(to)))
 }
 
-// concerns reports whether the message tells of servers of this hall.
-func (c *control) concerns(m mesh.Message) bool {
-	own := func(id slatebridge.ServerID) bool {
-		s, ok := c.box.fleet.Server(id)
-
-		return ok && s.Hall == c.settings.Hall
+// sendDoubt sends the message to the boxes, unless it says nothing.
+func (c *control) sendDoubt(m mesh.Message, boxes []*otherBox) {
+	if len(m.Dead) == 0 && len(m.Slow) == 0 {
+		return
 	}
-	for id := range m.Slow {
-		if own(id) {
-			return true
-		}
+	targets := make([]mesh.Target, 0, len(boxes))
+	for _, o := range boxes {
+		targets = append(targets, o.target())
 	}
-
-	return slices.ContainsFunc(m.Dead, own)
+	c.send(m, targets)
 }
 
 // send sends the message to the targets.
 func (c *control) send(m mesh.Message, to []mesh.Target) {
+	if len(to) == 0 {
+		return
+	}
 	size, err := c.box.socket.Send(m, to)
 	if err != nil {
 		c.box.metrics.meshError(err)
--- a/box/peers.go
+++ b/box/peers.go
@@ -124,7 +124,7 @@
 		return
 	}
 	c.box.metrics.meshHeard(msg.Size)
-	if msg.Kind == mesh.Doubt {
+	if msg.Kind == mesh.Doubt || msg.Kind == mesh.Passed {
 		c.onDoubt(msg.Message, m.at)
 
 		return
@@ -255,7 +255,7 @@
 
 // boxesForBudget returns how many boxes may be using the retry budget.
 func (c *control) boxesForBudget() int {
-	n := max(1, c.near.boxes)
+	n := max(1, c.nearBoxes)
 	for _, w := range c.halls {
 		n += w.boxes
 	}
--- a/box/words.go
+++ b/box/words.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"slices"
 	"time"
 
 	"github.com/slatebridge/slatebridge"
@@ -20,22 +21,39 @@
 	wordTime = 2 * tickEvery
 )
 
-// word is what another box said of a server.
+// word is what other boxes said of a server.
 type word struct {
-	dead     bool
-	slowness float64
-	until    time.Time
+	// dead is the box that first said that the server is dead, and confirmed says
+	// that another one did as well.
+	dead      slatebridge.BoxID
+	confirmed bool
+	slowness  float64
+	until     time.Time
+}
+
+// heardOf returns the word once a box has said something of the server: what was
+// said before, if it still holds, from now on.
+func (w word) heardOf(at time.Time) word {
+	if at.After(w.until) {
+		w = word{}
+	}
+	w.until = at.Add(wordTime)
+
+	return w
 }
 
 // onDoubt takes up what another box just found out, and passes it on: a relay to
-// the boxes that report to it, and to the other halls what concerns its own.
+// the boxes that report to it, and to the other halls which of its own servers two
+// boxes have found dead.
 //
 // Load pattern: servers of one hall crash while streams of others pass them. A word
 // that waits for the next round of messages comes up to half a second late, and a
-// stream may pause for 200 to 300 ms.
+// stream may pause for 200 to 300 ms. A busy box takes servers that are well as
+// dead for half a second: measured with the word of a single box passed on to other
+// halls, a day of 38 servers had worth 0.492 to 0.540, against 0.559 and 0.572.
 func (c *control) onDoubt(msg mesh.Message, at time.Time) {
 	o, ok := c.peers[msg.Box]
-	pass := ok && (o.reports(at) || !o.near(c.settings.Hall))
+	pass := ok && ((msg.Kind == mesh.Doubt && o.reports(at)) || !o.near(c.settings.Hall))
 	if news := c.believe(msg, at, pass); news && pass {
 		c.doubtSoon(at)
 	}
@@ -72,17 +90,27 @@
 			continue
 		}
 		c.box.fleet.Suspect(id, at.Add(deadTime))
-		if pass {
-			news = news || !c.said[id].dead || at.After(c.said[id].until)
-			c.said[id] = word{dead: true, slowness: c.said[id].slowness, until: at.Add(wordTime)}
+		if !pass {
+			continue
+		}
+		w := c.said[id].heardOf(at)
+		switch {
+		case w.dead == "":
+			w.dead, news = msg.Box, true
+		case w.dead != msg.Box && !w.confirmed:
+			w.confirmed, news = true, true
 		}
+		c.said[id] = w
 	}
 	for id, slowness := range msg.Slow {
 		c.box.fleet.NoteSlow(id, slowness)
-		if pass {
-			news = news || c.said[id].slowness == 0 || at.After(c.said[id].until)
-			c.said[id] = word{dead: c.said[id].dead, slowness: slowness, until: at.Add(wordTime)}
+		if !pass {
+			continue
 		}
+		w := c.said[id].heardOf(at)
+		news = news || w.slowness == 0
+		w.slowness = slowness
+		c.said[id] = w
 	}
 
 	return news
@@ -102,7 +130,7 @@
 
 			continue
 		}
-		if w.dead && !own[id] {
+		if w.dead != "" && !own[id] {
 			dead = append(dead, id)
 		}
 		if w.slowness > 0 {
@@ -112,3 +140,19 @@
 
 	return dead, slow
 }
+
+// sureDead returns the servers of this hall that two boxes have found dead.
+func (c *control) sureDead(now time.Time) []slatebridge.ServerID {
+	own := c.box.handler.Dead()
+	var out []slatebridge.ServerID
+	for id, w := range c.said {
+		if now.After(w.until) || w.dead == "" || (!w.confirmed && !slices.Contains(own, id)) {
+			continue
+		}
+		if s, ok := c.box.fleet.Server(id); ok && s.Hall == c.settings.Hall {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
--- a/box/work.go
+++ b/box/work.go
@@ -177,6 +177,10 @@
 		best, others = v, v.minus(c.toldAt(o.relayEcho))
 	}
 	c.near = best
+	// Boxes of which nothing is heard any more may go on using the retry budget.
+	if best.boxes >= c.nearBoxes || now.Sub(c.nearBoxesAt) > forgetTime {
+		c.nearBoxes, c.nearBoxesAt = best.boxes, now
+	}
 	others.at = best.at
 	others.live, others.boxes = max(0, best.live-1), max(0, best.boxes-1)
 	c.setOthers(hallName(c.settings.Hall), others)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -19,9 +19,12 @@
 	// Relay is what a relay tells the boxes that report to it, and the relays of
 	// other halls.
 	Relay
-	// Doubt carries only Dead and Slow. It is sent at once when a server is found
-	// dead or slow, often by many boxes.
+	// Doubt carries only Dead and Slow, as the sender itself has found them. It is
+	// sent at once, often by many boxes.
 	Doubt
+	// Passed is a Doubt with what others have found; it is not passed on again
+	// within a hall.
+	Passed
 )
 
 // Message is what a box tells another one. Fields that do not belong to its kind
