slatebridge explain and timeline: what became of a request, by the logs of many boxes

Cause: among 295 boxes an engineer does not know which log to read.

Change: package explain reads lines of any boxes in any order and tells the story of a request with its likely cause, and what was believed by the second, as a table and CSV.

Tests: TestCause (a case for each kind), TestGoldenStory, TestTimeline. Not built: a plot.

--- a/cmd/slatebridge/commands.go
+++ b/cmd/slatebridge/commands.go
@@ -28,6 +28,8 @@
 		{"stop", "announce the stop of a box or a backend server", &stopCommand{base: base{opts: opts}}},
 		{"status", "show what is in force", &statusCommand{base: base{opts: opts}}},
 		{"box", "show what one box knows, without the store", &boxCommand{}},
+		{"explain", "tell what became of a request, from the logs of many boxes", &explainCommand{}},
+		{"timeline", "tell what boxes believed by the second, from their logs", &timelineCommand{}},
 		{"key", "print a new Idempotency-Key", &keyCommand{}},
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/cmd/slatebridge/explain.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge/explain"
+)
+
+// readLogs reads the logs in the files, or standard input if there are none.
+func readLogs(files []string) (*explain.Log, error) {
+	l := &explain.Log{}
+	if len(files) == 0 {
+		return l, l.Read(os.Stdin)
+	}
+	for _, name := range files {
+		if err := readFile(l, name); err != nil {
+			return nil, err
+		}
+	}
+	if len(l.Lines) == 0 {
+		return nil, errors.Newf("no lines of boxes in %v; %d other lines", files, l.Skipped)
+	}
+
+	return l, nil
+}
+
+func readFile(l *explain.Log, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer func() { _ = f.Close() }()
+
+	return errors.Wrap(l.Read(f), name)
+}
+
+type explainCommand struct {
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST-ID" required:"1" description:"the caller's ID of the try"`
+		Files   []string `positional-arg-name:"FILE" description:"logs of boxes; standard input if there are none"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints what became of a request, by the logs of many boxes.
+func (c *explainCommand) Execute([]string) error {
+	l, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
+	}
+	s := explain.Tell(l, c.Args.Request)
+
+	return s.Print(os.Stdout)
+}
+
+type timelineCommand struct {
+	CSV  string `long:"csv" value-name:"FILE" description:"write the seconds there as well, as comma-separated values"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"logs of boxes; standard input if there are none"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints what boxes believed and did, second by second.
+func (c *timelineCommand) Execute([]string) error {
+	l, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
+	}
+	list := explain.Timeline(l)
+	if c.CSV != "" {
+		if err := writeFile(c.CSV, func(w io.Writer) error { return explain.PrintCSV(w, list) }); err != nil {
+			return err
+		}
+	}
+
+	return explain.PrintTable(os.Stdout, list)
+}
+
+func writeFile(name string, write func(w io.Writer) error) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "csv")
+	}
+
+	return errors.CombineErrors(write(f), f.Close())
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,132 @@
+package explain
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge/internal/golden"
+)
+
+// line returns a line of a box's log, so many milliseconds after ten o'clock.
+func line(ms int, box, name string, fields map[string]any) string {
+	all := map[string]any{"ts": fmt.Sprintf("2026-01-01T10:00:%02d.%03dZ", ms/1000, ms%1000), "box": box, "msg": name}
+	for k, v := range fields {
+		all[k] = v
+	}
+	data, _ := json.Marshal(all)
+
+	return string(data)
+}
+
+// read returns the log of the lines.
+func read(t *testing.T, lines ...string) *Log {
+	t.Helper()
+	l := &Log{}
+	if err := l.Read(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+		t.Fatal(err)
+	}
+
+	return l
+}
+
+func TestCause(t *testing.T) {
+	sent := line(1000, "b1", "StreamSent", map[string]any{"request": "r", "path": "s1[0,4)>s2[4,8)"})
+	stalled := line(2000, "b1", "StreamStalled", map[string]any{"request": "r", "path": "s1[0,4)>s2[4,8)", "dead": []string{"s2"}})
+	answered := line(3000, "b1", "RequestAnswered", map[string]any{"request": "r", "took_ms": 2000, "longest_pause_ms": 400})
+	refused := func(code int, why string) string {
+		return line(1000, "b1", "RequestRefused", map[string]any{"request": "r", "code": code, "why": why})
+	}
+	suspected := func(box, why string) string {
+		return line(1990, box, "ServerSuspected", map[string]any{fieldServer: "s2", "why": why})
+	}
+	for name, v := range map[string]struct {
+		lines []string
+		want  Kind
+	}{
+		"no line":                           {[]string{line(1000, "b2", "PeerLost", map[string]any{"peer": "b1"})}, NoLine},
+		"a box that was lost":               {[]string{sent}, BoxLost},
+		"a server that several found dead":  {[]string{sent, suspected("b2", "silent"), suspected("b1", "silent"), stalled, answered}, ServerDied},
+		"a server that one box doubted":     {[]string{sent, suspected("b1", "silent"), stalled, line(2500, "b1", "ServerTrusted", map[string]any{fieldServer: "s2"}), answered}, BoxWasSlow},
+		"a hall cut off":                    {[]string{sent, suspected("b1", "its hall is cut off"), stalled, answered}, HallCut},
+		"a slow server":                     {[]string{sent, line(1500, "b3", "ServerSlow", map[string]any{fieldServer: "s1", "slowness": 5.5}), answered}, ServerSlow},
+		"no proof of the configuration":     {[]string{refused(3005, "too old")}, StoreAway},
+		"an unknown key":                    {[]string{refused(1008, "the key is not known")}, WrongRequest},
+		"layers on no server":               {[]string{refused(3001, "some layers are on no server")}, LayersGone},
+		"no memory":                         {[]string{refused(2003, "no path has memory left")}, NoRoom},
+		"the budget":                        {[]string{refused(2003, "the budget for retries is used up")}, BudgetSpent},
+		"an answer in time":                 {[]string{sent, answered}, InTime},
+		"a failure of the server":           {[]string{line(900, "b1", "AttemptEnded", map[string]any{"request": "r", fieldServer: "s1", "error": "reset"}), refused(4001, "it may have run")}, ServerFailed},
+		"a refusal for an unknown reason":   {[]string{refused(2004, "leaving")}, Unknown},
+		"what others doubted long before":   {[]string{sent, line(3000, "b1", "RequestAnswered", map[string]any{"request": "r", "took_ms": 2000})}, InTime},
+		"what is said of other servers too": {[]string{sent, line(1500, "b3", "ServerSlow", map[string]any{fieldServer: "s9"}), answered}, InTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := Tell(read(t, v.lines...), "r").Cause; got.Kind != v.want {
+				t.Errorf("%s: %s, want %s", got.Kind, got.Why, v.want)
+			}
+		})
+	}
+}
+
+// TestGoldenStory: the same story comes from lines in any order, with names of
+// machines before them and lines of other programs between.
+func TestGoldenStory(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("testdata", "crash.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	story := func(lines []string) (string, *Log) {
+		l := read(t, lines...)
+		s := Tell(l, "3aeb6e96")
+		var b strings.Builder
+		if err := s.Print(&b); err != nil {
+			t.Fatal(err)
+		}
+
+		return b.String(), l
+	}
+	want, l := story(lines)
+	golden.Compare(t, filepath.Join("testdata", "crash.story"), want)
+	if l.Skipped != 1 {
+		t.Errorf("%d lines were skipped, want 1", l.Skipped)
+	}
+	reversed := slices.Clone(lines)
+	slices.Reverse(reversed)
+	got, _ := story(reversed)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	var table strings.Builder
+	if err := PrintTable(&table, Timeline(l)); err != nil {
+		t.Fatal(err)
+	}
+	golden.Compare(t, filepath.Join("testdata", "crash.timeline"), table.String())
+}
+
+func TestTimeline(t *testing.T) {
+	l := read(t,
+		line(100, "b1", "ElectionWon", nil),
+		line(200, "b1", "ServerSuspected", map[string]any{fieldServer: "s1"}),
+		line(300, "b2", "ServerSuspected", map[string]any{fieldServer: "s1"}),
+		line(2100, "b2", "RequestRefused", map[string]any{"request": "r", "code": 2003}),
+	)
+	var b strings.Builder
+	if err := PrintCSV(&b, Timeline(l)); err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Join(columns, ",") + "\n" +
+		"0,b1,0,1,0,0,0,0,0,0,0,0,\n" +
+		"1,b1,0,0,0,0,0,0,0,0,0,0,\n" +
+		"2,b1,0,0,0,0,0,0,0,0,0,0,2003:1\n"
+	if diff := cmp.Diff(want, b.String()); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/explain/story.go
@@ -0,0 +1,165 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// before and after are how long before and after a request what boxes said of
+	// its servers belongs to its story.
+	before = 5 * time.Second
+	after  = time.Second
+	// together is within which time several boxes that find a server dead are taken
+	// to have seen the same: its end.
+	together = time.Second
+	// calledOff is within which time a server that is trusted again was never dead.
+	calledOff = 2 * time.Second
+)
+
+// Story is what became of one request.
+type Story struct {
+	Request string
+	// Box served the request; empty if no line is there.
+	Box string
+	// Lines are about the request, and Around is what boxes came to believe of its
+	// servers, of the store and of each other at that time.
+	Lines  []Line
+	Around []Line
+	Cause  Cause
+}
+
+// Tell returns the story of a request.
+func Tell(l *Log, request string) Story {
+	s := Story{Request: request}
+	for _, v := range l.Lines {
+		if v.Request == request {
+			s.Lines = append(s.Lines, v)
+		}
+	}
+	if len(s.Lines) == 0 {
+		s.Cause = Cause{Kind: NoLine, Why: "no line names the request: its box read it but was lost, no box read it, or the log is not here"}
+		for _, v := range l.Lines {
+			if v.Name == "PeerLost" {
+				s.Around = append(s.Around, v)
+			}
+		}
+
+		return s
+	}
+	first, last := s.Lines[0], s.Lines[len(s.Lines)-1]
+	s.Box = first.Box
+	servers := s.servers()
+	from, to := first.At.Add(-first.Time("took_ms")-before), last.At.Add(after)
+	for _, v := range l.Lines {
+		if v.At.Before(from) || v.At.After(to) || v.Request != "" {
+			continue
+		}
+		if s.concerns(v, servers) {
+			s.Around = append(s.Around, v)
+		}
+	}
+	s.Cause = s.findCause()
+
+	return s
+}
+
+// servers returns the servers that the request's lines name.
+func (s *Story) servers() map[string]bool {
+	out := make(map[string]bool)
+	for _, l := range s.Lines {
+		for _, field := range []string{"path", "from", "to", fieldServer} {
+			for _, id := range stages(l.Text(field)) {
+				out[id] = true
+			}
+		}
+		for _, id := range l.Names("dead") {
+			out[id] = true
+		}
+	}
+
+	return out
+}
+
+// stages returns the servers of a path such as "a[0,4)>b[4,8)".
+func stages(path string) []string {
+	var out []string
+	for part := range strings.SplitSeq(path, ">") {
+		if id, _, _ := strings.Cut(part, "["); id != "" {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
+// concerns reports whether a line that is about no request belongs to the story.
+func (s *Story) concerns(l Line, servers map[string]bool) bool {
+	switch l.Name {
+	case "ServerSuspected", "ServerTrusted", "ServerSlow", "ServerRemoved", "PlacementPlanned", "ServerChanged":
+		return servers[l.Server]
+	case "StoreLost", "StoreRegained", "CatalogTaken", "Ready", "Stopping", "Started", "PeerLost", "LinesDropped":
+		return l.Box == s.Box
+	default:
+		return false
+	}
+}
+
+// last returns the last line of the name, if there is one.
+func (s *Story) last(names ...string) (Line, bool) {
+	for _, l := range slices.Backward(s.Lines) {
+		if slices.Contains(names, l.Name) {
+			return l, true
+		}
+	}
+
+	return Line{}, false
+}
+
+// Print writes the story, a line each.
+func (s *Story) Print(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s, served by %s\n", s.Request, orNone(s.Box))
+	all := slices.Concat(s.Lines, s.Around)
+	slices.SortStableFunc(all, func(a, b Line) int { return a.At.Compare(b.At) })
+	for _, l := range all {
+		mark := " "
+		if l.Request != "" {
+			mark = "*"
+		}
+		fmt.Fprintf(&b, "%s %s %-22s %-18s %s\n", mark, l.At.Format("15:04:05.000"), l.Box, l.Name, l.summary())
+	}
+	fmt.Fprintf(&b, "likely cause: %s: %s\n", s.Cause.Kind, s.Cause.Why)
+	_, err := io.WriteString(w, b.String())
+
+	return err
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "no box that is known"
+	}
+
+	return s
+}
+
+// shown are the fields that a story shows of a line, in order.
+var shown = []string{
+	fieldServer, "path", "from", "to", "dead", "without", "silent_ms", "fate", "status", "error", "why", "code", "ran",
+	"attempts", "first_event_ms", "longest_pause_ms", "took_ms", "config", "config_age_ms", "version", "peer", "topic", "layers", "token",
+}
+
+// summary returns the fields of the line that tell most.
+func (l Line) summary() string {
+	var parts []string
+	for _, name := range shown {
+		if v, ok := l.Fields[name]; ok && v != nil {
+			parts = append(parts, fmt.Sprintf("%s=%v", name, v))
+		}
+	}
+
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/explain/timeline.go
@@ -0,0 +1,160 @@
+package explain
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Second is what happened, and what the boxes believed, in one second.
+type Second struct {
+	At time.Time
+	// Orders is the box that last won an election.
+	Orders string
+	// Config is the newest version that any box had taken up.
+	Config int64
+	// Dead and Slow are how many servers some box took as dead or as slow in the
+	// second; a server is named once, however many boxes say so.
+	Dead int
+	Slow int
+	// Removed counts servers whose entries went, and Planned orders that were given.
+	Removed int
+	Planned int
+	// PeersLost counts boxes that another one lost, and StoreLost boxes that the
+	// store did not answer.
+	PeersLost int
+	StoreLost int
+	// Answered, Moved and Broken count requests and streams.
+	Answered int
+	Moved    int
+	Broken   int
+	// Refused counts refusals by their code.
+	Refused map[int]int
+}
+
+// counting collects one second.
+type counting struct {
+	Second
+	dead, slow, removed, stores map[string]bool
+}
+
+// Timeline returns the seconds from the first line to the last. Those in which
+// nothing happened have what was believed before.
+func Timeline(l *Log) []Second {
+	var out []Second
+	var now *counting
+	for _, v := range l.Lines {
+		at := v.At.Truncate(time.Second)
+		for now == nil || now.At.Before(at) {
+			next := &counting{
+				Second: Second{At: at, Refused: make(map[int]int)},
+				dead:   make(map[string]bool), slow: make(map[string]bool), removed: make(map[string]bool), stores: make(map[string]bool),
+			}
+			if now != nil {
+				out = append(out, now.done())
+				next.At, next.Orders, next.Config = now.At.Add(time.Second), now.Orders, now.Config
+			}
+			now = next
+		}
+		now.count(v)
+	}
+	if now != nil {
+		out = append(out, now.done())
+	}
+
+	return out
+}
+
+func (c *counting) done() Second {
+	c.Dead, c.Slow, c.Removed, c.StoreLost = len(c.dead), len(c.slow), len(c.removed), len(c.stores)
+
+	return c.Second
+}
+
+func (c *counting) count(l Line) {
+	switch l.Name {
+	case "ElectionWon":
+		c.Orders = l.Box
+	case "CatalogTaken":
+		c.Config = max(c.Config, int64(l.Number("version")))
+	case "ServerSuspected":
+		c.dead[l.Server] = true
+	case "ServerSlow":
+		c.slow[l.Server] = true
+	case "ServerRemoved":
+		c.removed[l.Server] = true
+	case "PlacementPlanned":
+		c.Planned++
+	case "PeerLost":
+		c.PeersLost++
+	case "StoreLost":
+		c.stores[l.Box] = true
+	default:
+		c.countRequest(l)
+	}
+}
+
+func (c *counting) countRequest(l Line) {
+	switch l.Name {
+	case "RequestAnswered":
+		c.Answered++
+	case "StreamMoved", "StreamResumed":
+		c.Moved++
+	case "RequestBroken":
+		c.Broken++
+	case "RequestRefused":
+		c.Refused[int(l.Number("code"))]++
+	default:
+	}
+}
+
+// columns are the titles of a table of seconds.
+var columns = []string{"second", "orders", "config", "dead", "slow", "removed", "planned", "peers_lost", "store_lost", "answered", "moved", "broken", "refused"}
+
+// row returns the second as text. The first column counts from the given time.
+func (s Second) row(from time.Time) []string {
+	refused := make([]string, 0, len(s.Refused))
+	for _, code := range slices.Sorted(maps.Keys(s.Refused)) {
+		refused = append(refused, fmt.Sprintf("%d:%d", code, s.Refused[code]))
+	}
+	out := []string{strconv.Itoa(int(s.At.Sub(from).Seconds())), s.Orders, strconv.FormatInt(s.Config, 10)}
+	for _, n := range []int{s.Dead, s.Slow, s.Removed, s.Planned, s.PeersLost, s.StoreLost, s.Answered, s.Moved, s.Broken} {
+		out = append(out, strconv.Itoa(n))
+	}
+
+	return append(out, strings.Join(refused, " "))
+}
+
+// PrintTable writes the seconds as an aligned table.
+func PrintTable(w io.Writer, list []Second) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0) //nolint:mnd // two blanks between columns
+	if _, err := fmt.Fprintln(t, strings.Join(columns, "\t")); err != nil {
+		return errors.Wrap(err, "explain: table")
+	}
+	for _, s := range list {
+		if _, err := fmt.Fprintln(t, strings.Join(s.row(list[0].At), "\t")); err != nil {
+			return errors.Wrap(err, "explain: table")
+		}
+	}
+
+	return errors.Wrap(t.Flush(), "explain: table")
+}
+
+// PrintCSV writes the seconds as comma-separated values.
+func PrintCSV(w io.Writer, list []Second) error {
+	c := csv.NewWriter(w)
+	rows := [][]string{columns}
+	for _, s := range list {
+		rows = append(rows, s.row(list[0].At))
+	}
+
+	return errors.Wrap(c.WriteAll(rows), "explain: csv")
+}
