Streams leave a server at once that two boxes have found dead

Cause: after a crash each stream found the dead server by its own silence.

News of that kind are sent within 10 ms rather than 50. One box alone is believed as before: a busy box takes servers that are well as dead.

Tests: TestDueOnTheWordOfOthers, TestDoubtAcrossHalls (all boxes of both halls are sure once two said so, none after one).

--- a/box/control.go
+++ b/box/control.go
@@ -24,6 +24,8 @@
 	tickEvery = 250 * time.Millisecond
 	// pushPause is between two messages on dead and slow servers beside the usual rounds.
 	pushPause = 50 * time.Millisecond
+	// surePause is the same when two boxes have found a server dead.
+	surePause = 10 * time.Millisecond
 )
 
 // control is the state of the control actor. Only the actor uses it.
@@ -92,6 +94,8 @@
 	// and doubtDue says that it will be told again soon.
 	pushedDoubt time.Time
 	doubtDue    bool
+	// toldSure is when the hall was last told of each server that it is surely dead.
+	toldSure map[slatebridge.ServerID]time.Time
 	// taken counts the entries of servers taken up since takenAt, when that was
 	// last logged.
 	taken   int
@@ -131,7 +135,7 @@
 		emptied:   make(map[slatebridge.ServerID]time.Time),
 		improved:  make(map[string]bool),
 		storeDown: make(map[string]bool), storeDownAt: make(map[string]time.Time),
-		halls: make(map[slatebridge.HallID]work), said: make(map[slatebridge.ServerID]word),
+		halls: make(map[slatebridge.HallID]work), said: make(map[slatebridge.ServerID]word), toldSure: make(map[slatebridge.ServerID]time.Time),
 		peers:     make(map[slatebridge.BoxID]*otherBox),
 		hallHeard: make(map[slatebridge.HallID]time.Time),
 		pending:   make(map[slatebridge.ServerID]pendingOrder),
@@ -386,6 +390,7 @@
 	delete(c.entries, key)
 	delete(c.firstSeen, id)
 	delete(c.emptied, id)
+	delete(c.toldSure, id)
 	c.unsettledAt = time.Now()
 	clear(c.improved)
 	if s, ok := c.box.fleet.Server(id); ok && !s.Leaving && slices.Contains(c.box.fleet.Suspects(), id) {
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -181,6 +181,7 @@
 	m := c.message(mesh.Relay, now)
 	m.Work = c.reported.message(c.settings.Hall, c.round, now)
 	m.Dead, m.Slow = c.words(now)
+	m.Sure = c.sureDead(now)
 	m.Reader = c.chooseReader(now)
 	m.Relays = map[slatebridge.HallID][]relay.Candidate{
 		c.settings.Hall: c.candidates(c.settings.Hall, relay.Count+1),
@@ -206,12 +207,17 @@
 	c.sendDoubt(m, c.relays(now))
 	m.Kind = mesh.Passed
 	m.Dead, m.Slow = c.words(now)
+	m.Sure = c.sureDead(now)
+	for _, id := range m.Sure {
+		c.toldSure[id] = now
+	}
 	near := slices.DeleteFunc(c.reporters(now), func(o *otherBox) bool { return !o.near(c.settings.Hall) })
 	c.sendDoubt(m, near)
 	if !c.isRelay(now) {
 		return
 	}
-	m.Dead, m.Slow = c.sureDead(now), nil
+	m.Sure = c.ofHall(m.Sure)
+	m.Dead, m.Slow = m.Sure, nil
 	for _, hall := range c.farHalls() {
 		c.sendDoubt(m, c.farRelays(hall, now))
 	}
--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -148,6 +148,11 @@
 				}
 				time.Sleep(pushPause + 10*time.Millisecond)
 				for _, b := range boxes {
+					// All boxes of both halls act at once on what two boxes found.
+					sure := len(b.fleet.SurelyDead()) > 0
+					if sure != (len(finders) > 1) && !slices.Contains(finders, b.settings.Box) {
+						t.Errorf("%s is sure: %v", b.settings.Box, sure)
+					}
 					want := dead
 					if b.settings.Hall == "b" && len(finders) == 1 {
 						want = nil
--- a/box/words.go
+++ b/box/words.go
@@ -60,10 +60,15 @@
 }
 
 // doubtSoon tells the hall of dead and slow servers, at most once in a pause: a
-// hall that is cut off makes many servers dead at once.
+// hall that is cut off makes many servers dead at once. What two boxes have found
+// is told sooner, since boxes act on it without waiting for their own streams.
 func (c *control) doubtSoon(now time.Time) {
-	if wait := pushPause - now.Sub(c.pushedDoubt); wait > 0 {
-		if !c.doubtDue {
+	pause := pushPause
+	if c.sureNews(now) {
+		pause = surePause
+	}
+	if wait := pause - now.Sub(c.pushedDoubt); wait > 0 {
+		if !c.doubtDue || pause == surePause {
 			c.doubtDue = true
 			time.AfterFunc(wait, func() { c.box.tell(&foundDoubt{}) })
 		}
@@ -74,44 +79,78 @@
 }
 
 // believe takes up which servers do not answer the other box, or are slow, and
-// notes them to be passed on if told to. It reports whether any of that is news. A
-// box of another hall is believed on the servers of its own hall only: for the
-// rest, the link between the halls may be at fault.
+// notes them to be passed on if told to. It reports whether any of that is news.
 func (c *control) believe(msg mesh.Message, at time.Time, pass bool) bool {
 	news := false
 	for _, id := range msg.Dead {
-		s, ok := c.box.fleet.Server(id)
-		if !ok || (msg.Hall != c.settings.Hall && msg.Hall != s.Hall) {
-			continue
-		}
 		// What this box sees itself goes first: an answer to the other one may
 		// have been lost. It says so again if it was not.
-		if c.box.fleet.AliveSince(id, at.Add(-seenTime)) {
+		if !c.maySay(msg, id) || c.box.fleet.AliveSince(id, at.Add(-seenTime)) {
 			continue
 		}
 		c.box.fleet.Suspect(id, at.Add(deadTime))
-		if !pass {
-			continue
-		}
-		w := c.said[id].heardOf(at)
-		switch {
-		case w.dead == "":
-			w.dead, news = msg.Box, true
-		case w.dead != msg.Box && !w.confirmed:
-			w.confirmed, news = true, true
-		}
-		c.said[id] = w
+		news = (pass && c.noteDead(id, msg.Box, at)) || news
 	}
+	c.believeSure(msg, at, pass)
 	for id, slowness := range msg.Slow {
 		c.box.fleet.NoteSlow(id, slowness)
-		if !pass {
+		news = (pass && c.noteSlow(id, slowness, at)) || news
+	}
+	if news {
+		for _, id := range c.sureDead(at) {
+			c.box.fleet.SuspectSurely(id, at.Add(deadTime))
+		}
+	}
+
+	return news
+}
+
+// believeSure takes up which servers two boxes have found dead.
+func (c *control) believeSure(msg mesh.Message, at time.Time, pass bool) {
+	for _, id := range msg.Sure {
+		if !c.maySay(msg, id) {
 			continue
 		}
-		w := c.said[id].heardOf(at)
-		news = news || w.slowness == 0
-		w.slowness = slowness
-		c.said[id] = w
+		c.box.fleet.SuspectSurely(id, at.Add(deadTime))
+		if w, ok := c.said[id]; ok && pass {
+			w.confirmed = true
+			c.said[id] = w
+		}
+	}
+}
+
+// maySay reports whether the box is believed on the server. One of another hall is
+// believed on the servers of its own hall only: for the rest, the link between the
+// halls may be at fault.
+func (c *control) maySay(msg mesh.Message, id slatebridge.ServerID) bool {
+	s, ok := c.box.fleet.Server(id)
+
+	return ok && (msg.Hall == c.settings.Hall || msg.Hall == s.Hall)
+}
+
+// noteDead notes that a box has found a server dead, and reports whether it is the
+// first or the second one.
+func (c *control) noteDead(id slatebridge.ServerID, box slatebridge.BoxID, at time.Time) bool {
+	w := c.said[id].heardOf(at)
+	news := false
+	switch {
+	case w.dead == "":
+		w.dead, news = box, true
+	case w.dead != box && !w.confirmed:
+		w.confirmed, news = true, true
 	}
+	c.said[id] = w
+
+	return news
+}
+
+// noteSlow notes that a box has found a server slow, and reports whether that is
+// news.
+func (c *control) noteSlow(id slatebridge.ServerID, slowness float64, at time.Time) bool {
+	w := c.said[id].heardOf(at)
+	news := w.slowness == 0
+	w.slowness = slowness
+	c.said[id] = w
 
 	return news
 }
@@ -141,18 +180,32 @@
 	return dead, slow
 }
 
-// sureDead returns the servers of this hall that two boxes have found dead.
+// sureDead returns the servers that two boxes have found dead.
 func (c *control) sureDead(now time.Time) []slatebridge.ServerID {
 	own := c.box.handler.Dead()
 	var out []slatebridge.ServerID
 	for id, w := range c.said {
-		if now.After(w.until) || w.dead == "" || (!w.confirmed && !slices.Contains(own, id)) {
-			continue
-		}
-		if s, ok := c.box.fleet.Server(id); ok && s.Hall == c.settings.Hall {
+		if !now.After(w.until) && w.dead != "" && (w.confirmed || slices.Contains(own, id)) {
 			out = append(out, id)
 		}
 	}
 
 	return out
 }
+
+// sureNews reports whether two boxes have found a server dead of which the hall was
+// not told that lately.
+func (c *control) sureNews(now time.Time) bool {
+	return slices.ContainsFunc(c.sureDead(now), func(id slatebridge.ServerID) bool {
+		return now.Sub(c.toldSure[id]) > wordTime
+	})
+}
+
+// ofHall returns those of the servers that are in this hall.
+func (c *control) ofHall(list []slatebridge.ServerID) []slatebridge.ServerID {
+	return slices.DeleteFunc(slices.Clone(list), func(id slatebridge.ServerID) bool {
+		s, ok := c.box.fleet.Server(id)
+
+		return !ok || s.Hall != c.settings.Hall
+	})
+}
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -77,23 +77,42 @@
 	return fresh
 }
 
+// SuspectSurely takes a server as dead until the time, since two boxes found so.
+func (f *Fleet) SuspectSurely(id slatebridge.ServerID, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok && until.After(m.sureUntil) {
+		m.sureUntil = until
+	}
+}
+
+// SurelyDead returns the servers that two boxes have found dead.
+func (f *Fleet) SurelyDead() []slatebridge.ServerID {
+	return f.those(func(m *member, now time.Time) bool { return now.Before(m.sureUntil) && now.Before(m.suspectUntil) })
+}
+
 // Trust takes back a suspicion.
 func (f *Fleet) Trust(id slatebridge.ServerID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m, ok := f.members[id]; ok {
-		m.suspectUntil = time.Time{}
+		m.suspectUntil, m.sureUntil = time.Time{}, time.Time{}
 	}
 }
 
 // Suspects returns the servers that are taken as dead.
 func (f *Fleet) Suspects() []slatebridge.ServerID {
+	return f.those(func(m *member, now time.Time) bool { return now.Before(m.suspectUntil) })
+}
+
+// those returns the servers of which something holds now.
+func (f *Fleet) those(holds func(m *member, now time.Time) bool) []slatebridge.ServerID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	var out []slatebridge.ServerID
 	for id, m := range f.members {
-		if now.Before(m.suspectUntil) {
+		if holds(m, now) {
 			out = append(out, id)
 		}
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -28,6 +28,8 @@
 	leavingAt time.Time
 	// suspectUntil is until when the server is taken as dead.
 	suspectUntil time.Time
+	// sureUntil is until when the server is taken as dead since two boxes found so.
+	sureUntil time.Time
 	// fullUntil is until when the server is taken as full, since it has just
 	// turned a request away; fullPause is how long the last such time was.
 	fullUntil time.Time
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -75,9 +75,20 @@
 	return r.path
 }
 
+// doubts are the servers that are taken as dead; sure are those of them that two
+// boxes have found dead.
+type doubts struct {
+	suspects, sure []slatebridge.ServerID
+}
+
 // due reports whether the run has been silent for so long that its servers
-// should be asked.
-func (r *run) due(now time.Time, suspects []slatebridge.ServerID) bool {
+// should be asked, or that it should leave one that is dead.
+//
+// Load pattern: nine servers end at once, and hundreds of streams of many boxes
+// stand still. Each would find that out by its own silence. Once two boxes have, the
+// others need not wait, and what is left of the pause that the route allows is for
+// the servers that stand in.
+func (r *run) due(now time.Time, d doubts) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	limit := r.limits.first
@@ -85,7 +96,10 @@
 		limit = max(r.limits.running, min(time.Duration(cmp.Or(r.gapFactor, gapFactor)*float64(r.gap)), mostSilence))
 	}
 	limit += r.jitter
-	if slices.ContainsFunc(suspects, r.path.Uses) {
+	switch {
+	case slices.ContainsFunc(d.sure, r.path.Uses):
+		limit = suspectSilence
+	case slices.ContainsFunc(d.suspects, r.path.Uses):
 		limit = min(max(suspectSilence, time.Duration(suspectFactor*float64(r.gap))), limit)
 	}
 	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
--- a/forward/runs_test.go
+++ b/forward/runs_test.go
@@ -69,7 +69,7 @@
 	second := func(usual, silent time.Duration) bool {
 		r := &run{limits: limits, gap: usual, started: true, lastAt: time.Now()}
 
-		return r.due(r.lastAt.Add(silent), nil)
+		return r.due(r.lastAt.Add(silent), doubts{})
 	}
 	h := &Handler{seen: newObserved()}
 	if !second(h.usualGap("llm"), limits.running) {
@@ -83,3 +83,31 @@
 		t.Error("the stream is not asked after though it is slower than others")
 	}
 }
+
+// TestDueOnTheWordOfOthers: a stream that passes a dead server waits for less
+// silence, and for little once two boxes have found the server dead.
+func TestDueOnTheWordOfOthers(t *testing.T) {
+	const gap = 65 * time.Millisecond
+	limits := limitsFor(&catalog.Route{MaxPause: 250 * time.Millisecond})
+	path := fleet.Path{{Server: catalog.Server{ID: "s1"}}}
+	on := []slatebridge.ServerID{"s1"}
+	for name, v := range map[string]struct {
+		doubts doubts
+		limit  time.Duration
+	}{
+		"nobody has said anything":     {doubts{}, time.Duration(gapFactor * float64(gap))},
+		"another server is dead":       {doubts{suspects: []slatebridge.ServerID{"s9"}}, time.Duration(gapFactor * float64(gap))},
+		"a box takes it as dead":       {doubts{suspects: on}, time.Duration(suspectFactor * float64(gap))},
+		"two boxes have found it dead": {doubts{suspects: on, sure: on}, suspectSilence},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &run{limits: limits, gap: gap, started: true, lastAt: time.Now(), path: path}
+			if r.due(r.lastAt.Add(v.limit-time.Millisecond), v.doubts) {
+				t.Error("the stream is due too early")
+			}
+			if !r.due(r.lastAt.Add(v.limit+time.Millisecond), v.doubts) {
+				t.Error("the stream is not due")
+			}
+		})
+	}
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -114,9 +114,9 @@
 				h.stalledAt.Store(now.UnixNano())
 			}
 			last = now
-			suspects := h.fleet.Suspects()
+			d := doubts{suspects: h.fleet.Suspects(), sure: h.fleet.SurelyDead()}
 			for _, r := range h.runs.all() {
-				if r.due(now, suspects) {
+				if r.due(now, d) {
 					go h.check(ctx, r)
 				}
 			}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -64,8 +64,10 @@
 	Work Work `cbor:"16,keyasint,omitempty"`
 	// Far is what the boxes of other halls do.
 	Far []Work `cbor:"17,keyasint,omitempty"`
-	// Dead are servers that do not answer.
+	// Dead are servers that do not answer, and Sure those of them that do not answer
+	// two boxes.
 	Dead []slatebridge.ServerID `cbor:"18,keyasint,omitempty"`
+	Sure []slatebridge.ServerID `cbor:"24,keyasint,omitempty"`
 	// Slow are servers found slow, with how many times as long as usual they take.
 	Slow map[slatebridge.ServerID]float64 `cbor:"19,keyasint,omitempty"`
 	Term elect.Term                       `cbor:"20,keyasint"`
