--- a/explain/cause.go
+++ b/explain/cause.go
@@ -84,6 +84,12 @@
 
 // serverCause returns the cause that lines on the request's servers tell.
 func (s *Story) serverCause() (Cause, bool) {
+	// A cut makes single servers look dead first.
+	for _, l := range s.Around {
+		if l.Name == "ServerSuspected" && l.Box == s.Box && strings.Contains(l.Text("why"), "cut off") {
+			return Cause{HallCut, fmt.Sprintf("%s found the hall of %s cut off", l.Box, l.Server)}, true
+		}
+	}
 	for _, l := range s.Lines {
 		for _, id := range l.Names("dead") {
 			return s.ofDead(id, l.At), true
@@ -118,9 +124,6 @@
 				continue
 			}
 			boxes[l.Box] = true
-			if strings.Contains(l.Text("why"), "cut off") {
-				return Cause{HallCut, fmt.Sprintf("%s found the hall of %s cut off", l.Box, id)}
-			}
 		case "ServerTrusted":
 			trusted = trusted || l.At.Sub(at) < calledOff
 		default:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -50,11 +50,14 @@
 		lines []string
 		want  Kind
 	}{
-		"no line":                           {[]string{line(1000, "b2", "PeerLost", map[string]any{"peer": "b1"})}, NoLine},
-		"a box that was lost":               {[]string{sent}, BoxLost},
-		"a server that several found dead":  {[]string{sent, suspected("b2", "silent"), suspected("b1", "silent"), stalled, answered}, ServerDied},
-		"a server that one box doubted":     {[]string{sent, suspected("b1", "silent"), stalled, line(2500, "b1", "ServerTrusted", map[string]any{fieldServer: "s2"}), answered}, BoxWasSlow},
-		"a hall cut off":                    {[]string{sent, suspected("b1", "its hall is cut off"), stalled, answered}, HallCut},
+		"no line":                          {[]string{line(1000, "b2", "PeerLost", map[string]any{"peer": "b1"})}, NoLine},
+		"a box that was lost":              {[]string{sent}, BoxLost},
+		"a server that several found dead": {[]string{sent, suspected("b2", "silent"), suspected("b1", "silent"), stalled, answered}, ServerDied},
+		"a server that one box doubted":    {[]string{sent, suspected("b1", "silent"), stalled, line(2500, "b1", "ServerTrusted", map[string]any{fieldServer: "s2"}), answered}, BoxWasSlow},
+		"a hall cut off":                   {[]string{sent, suspected("b1", "its hall is cut off"), stalled, answered}, HallCut},
+		"one that looked like a dead server": {[]string{
+			sent, suspected("b1", "silent"), stalled, line(2100, "b1", "ServerSuspected", map[string]any{fieldServer: "s1", "why": "its hall is cut off"}), answered,
+		}, HallCut},
 		"a slow server":                     {[]string{sent, line(1500, "b3", "ServerSlow", map[string]any{fieldServer: "s1", "slowness": 5.5}), answered}, ServerSlow},
 		"no proof of the configuration":     {[]string{refused(3005, "too old")}, StoreAway},
 		"an unknown key":                    {[]string{refused(1008, "the key is not known")}, WrongRequest},
