Whether a hall can hold the model is asked without counting copies

Cause: parts and homes asked for the best number of copies of each hall, several times a plan, where only whether there is one matters.

The placements are the same.

--- a/place/cover.go
+++ b/place/cover.go
@@ -101,7 +101,7 @@
 	for _, hall := range slices.Sorted(maps.Keys(halls)) {
 		r, ok := ranges[hall]
 		switch {
-		case ok && (r != whole || Copies(m, halls[hall]) > 0):
+		case ok && (r != whole || canHold(m, halls[hall])):
 			out = append(out, home{r, halls[hall]})
 		default:
 			rest = append(rest, halls[hall]...)
--- a/place/split.go
+++ b/place/split.go
@@ -42,7 +42,14 @@
 func tooSmall(m *catalog.Model, hall []Holder) bool {
 	span, _ := spanOf(hall)
 
-	return span.Len() < m.Layers && Copies(m, hall) == 0
+	return span.Len() < m.Layers && !canHold(m, hall)
+}
+
+// canHold reports whether the servers can hold the model once.
+func canHold(m *catalog.Model, servers []Holder) bool {
+	_, ok := requestsOf(m, divide(m, servers, 1))
+
+	return ok
 }
 
 // hallsOf returns the servers with known cards by their halls.
