An order without an answer is repeated after 1.5 s, with the same layers

Change: an order whose call failed is repeated; it may be carried out late, so no other layers are chosen meanwhile. Refused and fenced orders as before.

Tests: TestOrdersWithoutAnAnswer.

--- a/box/orders.go
+++ b/box/orders.go
@@ -37,6 +37,10 @@
 	// Loading takes up to 14 s times the share of the layers, and longer when
 	// many load.
 	orderAgain = 8 * time.Second
+	// unansweredAgain is when the same order is given again after a call that
+	// failed: the server may have restarted and not had it. Measured with orderAgain
+	// for those as well: nine servers that reset their first orders stayed empty for 8 s.
+	unansweredAgain = 1500 * time.Millisecond
 	// refusedAgain is the same for an order that the server has refused.
 	refusedAgain = 1500 * time.Millisecond
 )
@@ -51,6 +55,8 @@
 type pendingOrder struct {
 	layers slatebridge.LayerRange
 	until  time.Time
+	// again is when it is to be repeated; zero if it was answered.
+	again time.Time
 }
 
 // verifyEvery is how often the elected box asks the store about its term when
@@ -72,7 +78,7 @@
 			delete(c.pending, id)
 		}
 	}
-	var orders []order
+	orders := c.repeats(now)
 	for i := range c.catalog.Services {
 		s := &c.catalog.Services[i]
 		if s.Model != nil {
@@ -93,6 +99,18 @@
 	}()
 }
 
+// repeats returns the orders that are due again, since no answer came.
+func (c *control) repeats(now time.Time) []order {
+	var out []order
+	for id, p := range c.pending {
+		if s, ok := c.box.fleet.Server(id); ok && !p.again.IsZero() && now.After(p.again) {
+			out = append(out, order{server: s, layers: p.layers})
+		}
+	}
+
+	return out
+}
+
 // settled reports whether enough servers are known to assign layers.
 func (c *control) settled(now time.Time) bool {
 	return c.wasComplete || now.Sub(c.newServer) >= settleTime
@@ -243,10 +261,17 @@
 		return
 	}
 	event.Log(c.box.logger, event.OrderFailed, zap.String("server", string(m.server)), zap.Stringer("layers", m.layers), event.Error(m.err))
-	if p, ok := c.pending[m.server]; ok && errors.Is(m.err, place.ErrRefused) {
+	p, ok := c.pending[m.server]
+	switch {
+	case !ok || errors.Is(m.err, place.ErrFenced):
+	case errors.Is(m.err, place.ErrRefused):
 		// The server is busy with an order of another box, or has changed.
 		p.until = time.Now().Add(refusedAgain)
 		c.pending[m.server] = p
+	default:
+		// It may be carried out late, so no other layers are chosen meanwhile.
+		p.again = time.Now().Add(unansweredAgain)
+		c.pending[m.server] = p
 	}
 	if errors.Is(m.err, place.ErrFenced) && c.elected() {
 		// Another box has won since. Its term will be heard of; until then this
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,6 +66,42 @@
 	})
 }
 
+// TestOrdersWithoutAnAnswer: an order whose call failed is repeated soon, with the
+// same layers; one that was refused is planned anew.
+func TestOrdersWithoutAnAnswer(t *testing.T) {
+	for name, v := range map[string]struct {
+		err  error
+		want int
+	}{
+		"no answer":                     {errors.New("connection reset"), 1},
+		"refused":                       {place.ErrRefused, 0},
+		"a newer token":                 {place.ErrFenced, 0},
+		"an answer":                     {nil, 0},
+		"none, and the server has left": {errors.New("connection refused"), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := testControl(testDecode)
+				c.setServer(entryWith(0), true)
+				layers := slatebridge.LayerRange{To: 3}
+				c.pending["s1"] = pendingOrder{layers: layers, until: time.Now().Add(orderAgain)}
+				c.onOrdered(&ordered{server: "s1", layers: layers, err: v.err})
+				if strings.Contains(name, "left") {
+					c.removeServer("s1", 0)
+				}
+				if n := len(c.repeats(time.Now())); n != 0 {
+					t.Errorf("%d orders are repeated at once", n)
+				}
+				time.Sleep(unansweredAgain + time.Millisecond)
+				got := c.repeats(time.Now())
+				if len(got) != v.want || (len(got) > 0 && got[0].layers != layers) {
+					t.Errorf("repeated: %v, want %d", got, v.want)
+				}
+			})
+		})
+	}
+}
+
 func TestMayComeBack(t *testing.T) {
 	m := &catalog.Model{Layers: 4, LayerMB: 1000, Cards: []catalog.Card{{Name: "big", MemoryMB: 6000}}}
 	for name, v := range map[string]struct {
