A box that starts reads each topic of the store once, not twice

Cause: after its first read a box asked the control actor how old its proof was, which had not taken it up yet, and read on.

Change: the follower goes by its own last proof as well.

--- a/box/box.go
+++ b/box/box.go
@@ -227,12 +227,16 @@
 // proof.
 func (b *Box) newFollower(topic logstore.Keyed, name string, at func() time.Time, current func(time.Time)) *follow.Follower {
 	news := float64(b.settings.Bounds.News)
+	// own is the last proof that the box read itself. The control actor takes it up a
+	// little later; without it each box that starts read every topic twice.
+	var own atomic.Pointer[time.Time]
+	own.Store(&time.Time{})
 
 	return &follow.Follower{
 		Topic: topic,
 		Wait:  time.Duration(waitShare * news),
 		Active: func() bool {
-			return b.reader.Load() || time.Since(later(at(), b.waitedFrom)) > time.Duration(selfShare*news)+time.Duration(b.patience.Load())
+			return b.reader.Load() || time.Since(later(later(at(), *own.Load()), b.waitedFrom)) > time.Duration(selfShare*news)+time.Duration(b.patience.Load())
 		},
 		Pause: func() time.Duration {
 			if b.reader.Load() {
@@ -241,8 +245,12 @@
 
 			return max(otherPause, time.Duration(b.near.Load())*otherShare)
 		},
-		OnCurrent: func(at time.Time) { current(at); b.tell(&storeAnswered{name}) },
-		OnError:   func(err error) { b.tell(&storeFailed{topic: name, err: err}) },
+		OnCurrent: func(at time.Time) {
+			own.Store(&at)
+			current(at)
+			b.tell(&storeAnswered{name})
+		},
+		OnError: func(err error) { b.tell(&storeFailed{topic: name, err: err}) },
 	}
 }
 
