--- a/box/box.go
+++ b/box/box.go
@@ -68,8 +68,8 @@
 	servers *follow.Follower
 	// reader says that this box reads the store for its hall.
 	reader atomic.Bool
-	// near is how many other boxes of the hall are known.
-	near atomic.Int64
+	// others is how many other boxes of the hall are known.
+	others atomic.Int64
 	// patience is how much longer than usual this box leaves it to the relays of
 	// its hall to read the store.
 	patience atomic.Int64
@@ -243,7 +243,7 @@
 				return readerPause
 			}
 
-			return max(otherPause, time.Duration(b.near.Load())*otherShare)
+			return max(otherPause, time.Duration(b.others.Load())*otherShare)
 		},
 		OnCurrent: func(at time.Time) {
 			own.Store(&at)
--- a/box/control.go
+++ b/box/control.go
@@ -58,7 +58,7 @@
 	// crashed are the servers that were taken as dead when their entries went,
 	// since some hall lacks layers. They may come back.
 	crashed []place.Holder
-	// changedAt is when the last of them came.
+	// changedAt is when the last change of a server's entry was taken up.
 	changedAt time.Time
 	// storeDown says, by topic, that the last call failed, and storeDownAt when.
 	storeDown   map[string]bool
@@ -67,11 +67,11 @@
 	peers map[slatebridge.BoxID]*otherBox
 	// hallHeard is when any box of each hall was last heard.
 	hallHeard map[slatebridge.HallID]time.Time
-	// reported is the work of the boxes that report to this one, near that of all
-	// boxes of the hall as far as it is known, and halls that of the other halls.
+	// reported is the work of the boxes that report to this one, hallWork that of all
+	// boxes of the hall as far as it is known, and farWork that of the other halls.
 	reported work
-	near     work
-	halls    map[slatebridge.HallID]work
+	hallWork work
+	farWork  map[slatebridge.HallID]work
 	// nearBoxes is how many boxes of the hall may be using the retry budget, as was
 	// known at nearBoxesAt.
 	nearBoxes   int
@@ -131,7 +131,7 @@
 		emptied:   make(map[slatebridge.ServerID]time.Time),
 		improved:  make(map[string]bool),
 		storeDown: make(map[string]bool), storeDownAt: make(map[string]time.Time),
-		halls: make(map[slatebridge.HallID]work), said: make(map[slatebridge.ServerID]word), toldSure: make(map[slatebridge.ServerID]time.Time),
+		farWork: make(map[slatebridge.HallID]work), said: make(map[slatebridge.ServerID]word), toldSure: make(map[slatebridge.ServerID]time.Time),
 		peers:     make(map[slatebridge.BoxID]*otherBox),
 		hallHeard: make(map[slatebridge.HallID]time.Time),
 		pending:   make(map[slatebridge.ServerID]pendingOrder),
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -127,7 +127,7 @@
 	m := c.relayMessage(now)
 	if far := c.farHalls(); len(far) > 0 {
 		hall := far[c.round%len(far)]
-		m.Far = append(m.Far, c.halls[hall].message(hall, c.round/len(far), now))
+		m.Far = append(m.Far, c.farWork[hall].message(hall, c.round/len(far), now))
 		m.Relays[hall] = c.candidates(hall, relay.Count)
 	}
 	for _, o := range boxes {
--- a/box/halls.go
+++ b/box/halls.go
@@ -22,7 +22,7 @@
 // it in farRounds rounds, and those that hear of it from their own relay do so
 // once for each other hall.
 func (c *control) hallLost() time.Duration {
-	rounds := max(farRounds, len(c.halls))
+	rounds := max(farRounds, len(c.farWork))
 
 	return max(lostLeast, lostAfter*time.Duration(rounds)*tickEvery)
 }
@@ -36,18 +36,18 @@
 			delete(c.hallHeard, hall)
 		}
 	}
-	for hall, w := range c.halls {
+	for hall, w := range c.farWork {
 		if now.Sub(w.at) > forgetTime {
 			c.box.handler.Budget().Forget(hallName(hall))
-			delete(c.halls, hall)
+			delete(c.farWork, hall)
 		}
 	}
 }
 
 // liveBoxes returns how many boxes are heard, by this one or by relays.
 func (c *control) liveBoxes() int {
-	n := max(1, c.near.live)
-	for hall, w := range c.halls {
+	n := max(1, c.hallWork.live)
+	for hall, w := range c.farWork {
 		if _, ok := c.hallHeard[hall]; ok {
 			n += w.live
 		}
--- a/box/peers.go
+++ b/box/peers.go
@@ -256,7 +256,7 @@
 // boxesForBudget returns how many boxes may be using the retry budget.
 func (c *control) boxesForBudget() int {
 	n := max(1, c.nearBoxes)
-	for _, w := range c.halls {
+	for _, w := range c.farWork {
 		n += w.boxes
 	}
 
--- a/box/relays.go
+++ b/box/relays.go
@@ -85,8 +85,8 @@
 
 // farHalls returns the other halls of which anything is known.
 func (c *control) farHalls() []slatebridge.HallID {
-	halls := make(map[slatebridge.HallID]bool, len(c.halls))
-	for hall := range c.halls {
+	halls := make(map[slatebridge.HallID]bool, len(c.farWork))
+	for hall := range c.farWork {
 		halls[hall] = true
 	}
 	for _, o := range c.peers {
@@ -173,10 +173,10 @@
 // until it reads the store itself. While the store is away for all, the boxes of a
 // hall together try it twice in a second or so.
 func (c *control) patience(now time.Time) time.Duration {
-	if c.near.live <= 1 || c.isRelay(now) {
+	if c.hallWork.live <= 1 || c.isRelay(now) {
 		return 0
 	}
 	part := float64(fleet.Number(slatebridge.ServerID(c.settings.Box))) / math.MaxUint32
 
-	return time.Duration(part * float64(c.near.live) * float64(otherShare))
+	return time.Duration(part * float64(c.hallWork.live) * float64(otherShare))
 }
--- a/box/work.go
+++ b/box/work.go
@@ -176,7 +176,7 @@
 		}
 		best, others = v, v.minus(c.toldAt(o.relayEcho))
 	}
-	c.near = best
+	c.hallWork = best
 	// Boxes of which nothing is heard any more may go on using the retry budget.
 	if best.boxes >= c.nearBoxes || now.Sub(c.nearBoxesAt) > forgetTime {
 		c.nearBoxes, c.nearBoxesAt = best.boxes, now
@@ -186,7 +186,7 @@
 	c.setOthers(hallName(c.settings.Hall), others)
 	c.box.handler.SetCrowd(others.live)
 	c.box.fleet.SetOthers(others.live)
-	c.box.near.Store(int64(others.live))
+	c.box.others.Store(int64(others.live))
 }
 
 // setOthers takes up the work of the other boxes of a hall.
@@ -201,12 +201,12 @@
 	if hall == c.settings.Hall || hall == "" {
 		return
 	}
-	before := c.halls[hall]
+	before := c.farWork[hall]
 	w := before.taking(m, at)
 	if !w.at.After(before.at) || (w.live < before.live && w.at.Sub(before.at) < workTime) {
 		return
 	}
-	c.halls[hall] = w
+	c.farWork[hall] = w
 	c.setOthers(hallName(hall), w)
 }
 
