A server that turns requests away though it has room gets nothing for a second

After 150 ms each box tried again with its next request; boxes spent their part of the budget for retries on that, and some 130 requests were refused for want of one, by the lines of 55 boxes.

Change: if a server is known to have half of its memory and slots free, its refusal is not for want of room, and the pause is 1 s, then 2 and 4.

Ruled out: a larger part of the budget for each box: news of four other halls are up to 1.75 s old, about as old as the budget assumes.

Tests: TestServersThatTurnRequestsAway has both cases; full servers as before.

--- a/fleet/crossing_test.go
+++ b/fleet/crossing_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
 )
 
@@ -44,31 +45,43 @@
 }
 
 // TestServersThatTurnRequestsAway: such a server gets nothing for a while, and
-// longer each time.
+// longer each time; for longer if it is known to have room, since it is going then.
 func TestServersThatTurnRequestsAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 4, 8})
-		pause := func() time.Duration {
-			f.NoteFull("a1")
-			f.NoteFull("a1")
-			began := time.Now()
-			for {
-				path, hold, _ := f.Path(Query{Service: "llm", Tokens: 10})
-				hold.Release()
-				if path != nil {
-					return time.Since(began)
+	for name, v := range map[string]struct {
+		// used is the memory that others are known to use there.
+		used float64
+		want []time.Duration
+	}{
+		"a full one":                     {2100, []time.Duration{fullPause, 2 * fullPause, 4 * fullPause, mostFullPause, mostFullPause}},
+		"one that is known to have room": {1900, []time.Duration{goingPause, 2 * goingPause, mostGoingPause, mostGoingPause}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 4, 8})
+				f.SetPeer("hall a", map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: v.used}})
+				pause := func() time.Duration {
+					f.NoteFull("a1")
+					f.NoteFull("a1")
+					began := time.Now()
+					for {
+						path, hold, _ := f.Path(Query{Service: "llm", Tokens: 10})
+						hold.Release()
+						if path != nil {
+							return time.Since(began)
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
 				}
-				time.Sleep(10 * time.Millisecond)
-			}
-		}
-		for _, want := range []time.Duration{fullPause, 2 * fullPause, 4 * fullPause, mostFullPause, mostFullPause} {
-			if got := pause(); got != want {
-				t.Errorf("it got nothing for %s, want %s", got, want)
-			}
-		}
-		time.Sleep(time.Minute)
-		if got := pause(); got != fullPause {
-			t.Errorf("after a while it got nothing for %s", got)
-		}
-	})
+				for _, want := range v.want {
+					if got := pause(); got != want {
+						t.Errorf("it got nothing for %s, want %s", got, want)
+					}
+				}
+				time.Sleep(time.Minute)
+				if got := pause(); got != v.want[0] {
+					t.Errorf("after a while it got nothing for %s", got)
+				}
+			})
+		})
+	}
 }
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -128,6 +128,22 @@
 	mostFullPause = time.Second
 )
 
+const (
+	// roomyFill is how full a server is known to be at most when its refusal has
+	// another reason than want of room.
+	roomyFill = 0.5
+	// goingPause is the first pause then, and mostGoingPause the longest. A server that
+	// is going turns everything away for a second and more before its entry says so.
+	//
+	// Load pattern: servers are taken away while hundreds of boxes send a request a
+	// second each. After a pause of 150 ms each box tries again with its next request:
+	// measured on 295 boxes, 21 of 30 paths over one server were turned away for a
+	// second, and what was left of the budget for retries at single boxes did not
+	// suffice for some 130 requests.
+	goingPause     = time.Second
+	mostGoingPause = 4 * time.Second
+)
+
 // NoteFull notes that the server turned a request away.
 func (f *Fleet) NoteFull(id slatebridge.ServerID) {
 	f.mu.Lock()
@@ -137,18 +153,30 @@
 		return
 	}
 	now := f.now()
+	first, most := fullPause, mostFullPause
+	if m.roomy() {
+		first, most = goingPause, mostGoingPause
+	}
 	switch {
 	case now.Before(m.fullUntil):
 		// Requests that were on their way tell nothing new.
 		return
 	case now.Sub(m.fullUntil) < m.fullPause:
-		m.fullPause = min(2*m.fullPause, mostFullPause)
+		m.fullPause = min(2*m.fullPause, most)
 	default:
-		m.fullPause = fullPause
+		m.fullPause = first
 	}
 	m.fullUntil = now.Add(m.fullPause)
 }
 
+// roomy reports whether the server is known to have room for as much again as it
+// has.
+func (m *member) roomy() bool {
+	l := m.load()
+
+	return l.TokenLayers < roomyFill*m.capacity() && (m.Slots <= 0 || l.First < roomyFill*float64(m.Slots))
+}
+
 // brokenPause is how long a server to which a connection broke is dearer.
 const brokenPause = 500 * time.Millisecond
 
