--- a/box/peers.go
+++ b/box/peers.go
@@ -90,14 +90,19 @@
 	if o.last.Leaving {
 		return false
 	}
-	if !o.askedAt.IsZero() && now.Sub(o.askedAt) > o.limit()+silentTime {
-		o.askedAt = time.Time{}
-	}
 	silent := !o.askedAt.IsZero() && now.Sub(o.askedAt) > o.limit()
 
 	return !silent && (o.live() || now.Sub(o.vouchedAt) < lostLeast)
 }
 
+// forgive has a box asked again that left reports unanswered for long: others may
+// hear it.
+func (o *otherBox) forgive(now time.Time) {
+	if !o.askedAt.IsZero() && now.Sub(o.askedAt) > o.limit()+silentTime {
+		o.askedAt = time.Time{}
+	}
+}
+
 // target returns the box as the target of a message.
 func (o *otherBox) target() mesh.Target { return mesh.Target{Address: o.address, Echo: o.sent} }
 
@@ -241,6 +246,7 @@
 // expirePeers forgets boxes from which nothing is heard.
 func (c *control) expirePeers(now time.Time) {
 	for id, o := range c.peers {
+		o.forgive(now)
 		silent := now.Sub(o.heardAt)
 		if !o.lost && silent > o.limit() {
 			o.lost = true
