A test's bench never picks the same address twice

A bench picks 17 addresses by opening and closing a listener each, and the programs take them up later; the system draws ports from some 14,000, so two picks of one bench were the same about once in a hundred benches. Ruled out: another process on that IP number (each bench has one of its own) and the gateway itself.

Change: a bench remembers what it has picked.

--- a/internal/standin/processes/bench_test.go
+++ b/internal/standin/processes/bench_test.go
@@ -56,32 +56,64 @@
 	callers map[string]string
 	ops     map[string]string
 	procs   map[string]*exec.Cmd
+	// picked has the addresses that were picked so far.
+	picked map[string]bool
 }
 
 // benches counts the benches of this run, each of which has an IP number of
 // its own, so that no other process takes the ports that it has picked.
 var benches atomic.Int32
 
-// freeAddr returns an address that was free a moment ago.
+// freeAddr returns an address that was free a moment ago, and that it has not
+// returned before: programs take their addresses up late, and until then the
+// system may hand the same one out again.
 func (b *bench) freeAddr() string {
 	b.t.Helper()
-	var cfg net.ListenConfig
-	ln, err := cfg.Listen(b.t.Context(), "tcp", b.ip+":0")
-	if err != nil {
-		b.t.Fatal(err)
+	for {
+		var cfg net.ListenConfig
+		ln, err := cfg.Listen(b.t.Context(), "tcp", b.ip+":0")
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		if !b.picked[addr] {
+			b.picked[addr] = true
+
+			return addr
+		}
+	}
+}
+
+// TestFreeAddr picks far more addresses than a bench needs. Drawn from some
+// 14,000, a thousand would hold some twice.
+func TestFreeAddr(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	seen := make(map[string]bool)
+	for range 1000 {
+		addr := b.freeAddr()
+		if seen[addr] {
+			t.Fatalf("%s was picked twice", addr)
+		}
+		seen[addr] = true
 	}
-	defer func() { _ = ln.Close() }()
+}
+
+// newBench returns a bench of which nothing runs yet.
+func newBench(t *testing.T) *bench {
+	t.Helper()
 
-	return ln.Addr().String()
+	return &bench{
+		t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.77.%d.1", benches.Add(1)),
+		callers: make(map[string]string), ops: make(map[string]string), procs: make(map[string]*exec.Cmd), picked: make(map[string]bool),
+	}
 }
 
 func start(t *testing.T, gatewayExtra string) *bench {
 	t.Helper()
 	t.Parallel()
-	b := &bench{
-		t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.77.%d.1", benches.Add(1)),
-		callers: make(map[string]string), ops: make(map[string]string), procs: make(map[string]*exec.Cmd),
-	}
+	b := newBench(t)
 	b.log, b.list, b.plain = b.freeAddr(), b.freeAddr(), b.freeAddr()
 	b.members.Servers = append(b.members.Servers, slatebridge.BackendServer{
 		ID: "p", Hall: "h", Kind: slatebridge.PlainServer, Service: "refund", URL: "http://" + b.plain, State: slatebridge.Live,
