How many copies of a model fit is reckoned by kinds of cards

Its plan for one server that came took 525 ms of a core, a start 1,011 ms and a look for better places 477 ms, on boxes of a fifth of a core and on the thread that takes configurations up. By the profile 95% of that was the number of copies, reckoned server by server for each number of copies, in all halls, also those to which nothing had come.

Ruled out: the planner on a thread of its own; the box would be as busy.

--- a/place/cover.go
+++ b/place/cover.go
@@ -131,6 +131,9 @@
 // fillHall is fill for the servers of one hall.
 func fillHall(m *catalog.Model, servers []Holder) []Holder {
 	empty := slices.DeleteFunc(slices.Clone(servers), func(s Holder) bool { return !isEmpty(s) })
+	if len(empty) == 0 {
+		return nil
+	}
 	hall := slices.DeleteFunc(slices.Clone(servers), isEmpty)
 	var out []Holder
 	if tight(m, hall) {
--- a/place/shift.go
+++ b/place/shift.go
@@ -46,7 +46,7 @@
 // mean worth 0.503, against 0.551.
 func shiftHall(m *catalog.Model, hall []Holder) []Holder {
 	from, to := firstGap(copiesIn(m, hall))
-	most, _ := levelOf(m, hall, m.Layers, 1)
+	most, _ := levelOf(m, runsOf(m, hall), m.Layers, 1)
 	var window, best []Holder
 	room := 0.0
 	for from > 0 || to < m.Layers {
@@ -62,7 +62,7 @@
 			break
 		}
 		r := slatebridge.LayerRange{From: from, To: to}
-		perLayer, ok := levelOf(m, window, r.Len(), 1)
+		perLayer, ok := levelOf(m, runsOf(m, window), r.Len(), 1)
 		if !ok || (perLayer*growShare < m.LayerMB && !tight(m, hall)) || perLayer-m.LayerMB <= room {
 			continue
 		}
--- a/place/split.go
+++ b/place/split.go
@@ -57,7 +57,7 @@
 
 // canHold reports whether the servers can hold the model once.
 func canHold(m *catalog.Model, servers []Holder) bool {
-	_, ok := requestsOf(m, divide(m, servers, 1))
+	_, ok := requestsOf(m, groupRuns(runsOf(m, byPace(m, servers)), 1))
 
 	return ok
 }
@@ -272,7 +272,7 @@
 	if n == 0 {
 		return 0
 	}
-	requests, _ := requestsOf(sub, divide(sub, servers, n))
+	requests, _ := requestsOf(sub, groupRuns(runsOf(sub, byPace(sub, servers)), n))
 	pace := 0.0
 	for _, s := range servers {
 		c, _ := m.Card(s.Card)
--- a/place/tile.go
+++ b/place/tile.go
@@ -77,104 +77,7 @@
 // layersAt returns how many layers a card holds that gives each of them so much
 // memory, for itself and for requests.
 func layersAt(m *catalog.Model, c catalog.Card, perLayer float64) int {
-	return min(int(c.MemoryMB/perLayer), mostLayers(m, c))
-}
-
-// firstsOf returns how many of the servers have to hold the first layers of
-// their copy of the model. A server receives a limited number of requests at
-// once as the first of their paths, and these slots must not be taken before the
-// memory is. Measured with one first server in each hall of a deployment that
-// had lost one of three halls: first events after 1 s in the middle, against 80 ms
-// with two.
-func firstsOf(m *catalog.Model, servers []Holder) int {
-	perLayer, ok := levelWith(m, servers, 1)
-	if !ok || m.Slots <= 0 {
-		return 1
-	}
-	needed := int(math.Ceil(requestsAt(m, perLayer) / float64(m.Slots)))
-
-	// Later layers need servers as well.
-	return max(1, min(needed, len(servers)/2))
-}
-
-// sizesAt returns how many layers each of the servers holds that together give
-// each layer so much memory, when so many of them, from the start, hold the same
-// first layers.
-func sizesAt(m *catalog.Model, servers []Holder, perLayer float64, firsts int) []int {
-	sizes := make([]int, len(servers))
-	memory, least := 0.0, m.Layers
-	for i, s := range servers {
-		c, _ := m.Card(s.Card)
-		sizes[i] = layersAt(m, c, perLayer)
-		if i < firsts {
-			memory += c.MemoryMB
-			least = min(least, mostLayers(m, c))
-		}
-	}
-	if firsts > 1 {
-		n := min(least, int(memory/(perLayer+float64(firsts-1)*m.LayerMB)))
-		for i := range firsts {
-			sizes[i] = n
-		}
-	}
-
-	return sizes
-}
-
-// held returns how many layers in a row servers of the sizes hold, of which the
-// given number hold the same first ones.
-func held(sizes []int, firsts int) int {
-	n := 0
-	for i, size := range sizes {
-		if i == 0 || i >= firsts {
-			n += size
-		}
-	}
-
-	return n
-}
-
-// level returns the largest memory for each layer, in MB, with which the servers
-// hold so many copies of all layers. It returns false if they do not, whatever
-// the memory.
-func level(m *catalog.Model, servers []Holder, copies int) (float64, bool) {
-	least := math.Inf(1)
-	for _, group := range divide(m, servers, copies) {
-		perLayer, ok := levelWith(m, group, firstsOf(m, group))
-		if !ok {
-			return 0, false
-		}
-		least = min(least, perLayer)
-	}
-
-	return least, len(servers) > 0
-}
-
-// levelWith is level for one copy of which so many servers hold the first
-// layers.
-func levelWith(m *catalog.Model, servers []Holder, firsts int) (float64, bool) {
-	return levelOf(m, servers, m.Layers, firsts)
-}
-
-// levelOf is levelWith for a number of layers in a row.
-func levelOf(m *catalog.Model, servers []Holder, layers, firsts int) (float64, bool) {
-	fits := func(perLayer float64) bool {
-		return held(sizesAt(m, servers, perLayer, firsts), firsts) >= layers
-	}
-	if m.LayerMB <= 0 || !fits(m.LayerMB) {
-		return 0, false
-	}
-	const rounds = 22 // of halving: a millionth of all memory
-	low, high := m.LayerMB, m.LayerMB+memoryOf(m, servers)
-	for range rounds {
-		if mid := (low + high) / 2; fits(mid) {
-			low = mid
-		} else {
-			high = mid
-		}
-	}
-
-	return low, true
+	return runOf(m, c).layersAt(perLayer)
 }
 
 func memoryOf(m *catalog.Model, servers []Holder) float64 {
@@ -187,46 +90,6 @@
 	return sum
 }
 
-// Copies returns how many copies of the model the servers hold best: those with
-// which the requests that find room, times the chance of a request to pass no
-// server in trouble, are most. It is zero if they cannot hold the model.
-func Copies(m *catalog.Model, servers []Holder) int {
-	best, most := 0, 0.0
-	for n := 1; n <= len(servers); n++ {
-		requests, ok := requestsOf(m, divide(m, servers, n))
-		if !ok {
-			break
-		}
-		passed := float64(len(servers)) / float64(n)
-		value := requests * math.Pow(1-troubled, passed)
-		if value < most/2 {
-			// Each further copy leaves less memory.
-			break
-		}
-		if best == 0 || value > most {
-			best, most = n, value
-		}
-	}
-
-	return best
-}
-
-// requestsOf returns how many usual requests find memory and a slot where each
-// group holds the model once. It returns false if one cannot.
-func requestsOf(m *catalog.Model, groups [][]Holder) (float64, bool) {
-	sum := 0.0
-	for _, group := range groups {
-		firsts := firstsOf(m, group)
-		perLayer, ok := levelWith(m, group, firsts)
-		if !ok {
-			return 0, false
-		}
-		sum += min(requestsAt(m, perLayer), slotsOf(m, firsts))
-	}
-
-	return sum, len(groups) > 0
-}
-
 // requestsAt returns how many usual requests find room where each layer is given
 // so much memory, in MB.
 func requestsAt(m *catalog.Model, perLayer float64) float64 {
@@ -270,20 +133,11 @@
 // smallest servers of a group come first: small ones then stand beside small
 // ones, which together can take up the layers of one that is lost.
 func divide(m *catalog.Model, servers []Holder, n int) [][]Holder {
-	sorted := bySize(m, servers)
-	slices.SortStableFunc(sorted, func(a, b Holder) int {
-		ca, _ := m.Card(a.Card)
-		cb, _ := m.Card(b.Card)
-
-		return cmp.Compare(ca.Pace, cb.Pace)
-	})
 	groups := make([][]Holder, n)
 	whole, sum := memoryOf(m, servers), 0.0
-	for _, s := range sorted {
+	for _, s := range byPace(m, servers) {
 		c, _ := m.Card(s.Card)
-		// A server belongs where its middle lies.
-		middle := (sum + c.MemoryMB/2) / whole
-		i := min(n-1, int(middle*float64(n)))
+		i := groupAt(sum, c.MemoryMB, whole, n)
 		groups[i] = append(groups[i], s)
 		sum += c.MemoryMB
 	}
@@ -296,6 +150,25 @@
 	return groups
 }
 
+// groupAt returns in which of n groups of about equal memory a server belongs that
+// comes after others: the one where its middle lies.
+func groupAt(before, memory, whole float64, n int) int {
+	return min(n-1, int((before+memory/2)/whole*float64(n)))
+}
+
+// byPace returns the servers with the fastest cards first, and of these the largest.
+func byPace(m *catalog.Model, servers []Holder) []Holder {
+	sorted := bySize(m, servers)
+	slices.SortStableFunc(sorted, func(a, b Holder) int {
+		ca, _ := m.Card(a.Card)
+		cb, _ := m.Card(b.Card)
+
+		return cmp.Compare(ca.Pace, cb.Pace)
+	})
+
+	return sorted
+}
+
 // bySize returns the servers with the largest memory first.
 func bySize(m *catalog.Model, servers []Holder) []Holder {
 	out := slices.Clone(servers)
@@ -312,18 +185,19 @@
 // tile assigns each layer to one of the servers, in their order, and the first
 // ones to several if needed. It reports whether they can hold all.
 func tile(m *catalog.Model, servers []Holder) ([]Holder, bool) {
-	return tileRange(m, servers, slatebridge.LayerRange{To: m.Layers}, firstsOf(m, servers))
+	return tileRange(m, servers, slatebridge.LayerRange{To: m.Layers}, firstsOf(m, runsOf(m, servers)))
 }
 
 // tileRange assigns each layer of the range to one of the servers, in their
 // order, and the first ones to as many as given.
 func tileRange(m *catalog.Model, servers []Holder, r slatebridge.LayerRange, firsts int) ([]Holder, bool) {
-	perLayer, ok := levelOf(m, servers, r.Len(), firsts)
+	runs := runsOf(m, servers)
+	perLayer, ok := levelOf(m, runs, r.Len(), firsts)
 	if !ok {
 		return nil, false
 	}
-	sizes := sizesAt(m, servers, perLayer, firsts)
-	for sum := held(sizes, firsts); sum > r.Len(); sum-- {
+	sizes := sizesAt(m, runs, perLayer, firsts)
+	for sum := heldAt(m, runs, perLayer, firsts); sum > r.Len(); sum-- {
 		sizes[tightest(m, servers, sizes, firsts)]--
 	}
 	var out []Holder
