Idle connections are dropped once one is found silent

Ruled out: resets, and changes of settings (both kept all promises as they were); a second run of a call (never seen).

Change: package channel drops all idle connections once a call over a used one got no answer and a new one to the same server did, or after a second without an answer, at most once in ten seconds. New event 108.

--- a/daemon/box.go
+++ b/daemon/box.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge/box"
+	"github.com/slatebridge/slatebridge/channel"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/mesh"
@@ -44,8 +45,9 @@
 	logger := lines.Logger(zap.InfoLevel).With(zap.String("box", string(s.Box)))
 	go lines.Run(ctx.Done(), logger)
 	reg := newRegistry()
-	client := newServerClient()
-	store := platform.NewStore(s.Store, newStoreClient())
+	dropped := func() { event.Log(logger, event.ChannelsDropped) }
+	client := newServerClient(dropped)
+	store := platform.NewStore(s.Store, newStoreClient(dropped))
 	b := box.New(s, platform.New(store, client), client, logger, reg)
 	socket, err := mesh.Listen(ctx, s.Listen.Mesh)
 	if err != nil {
@@ -147,24 +149,27 @@
 	event.Log(logger, event.Stopped, event.Error(err), zap.Int64("in_flight", b.Handler().InFlight()))
 }
 
-func newServerClient() *http.Client {
+// newServerClient returns the client for calls to backend servers and other boxes.
+// dropped is told when its idle connections are found to be silent.
+func newServerClient(dropped func()) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: channel.New(&http.Transport{
 			DialContext:           (&net.Dialer{Timeout: forward.ConnectTime(), KeepAlive: -1}).DialContext,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   serverConnections,
 			IdleConnTimeout:       serverIdle,
 			ExpectContinueTimeout: time.Second,
-		},
+		}, channel.WithDropped(dropped)),
 	}
 }
 
-func newStoreClient() *http.Client {
+// newStoreClient is newServerClient for calls to the store.
+func newStoreClient(dropped func()) *http.Client {
 	const connections = 4
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: channel.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	}, channel.WithDropped(dropped))}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -24,6 +24,7 @@
 	Ready                 ID = 105
 	SettingsReloaded      ID = 106
 	LinesDropped          ID = 107
+	ChannelsDropped       ID = 108
 	RecordAccepted        ID = 200
 	RecordRefused         ID = 201
 	LogUnreachable        ID = 202
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -172,8 +173,30 @@
 	}
 }
 
+// Reset breaks the open connections of the host. New ones work.
+func (n *Network) Reset(host string) {
+	n.closeWhere(func(c *conn) bool { return c.host == host || c.peer == host })
+}
+
+// Hush makes the open connections of the host silent for good: what is written to
+// them is lost, and the other end does not see them close. New ones work.
+func (n *Network) Hush(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.host == host || c.peer == host {
+			c.hushed.Store(true)
+		}
+	}
+}
+
 // Close breaks every connection, and ends every dial.
 func (n *Network) Close() {
+	n.mu.Lock()
+	for c := range n.conns {
+		c.hushed.Store(false)
+	}
+	n.mu.Unlock()
 	close(n.closed)
 	n.closeWhere(func(*conn) bool { return true })
 }
@@ -213,10 +236,15 @@
 	// closed is closed with this end, so that a held write returns.
 	closed    chan struct{}
 	closeOnce sync.Once
+	// hushed says that the connection has gone silent.
+	hushed atomic.Bool
 }
 
 // Write writes unless one of the hosts is frozen; then it waits.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.hushed.Load() {
+		return len(p), nil
+	}
 	for gate := c.n.gate(c.host, c.peer); gate != nil; gate = c.n.gate(c.host, c.peer) {
 		select {
 		case <-gate:
@@ -228,8 +256,13 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes this end.
+// Close closes this end. The other end of a silent connection does not see that.
 func (c *conn) Close() error {
+	if c.hushed.Load() {
+		c.closeOnce.Do(func() { close(c.closed) })
+
+		return c.SetDeadline(time.Unix(0, 1))
+	}
 	c.n.mu.Lock()
 	delete(c.n.conns, c)
 	c.n.mu.Unlock()
--- a/place/level_test.go
+++ b/place/level_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -76,7 +77,7 @@
 	m := mixedModel()
 	servers := largeFleet(3000)
 	placed := given(servers, Cover(m, servers))
-	added := append(placed, Holder{ID: "new", Hall: slatebridge.HallID("a"), Card: "middle"})
+	added := slices.Concat(placed, []Holder{{ID: "new", Hall: slatebridge.HallID("a"), Card: "middle"}})
 	if n := testing.AllocsPerRun(1, func() { Cover(m, added) }); n > most {
 		t.Errorf("%.0f allocations", n)
 	}
