What is done with a request when there is no room: a core of its own

Cause: whether a request is offered again, how long it waits and when its caller may come back was decided in the midst of sending and logging, so no load could be replayed against it.

Change: package overload has these as functions from what is known to what is done, each with its load pattern and the reason for its limits; forward feeds them and carries them out. The fleet takes its clock from outside, and orders its servers, so that equal inputs give equal choices.

--- a/box/box.go
+++ b/box/box.go
@@ -97,7 +97,7 @@
 	b := &Box{
 		settings: s, platform: p, logger: logger, client: client,
 		boot: newBoot(), started: time.Now(),
-		fleet: fleet.New(s.Hall), metrics: newMetrics(reg),
+		fleet: fleet.New(s.Hall, time.Now), metrics: newMetrics(reg),
 	}
 	if s.FirstStart && !slices.Contains(s.Seeds, s.Listen.Mesh) {
 		// Others read the store. Each call has a price, and hundreds of boxes start
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
@@ -13,7 +14,7 @@
 func BenchmarkPath(b *testing.B) {
 	for _, n := range []int{38, 99, 570, 5700} {
 		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
-			f := New("a")
+			f := New("a", time.Now)
 			m := &catalog.Model{Layers: 80, LayerMB: 1750, TokenBytes: 459000, Cards: []catalog.Card{{Name: "c", MemoryMB: 36000, Pace: 3}}}
 			f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: m}}, nil, false))
 			for i := range n {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +17,7 @@
 // Fleet is safe for use by many goroutines.
 type Fleet struct {
 	hall slatebridge.HallID
-	// now and random are seams for tests.
+	// now and random are where times and random numbers come from.
 	now    func() time.Time
 	random func() float64
 	// began is when the box started.
@@ -41,11 +43,12 @@
 	return func(f *Fleet) { f.random = random }
 }
 
-// New returns an empty Fleet as seen from a box in the hall.
-func New(hall slatebridge.HallID, opts ...Option) *Fleet {
+// New returns an empty Fleet as seen from a box in the hall. It reads the time from
+// now alone, so that days are played in virtual time.
+func New(hall slatebridge.HallID, now func() time.Time, opts ...Option) *Fleet {
 	f := &Fleet{
 		hall:    hall,
-		now:     time.Now,
+		now:     now,
 		random:  rand.Float64,
 		members: make(map[slatebridge.ServerID]*member),
 		service: make(map[string][]*member),
@@ -147,13 +150,17 @@
 	return gone
 }
 
-// of returns the members of the service. The caller holds mu.
+// of returns the members of the service, in the order of their IDs, so that equal
+// inputs give equal choices. The caller holds mu.
 func (f *Fleet) of(service string) []*member {
 	if f.service == nil {
 		f.service = make(map[string][]*member)
 		for _, m := range f.members {
 			f.service[m.Service] = append(f.service[m.Service], m)
 		}
+		for _, list := range f.service {
+			slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+		}
 	}
 
 	return f.service[service]
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -31,7 +31,7 @@
 }
 
 func newTestFleet(servers ...testServer) *Fleet {
-	f := New("a", WithRandom(func() float64 { return 0.5 }))
+	f := New("a", time.Now, WithRandom(func() float64 { return 0.5 }))
 	f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: testModel()}}, nil, false))
 	for _, s := range servers {
 		f.Set(catalog.Server{
@@ -183,7 +183,7 @@
 
 func TestPick(t *testing.T) {
 	plain := func() *Fleet {
-		f := New("a", WithRandom(func() float64 { return 0.5 }))
+		f := New("a", time.Now, WithRandom(func() float64 { return 0.5 }))
 		for _, s := range []catalog.Server{
 			{ID: "p1", Service: "till", Hall: "a", Slots: 6},
 			{ID: "p2", Service: "till", Hall: "b", Slots: 6},
--- a/forward/ask_test.go
+++ b/forward/ask_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		asked := 0
-		h := &Handler{seen: newObserved(), runs: newRuns(), fleet: fleet.New("a")}
+		h := &Handler{seen: newObserved(), runs: newRuns(), fleet: fleet.New("a", time.Now)}
 		h.servers.Report = func(ctx context.Context, _ catalog.Server) (Report, error) {
 			if asked++; asked > 1 {
 				return Report{Slowness: 1}, nil
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -84,10 +85,6 @@
 	return s != nil && s.Model != nil
 }
 
-// comeBack is when a caller that was refused for want of knowledge may come
-// back: a box learns the configuration within about a second of its start.
-const comeBack = 500 * time.Millisecond
-
 const (
 	// startWait is how long a request waits for what a box that has just started
 	// does not know yet. Usually it does after 0.1 s, and most objectives are
@@ -123,7 +120,7 @@
 		return c, result.New(result.Malformed, "%s", err.Error())
 	}
 	if c.state.Catalog == nil {
-		return c, result.New(result.NotReady, "no configuration is known yet").WithRetryAfter(comeBack)
+		return c, result.New(result.NotReady, "no configuration is known yet").WithRetryAfter(overload.ComeBackLeast)
 	}
 	path, _, _ := strings.Cut(c.target, "?")
 	if c.route = c.state.Catalog.Route(r.Host, path); c.route == nil {
@@ -162,7 +159,7 @@
 		return nil
 	}
 	if age := c.began.Sub(c.state.Current); age > h.bounds.Load().Proof {
-		return result.New(result.NotCurrent, "the configuration was last proved current %s ago", age).WithRetryAfter(comeBack)
+		return result.New(result.NotCurrent, "the configuration was last proved current %s ago", age).WithRetryAfter(overload.ComeBackLeast)
 	}
 	if acc == nil {
 		return result.New(result.UnknownKey, "the key is not known")
--- a/forward/observed.go
+++ b/forward/observed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/slatebridge/slatebridge/observe"
+	"github.com/slatebridge/slatebridge/overload"
 )
 
 const (
@@ -97,12 +98,9 @@
 	return gapFactor - (gapFactor-seen)*others/(others+silenceBoxes)
 }
 
-// roomIn returns when room is expected for a request that finds none: memory is
-// given back when streams end, so that about half of it is new after the time
-// that a stream takes in the middle. Callers are told times around that one, so
-// that they do not all come back at once.
+// roomIn returns when room is expected for a request that finds none.
 func (h *Handler) roomIn() time.Duration {
 	usual, _ := h.seen.streams.Quantile(middle)
 
-	return max(comeBack, time.Duration((0.5+h.random())*float64(usual)))
+	return overload.RoomIn(usual, h.random())
 }
--- a/forward/observed_test.go
+++ b/forward/observed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/overload"
 )
 
 // TestTimesFollowWhatIsSeen: when a second server is asked, and when a refused
@@ -23,7 +24,7 @@
 	}
 	t.Run("nothing was seen", func(t *testing.T) {
 		within(t, hedge(time.Second), hedgeUnknown, hedgeUnknown)
-		within(t, h.roomIn(), comeBack, comeBack)
+		within(t, h.roomIn(), overload.ComeBackLeast, overload.ComeBackLeast)
 	})
 	for i := range 100 {
 		h.answersOf("till").Record(time.Duration(i) * time.Millisecond)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -13,13 +13,11 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/result"
 )
 
 const (
-	// maxRefusals bounds to how many servers a request is offered that turn it
-	// away.
-	maxRefusals = 3
 	// maxWhole is the largest answer that is read whole before it is passed
 	// on, in bytes. Larger answers are passed on as they come, and can't be
 	// asked for again.
@@ -52,7 +50,7 @@
 
 // servePlain serves a request at servers without a model.
 func (h *Handler) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
-	t := &plainTry{h: h, c: c, ctx: ctx, results: make(chan *outcome, maxRefusals+c.route.MaxServers)}
+	t := &plainTry{h: h, c: c, ctx: ctx, results: make(chan *outcome, overload.MaxRefusals+c.route.MaxServers)}
 	best := t.run()
 	defer t.stop(best)
 	if best != nil && best.fate == answered {
@@ -110,9 +108,7 @@
 	return best
 }
 
-// hedgeAfter returns when a second server is asked, should none answer: when
-// nearly all answers are there, but while an answer that takes as long as the
-// one in the middle still meets the objective.
+// hedgeAfter returns when a second server is asked, should none answer.
 func (t *plainTry) hedgeAfter() time.Duration {
 	answers := t.h.answersOf(t.c.service)
 	most, n := answers.Quantile(hedgePart)
@@ -120,11 +116,8 @@
 		return hedgeUnknown
 	}
 	usual, _ := answers.Quantile(middle)
-	if latest := t.c.route.Objective - usual; latest > usual {
-		return min(most, latest)
-	}
 
-	return most
+	return overload.HedgeAfter(most, usual, t.c.route.Objective)
 }
 
 // ask sends the request to one more server.
@@ -149,7 +142,7 @@
 
 // again asks one more server if the budget allows it.
 func (t *plainTry) again(take func(service string, boxes int, now time.Time) bool) {
-	if t.c.servers-t.refused >= t.c.route.MaxServers || t.refused >= maxRefusals {
+	if !(overload.Offers{Made: t.c.servers, Refused: t.refused, Most: t.c.route.MaxServers}).More() {
 		return
 	}
 	if !take(t.c.service, t.c.state.Boxes, time.Now()) {
@@ -202,9 +195,9 @@
 	case gone(t.ctx):
 		return result.New(result.MayHaveRun, "the caller has left")
 	case !sent && t.ctx.Err() != nil:
-		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(comeBack)
+		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(overload.ComeBackLeast)
 	case !sent:
-		return result.New(result.NoServer, "no server takes the request").WithRetryAfter(comeBack)
+		return result.New(result.NoServer, "no server takes the request").WithRetryAfter(overload.ComeBackLeast)
 	case t.ctx.Err() != nil:
 		return result.New(result.DeadlineExceeded, "no answer within %s", t.c.until.Sub(t.c.began))
 	case t.broken:
--- a/forward/runs_test.go
+++ b/forward/runs_test.go
@@ -17,7 +17,7 @@
 func TestServersThatCount(t *testing.T) {
 	ran := []slatebridge.ServerID{"a1", "a2"}
 	counted := func(prepare func(h *Handler)) []slatebridge.ServerID {
-		h := &Handler{seen: newObserved(), runs: newRuns(), fleet: fleet.New("a")}
+		h := &Handler{seen: newObserved(), runs: newRuns(), fleet: fleet.New("a", time.Now)}
 		for _, id := range ran {
 			h.fleet.Set(catalog.Server{ID: id, Service: "llm", Hall: "a"})
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -14,12 +14,11 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/result"
 )
 
 const (
-	// maxAttempts bounds how often one stream is started or taken up.
-	maxAttempts = 6
 	// answerShare is the part of the expected answer for which a request takes
 	// memory: streams are at all stages of theirs, so that on average each holds
 	// its prompt and half of its answer. Measured with 1.25 of the guess, ten
@@ -108,22 +107,16 @@
 	return t.c.state.Catalog.Service(t.c.service).Model
 }
 
-const (
-	// patience is how long a stream that has begun may wait for a path, from
-	// its last event on: callers leave after two seconds.
-	patience = 1600 * time.Millisecond
-	// patiencePause is between two looks for a path.
-	patiencePause = 100 * time.Millisecond
-)
+// patiencePause is between two looks for a path of a stream that waits for one.
+const patiencePause = 100 * time.Millisecond
 
-// choosePatiently finds a path for the next attempt. A stream that has begun
-// waits for one, since breaking it off helps nobody; other requests are
-// refused soon, and may come back. After a pause the servers that failed
-// before are good again, since one of them is better than none.
+// choosePatiently finds a path for the next attempt. A request that may wait for
+// one does. After a pause the servers that failed before are good again.
 func (t *streamTry) choosePatiently() (fleet.Path, *fleet.Hold, *result.Error) {
 	for {
 		path, hold, e := t.choose()
-		if e == nil || !t.mayWait() {
+		waiting := overload.Waiting{Begun: t.headSent, Silence: time.Since(t.lastAt), Avoiding: len(t.avoid) > 0}
+		if e == nil || !waiting.MayWait() {
 			return path, hold, e
 		}
 		t.avoid = nil
@@ -135,15 +128,6 @@
 	}
 }
 
-// mayWait reports whether the request may wait for a path.
-func (t *streamTry) mayWait() bool {
-	if t.headSent {
-		return time.Since(t.lastAt) < patience
-	}
-
-	return len(t.avoid) > 0
-}
-
 // choose finds a path for the next attempt.
 func (t *streamTry) choose() (fleet.Path, *fleet.Hold, *result.Error) {
 	if t.next != nil {
@@ -204,7 +188,7 @@
 		id: t.c.ID, service: t.c.service, path: path, hold: hold, tokens: t.tokens(), cancel: cancel,
 		ran: append(slices.Clone(t.ran), path[0].Server.ID), most: t.c.route.MaxServers, jitter: t.h.jitter(),
 		limits: limitsFor(t.c.route), gap: t.h.usualGap(t.c.service), gapFactor: t.h.silenceFactor(t.c.service),
-		last: t.attempts >= maxAttempts || !t.c.route.MayRepeat(),
+		last: t.made().Last(),
 	})
 	defer func() { t.next, t.nextHold = t.h.runs.remove(run) }()
 	first := path[0].Server
@@ -238,30 +222,40 @@
 	}
 }
 
-// mayGoOn returns nil if another attempt may be made.
+// made returns what has become of the stream so far.
+func (t *streamTry) made() overload.Attempts {
+	return overload.Attempts{
+		Made: t.attempts, Refused: t.rejected, Ran: len(t.ran) > 0,
+		Repeatable: t.c.route.MayRepeat(), Expired: t.ctx.Err() != nil,
+	}
+}
+
+// mayGoOn returns nil if another attempt may be made. It takes the retry for it out
+// of the budget, unless that was done when its path was chosen.
 func (t *streamTry) mayGoOn() *result.Error {
-	c := t.c
-	ran := len(t.ran) > 0
-	switch {
-	case t.ctx.Err() != nil && !ran:
-		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(comeBack)
-	case t.ctx.Err() != nil:
+	c, made := t.c, t.made()
+	switch made.Next() {
+	case overload.TimedOut:
+		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(overload.ComeBackLeast)
+	case overload.TooLate:
 		return result.New(result.DeadlineExceeded, "no whole answer within %s", c.until.Sub(c.began))
-	case ran && !c.route.MayRepeat():
+	case overload.MayHaveRun:
 		return result.New(result.MayHaveRun, "the server gave no whole answer")
-	case t.rejected > maxRefusals && !ran:
-		return result.New(result.Overloaded, "%d paths turned the request away", t.rejected).WithRetryAfter(comeBack)
-	case t.attempts >= maxAttempts || t.rejected > maxRefusals:
+	case overload.TurnedAway:
+		return result.New(result.Overloaded, "%d paths turned the request away", t.rejected).WithRetryAfter(overload.ComeBackLeast)
+	case overload.Exhausted:
 		return result.New(result.AttemptsExhausted, "%d attempts brought no whole answer", t.attempts)
-	case t.next == nil && !t.h.budget.Take(c.service, c.state.Boxes, time.Now()):
+	case overload.Again:
+	}
+	if t.next == nil && !t.h.budget.Take(c.service, c.state.Boxes, time.Now()) {
 		t.h.metrics.budgetEmpty(c.service)
-		if !ran {
-			return result.New(result.Overloaded, "the budget for retries is used up").WithRetryAfter(comeBack)
+		if !made.Ran {
+			return result.New(result.Overloaded, "the budget for retries is used up").WithRetryAfter(overload.ComeBackLeast)
 		}
 
 		return result.New(result.AttemptsExhausted, "the budget for retries is used up")
 	}
-	if ran {
+	if made.Ran {
 		t.h.metrics.moved("resumed")
 		event.Log(t.h.logger, event.StreamResumed, append(t.h.fields(c), zap.Int64("after_event", t.last))...)
 	}
