--- a/lab/play.go
+++ b/lab/play.go
@@ -8,8 +8,6 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
-	"github.com/slatebridge/slatebridge/fleet"
-	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/retry"
 )
 
@@ -233,17 +231,3 @@
 		return nil
 	}
 }
-
-// query is what a request looks for a path for.
-func (q *request) query() fleet.Query {
-	const answerShare = 0.5
-
-	return fleet.Query{Service: service, Tokens: q.prompt + q.done + answerShare*q.kind.Answer, Avoid: q.avoid}
-}
-
-// verdict is what is done with the request after an attempt that failed.
-func (q *request) verdict() overload.Verdict {
-	return overload.Attempts{
-		Made: q.attempts, Refused: q.refused, Ran: len(q.ran) > 0, Repeatable: true, Expired: q.w.now >= q.until(),
-	}.Next()
-}
