--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -95,7 +95,8 @@
 
 // TestLinksCarryWhatIsLetIn replays servers that leave, so that halls lack layers and
 // prompts have to cross: what links cannot carry is refused, and not let in and given up
-// after two seconds. With the links' use by the boxes of one hall alone 2.5 in 100 were.
+// after two seconds. With the links' use by the boxes of one hall alone 385 of 4,244 were,
+// with the first seed.
 func TestLinksCarryWhatIsLetIn(t *testing.T) {
 	const most, seeds = 0.01, 2
 	t.Parallel()
