A server is its name and its start; entries of other writers name no server

Cause: nothing read the start of a server (born). One that started again under its name kept, for each box, the layers, loads, doubts and pending orders of before: an order pending kept it empty for 8 s, and streams that passed it stood still until they had been silent for 2.3 s, since the server is well and answers questions. 11 of 14 entries that another writer may leave counted as servers, and one that cannot be read counted as the loss of the store at each box.

Ruled out: comparing starts by the time they tell (a clock may be set back); resetting each thing that is kept by server one by one (there are some twenty, in four packages, and the next one would be forgotten).

Change: catalog.Server.ID names one start. The earlier start and all that was learned of it cannot be found under the new ID, also not by messages of other boxes, which name the ID. Two entries are ordered by their offsets, which boxes now give each other too. An answer of another start to a question that was asked of the known one comes after it; the box that has such an answer tells the others. fleet.End remembers what has ended, so that late news do not bring it back. Streams that pass an ended start are moved at the next look. Connections are kept apart by start (channel, Server.Host). An entry without a field that all have, of another type, out of range or with an unknown state names no server: counted by reason, logged by the box that read it; a server whose entry was written over gets no new work, what runs there goes on. Of configurations in one batch the newest that can be read is taken; one without a version is refused. A report that cannot be read is no silence.

TestOrderOfStarts, TestRestartForgets, TestOrderForAnEarlierStart and TestLabels use names that are new here. testDecode and two literals of tests name the server as its entry does.

--- a/box/box.go
+++ b/box/box.go
@@ -36,17 +36,31 @@
 	Config   logstore.Keyed
 	Servers  logstore.Keyed
 	Election logstore.Guarded
-	// DecodeConfig returns the configuration among the entries, and its bytes;
-	// nil if there is none.
+	// DecodeConfig returns the newest configuration among the entries that can be
+	// read, and its bytes; nil if there is none. The error is that of a newer one that
+	// cannot.
 	DecodeConfig func(entries []logstore.Entry) (*catalog.Catalog, []byte, error)
 	// EncodeConfig returns an entry that DecodeConfig understands.
 	EncodeConfig func(raw []byte) logstore.Entry
+	// DecodeServer returns the server that an entry names, or a *catalog.EntryError if
+	// it names none.
 	DecodeServer func(e logstore.Entry) (catalog.Server, error)
 	Wire         forward.Wire
 	Calls        forward.ServerCalls
-	// Load orders a server to hold the layers. It fails with place.ErrFenced
-	// if the server has seen a newer token.
-	Load func(ctx context.Context, s catalog.Server, layers slatebridge.LayerRange, token int64) error
+	// Load gives an order. It fails with place.ErrFenced if the server has seen a
+	// newer token, and with place.ErrRefused if it has begun other orders since.
+	Load func(ctx context.Context, o Order) error
+}
+
+// Order orders a server to hold layers.
+type Order struct {
+	Server catalog.Server
+	Layers slatebridge.LayerRange
+	Token  int64
+	// Taken is how many orders the server had begun since its start when it was last
+	// asked. An order that is carried out late, or by another start of the server, is
+	// refused by it.
+	Taken int64
 }
 
 // Box is one entry box.
@@ -114,7 +128,10 @@
 		State:   func() forward.State { return *b.state.Load() },
 		Bounds:  forwardBounds(s.Bounds),
 		OnDoubt: func() { b.tell(&foundDoubt{}) },
-		Random:  rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
+		OnRestart: func(asked catalog.Server, start string) {
+			b.tell(&restarted{mesh.Restart{Name: asked.Name, Ended: asked.Start, Start: start}})
+		},
+		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
 
 	return b
@@ -261,7 +278,7 @@
 	f.OnNewest = func(c logstore.Changes, _ time.Duration) {
 		cat, raw, err := b.platform.DecodeConfig(c.Entries)
 		if err != nil {
-			b.tell(&storeFailed{topic: topicConfig, err: err})
+			b.tell(&configRefused{err: err})
 		}
 		if cat != nil {
 			b.tell(&configFound{catalog: cat, raw: raw, from: fromStore})
--- a/box/control.go
+++ b/box/control.go
@@ -38,8 +38,12 @@
 	helpVersion int64
 	// entries are the entries of the servers as the store has them, up to the
 	// offset next. recent are the last changes, without a gap up to next.
-	entries   map[string][]byte
-	next      int64
+	entries map[string]mesh.Entry
+	next    int64
+	// byName are the servers that the entries name, by the names of the entries.
+	byName map[string]listed
+	// restarts are the servers that were lately found to have started again.
+	restarts  []foundRestart
 	recent    []mesh.Change
 	serversAt time.Time
 	// newServer is when the last new server appeared.
@@ -127,7 +131,8 @@
 func newControl(ctx context.Context, b *Box) *control {
 	return &control{
 		box: b, ctx: ctx, settings: b.settings, savedAt: time.Now(),
-		entries:   make(map[string][]byte),
+		entries:   make(map[string]mesh.Entry),
+		byName:    make(map[string]listed),
 		firstSeen: make(map[slatebridge.ServerID]time.Time),
 		emptied:   make(map[slatebridge.ServerID]time.Time),
 		improved:  make(map[string]bool),
@@ -145,18 +150,8 @@
 	switch m := ctx.Message().(type) {
 	case *tick:
 		c.tick()
-	case *configFound:
-		c.onConfig(m)
-	case *configCurrent:
-		c.onCurrent(m.at)
-	case *serversFound:
-		c.onServers(m)
-	case *serversCurrent:
-		c.onServersCurrent(m.at)
-	case *storeFailed:
-		c.onStoreFailed(m)
-	case *storeAnswered:
-		c.onStoreAnswered(m)
+	case *configFound, *configRefused, *configCurrent, *serversFound, *serversCurrent, *storeFailed, *storeAnswered:
+		c.receiveStore(m)
 	case *heard:
 		c.onHeard(m)
 	case *helpedConfig, *helpedServers:
@@ -172,6 +167,26 @@
 	}
 }
 
+// receiveStore handles what the store said.
+func (c *control) receiveStore(message any) {
+	switch m := message.(type) {
+	case *configFound:
+		c.onConfig(m)
+	case *configRefused:
+		c.onConfigRefused(m)
+	case *configCurrent:
+		c.onCurrent(m.at)
+	case *serversFound:
+		c.onServers(m)
+	case *serversCurrent:
+		c.onServersCurrent(m.at)
+	case *storeFailed:
+		c.onStoreFailed(m)
+	case *storeAnswered:
+		c.onStoreAnswered(m)
+	}
+}
+
 // receiveOrder handles the messages that come from outside the control loop.
 func (c *control) receiveOrder(message any) {
 	switch m := message.(type) {
@@ -179,6 +194,8 @@
 		listen := c.settings.Listen
 		c.settings = m.settings
 		c.settings.Listen = listen
+	case *restarted:
+		c.onRestarted(m.Restart, time.Now())
 	case *foundDoubt:
 		c.doubtSoon(time.Now())
 	case *stopping:
--- a/box/election.go
+++ b/box/election.go
@@ -55,7 +55,7 @@
 
 // ready reports whether this box could give orders.
 func (c *control) ready() bool {
-	return c.catalog != nil && len(c.entries) > 0 && !c.leaving && !c.storeDown[topicServers] &&
+	return c.catalog != nil && len(c.byName) > 0 && !c.leaving && !c.storeDown[topicServers] &&
 		time.Since(c.turnedAway) > turnedAwayTime
 }
 
--- a/box/help.go
+++ b/box/help.go
@@ -126,8 +126,6 @@
 	cat, raw, err := c.box.platform.DecodeConfig([]logstore.Entry{c.box.platform.EncodeConfig(m.raw)})
 	if err != nil {
 		c.box.metrics.meshError(err)
-
-		return
 	}
 	if cat != nil {
 		c.onConfig(&configFound{catalog: cat, raw: raw, from: m.from})
@@ -143,7 +141,7 @@
 	}
 	list := make([]logstore.Entry, 0, len(m.servers.Entries))
 	for k, v := range m.servers.Entries {
-		list = append(list, logstore.Entry{Key: k, Value: v})
+		list = append(list, logstore.Entry{Key: k, Value: v.Value, Offset: v.Offset})
 	}
 	c.onServers(&serversFound{entries: list, next: m.servers.Next, whole: true})
 }
--- a/box/messages.go
+++ b/box/messages.go
@@ -20,6 +20,8 @@
 		raw     []byte
 		from    string
 	}
+	// configRefused reports a configuration in the store that cannot be read.
+	configRefused struct{ err error }
 	// configCurrent says that everything in the store at the time is known.
 	configCurrent struct{ at time.Time }
 	// serversFound carries entries of servers up to the offset next. whole says
@@ -74,6 +76,8 @@
 		err    error
 		orders []order
 	}
+	// restarted says that a server has started again, as it answered this box.
+	restarted struct{ mesh.Restart }
 	// foundDoubt says that requests have found a server dead or slow.
 	foundDoubt struct{}
 	// reconfigured carries other settings.
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -18,6 +18,7 @@
 	ready    prometheus.Gauge
 	inFlight prometheus.Gauge
 	store    *prometheus.CounterVec
+	unusable *prometheus.CounterVec
 	mesh     prometheus.Counter
 	sent     prometheus.Counter
 	sentSize prometheus.Counter
@@ -50,17 +51,22 @@
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "slatebridge_store_calls_total", Help: "Calls to the platform's store, by topic and result.",
 		}, []string{"topic", "result"}),
+		unusable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_entries_refused_total", Help: "Entries that name no server to use and configurations that cannot be read, by reason.",
+		}, []string{"reason"}),
 		mesh:     counter("mesh_errors_total", "Messages between boxes that could not be sent or read."),
 		sent:     counter("mesh_sent_total", "Messages sent to other boxes."),
 		sentSize: counter("mesh_sent_bytes_total", "Bytes of messages sent to other boxes."),
 		got:      counter("mesh_received_total", "Messages received from other boxes."),
 		gotSize:  counter("mesh_received_bytes_total", "Bytes of messages received from other boxes."),
 	}
-	reg.MustRegister(m.store)
+	reg.MustRegister(m.store, m.unusable)
 
 	return m
 }
 
+func (m *metrics) refused(reason string) { m.unusable.WithLabelValues(reason).Inc() }
+
 func (m *metrics) configVersion(v int64) { m.version.Set(float64(v)) }
 
 func (m *metrics) meshError(error) { m.mesh.Inc() }
--- a/box/orders.go
+++ b/box/orders.go
@@ -138,7 +138,7 @@
 	servers := make(map[slatebridge.ServerID]catalog.Server)
 	var holders []place.Holder
 	for _, v := range c.box.fleet.Servers() {
-		if v.Service != s.Name || v.Leaving {
+		if v.Service != s.Name || v.Leaving || v.Withdrawn || v.Layers.To > s.Model.Layers {
 			continue
 		}
 		layers := v.Layers
@@ -250,7 +250,10 @@
 func (c *control) give(o order, token int64) {
 	ctx, cancel := context.WithTimeout(c.ctx, orderTime)
 	defer cancel()
-	err := c.box.platform.Load(ctx, o.server, o.layers, token)
+	report, err := c.box.handler.Ask(ctx, o.server)
+	if err == nil {
+		err = c.box.platform.Load(ctx, Order{Server: o.server, Layers: o.layers, Token: token, Taken: report.Orders})
+	}
 	c.box.tell(&ordered{server: o.server.ID, layers: o.layers, err: err})
 }
 
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -33,7 +33,7 @@
 
 func testDecode(e logstore.Entry) (catalog.Server, error) {
 	return catalog.Server{
-		ID: slatebridge.ServerID(e.Key), Service: "llm", Hall: "a", Card: "big", Layers: slatebridge.LayerRange{To: int(e.Value[0])},
+		ID: slatebridge.ServerID(e.Key), Name: e.Key, Service: "llm", Hall: "a", Card: "big", Layers: slatebridge.LayerRange{To: int(e.Value[0])},
 	}, nil
 }
 
--- a/box/ready.go
+++ b/box/ready.go
@@ -18,7 +18,7 @@
 func (c *control) judgeReady(now time.Time) {
 	b := c.box
 	s := Status{
-		Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.entries), Complete: c.complete(),
+		Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.byName), Complete: c.complete(),
 		Orders: c.term.Box, Token: c.term.Token, Boxes: c.liveBoxes(),
 		Suspects: b.fleet.Suspects(), Slow: b.handler.Slow(), InFlight: b.handler.InFlight(),
 		Reads: b.reader.Load(), StoreLost: c.lostTopics(),
--- a/box/servers.go
+++ b/box/servers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -21,7 +22,7 @@
 	if c.taken == 0 || now.Sub(c.takenAt) < takenEvery {
 		return
 	}
-	event.Log(c.box.logger, event.ServersTaken, zap.Int("entries", c.taken), zap.Int("servers", len(c.entries)), zap.Int64("next", c.next))
+	event.Log(c.box.logger, event.ServersTaken, zap.Int("entries", c.taken), zap.Int("servers", len(c.byName)), zap.Int64("next", c.next))
 	c.taken, c.takenAt = 0, now
 }
 
@@ -95,36 +96,79 @@
 // the store logs it: hundreds of boxes hear of each, and their lines made most of
 // 58 MB in 50 s of 295 boxes.
 func (c *control) setServer(e logstore.Entry, read bool) {
-	if string(c.entries[e.Key]) == string(e.Value) {
+	before, known := c.entries[e.Key]
+	if known && (e.Offset < before.Offset || string(before.Value) == string(e.Value)) {
 		return
 	}
-	s, err := c.box.platform.DecodeServer(e)
+	c.entries[e.Key] = mesh.Entry{Value: e.Value, Offset: e.Offset}
+	s, err := c.decodeServer(e)
 	if err != nil {
-		c.onStoreFailed(&storeFailed{topic: topicServers, err: err})
+		c.withdraw(e.Key, err, read)
 
 		return
 	}
-	if _, known := c.entries[e.Key]; !known {
-		c.newServer = time.Now()
-		c.firstSeen[s.ID] = c.newServer
+	if c.box.fleet.HasEnded(s.ID) {
+		// An entry of an earlier start, which came late.
+		return
+	}
+	if old, ok := c.byName[e.Key]; ok && old.ID != s.ID {
+		c.replaceStart(old, s, read)
+	}
+	c.takeUp(listed{Server: s})
+	if !read {
+		return
+	}
+	event.Log(c.box.logger, event.ServerChanged, zap.String("server", string(s.ID)), zap.String("service", s.Service),
+		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset))
+}
+
+// decodeServer returns the server that the entry names.
+func (c *control) decodeServer(e logstore.Entry) (catalog.Server, error) {
+	s, err := c.box.platform.DecodeServer(e)
+	if err == nil && s.Start == "" && c.byName[e.Key].Start != "" {
+		// The server itself always tells its start.
+		err = &catalog.EntryError{Name: e.Key, Fault: catalog.Missing, Detail: "its start"}
+	}
+
+	return s, err
+}
+
+// withdraw takes the server out of use whose entry was written over by one that names
+// none. The store is well.
+func (c *control) withdraw(name string, err error, read bool) {
+	reason := catalog.Unreadable
+	if e := (*catalog.EntryError)(nil); errors.As(err, &e) {
+		reason = e.Fault
+	}
+	c.box.metrics.refused(string(reason))
+	if read {
+		event.Log(c.box.logger, event.EntryRefused, zap.String("entry", name), event.Error(err))
 	}
-	c.entries[e.Key] = e.Value
+	if s, ok := c.byName[name]; ok {
+		s.Withdrawn = true
+		c.takeUp(s)
+	}
+}
+
+// takeUp makes a server known.
+func (c *control) takeUp(s listed) {
+	now := time.Now()
+	if _, known := c.firstSeen[s.ID]; !known {
+		c.newServer = now
+		c.firstSeen[s.ID] = now
+	}
+	c.byName[s.Name] = s
 	clear(c.improved)
 	before, known := c.box.fleet.Server(s.ID)
 	p, ordered := c.pending[s.ID]
 	switch {
 	case ordered && p.layers == s.Layers:
 		delete(c.pending, s.ID)
-	case !known || before.Layers != s.Layers || before.Leaving != s.Leaving:
-		c.unsettledAt = time.Now()
+	case !known || before.Layers != s.Layers || before.Leaving != s.Leaving || before.Withdrawn != s.Withdrawn:
+		c.unsettledAt = now
 	}
-	c.noteEmptied(before, s)
-	c.box.fleet.Set(s)
-	if !read {
-		return
-	}
-	event.Log(c.box.logger, event.ServerChanged, zap.String("server", string(s.ID)), zap.String("service", s.Service),
-		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset))
+	c.noteEmptied(before, s.Server)
+	c.box.fleet.Set(s.Server)
 }
 
 // noteEmptied notes whether a server has just given all its layers up.
@@ -137,14 +181,28 @@
 	}
 }
 
+// forget forgets what this box planned for a start of a server, and what it was told.
+func (c *control) forget(id slatebridge.ServerID) {
+	delete(c.firstSeen, id)
+	delete(c.emptied, id)
+	delete(c.toldSure, id)
+	delete(c.pending, id)
+	delete(c.said, id)
+}
+
 // removeServer drops a server. Entries also lapse while the store is away, so
 // after an outage a server has some time to come back.
 func (c *control) removeServer(key string, grace time.Duration) {
 	if _, known := c.entries[key]; !known {
 		return
 	}
-	id := slatebridge.ServerID(key)
 	delete(c.entries, key)
+	server, known := c.byName[key]
+	if !known {
+		return
+	}
+	id := server.ID
+	delete(c.byName, key)
 	delete(c.firstSeen, id)
 	delete(c.emptied, id)
 	delete(c.toldSure, id)
--- a/box/store.go
+++ b/box/store.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// onConfigRefused notes a configuration that cannot be read. The version in force stays,
+// and what was read proves that there is no newer one that can.
+func (c *control) onConfigRefused(m *configRefused) {
+	c.box.metrics.refused("configuration")
+	event.Log(c.box.logger, event.CatalogUnreadable, event.Error(m.err))
+}
+
 // onCurrent takes up a proof that the configuration was the newest at a time.
 func (c *control) onCurrent(at time.Time) {
 	if c.catalog == nil || !at.After(c.current) {
@@ -46,7 +53,7 @@
 
 // publish makes the state known to requests.
 func (c *control) publish() {
-	c.box.state.Store(&forward.State{Catalog: c.catalog, Current: c.current, Boxes: c.boxesForBudget(), Informed: c.catalog != nil && len(c.entries) > 0})
+	c.box.state.Store(&forward.State{Catalog: c.catalog, Current: c.current, Boxes: c.boxesForBudget(), Informed: c.catalog != nil && len(c.byName) > 0})
 }
 
 func (c *control) publishHelp() {
--- a/box/words.go
+++ b/box/words.go
@@ -52,6 +52,7 @@
 // busy one takes servers that are well as dead for half a second, seen with up to
 // eight of them at once.
 func (c *control) onDoubt(msg mesh.Message, at time.Time) {
+	c.takeRestarts(msg, at)
 	o, ok := c.peers[msg.Box]
 	pass := ok && ((msg.Kind == mesh.Doubt && o.reports(at)) || !o.near(c.settings.Hall))
 	if news := c.believe(msg, at, pass); news && pass {
--- a/channel/transport.go
+++ b/channel/transport.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -72,8 +73,13 @@
 	return func(t *Transport) { t.onDrop = f }
 }
 
-// New returns a Transport over base.
+// New returns a Transport over base, which must not be used by itself any more.
 func New(base *http.Transport, opts ...Option) *Transport {
+	open := dialer(base.DialContext)
+	if open == nil {
+		open = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = open.toAddress
 	t := &Transport{base: base, onDrop: func() {}, silent: make(map[string]time.Time)}
 	for _, o := range opts {
 		o(t)
--- a/channel/transport_test.go
+++ b/channel/transport_test.go
@@ -184,3 +184,17 @@
 		})
 	})
 }
+
+// TestLabels: connections to hosts with different labels are kept apart, and all go to
+// the address.
+func TestLabels(t *testing.T) {
+	inBench(t, func(b *bench) {
+		dials := b.dials
+		for _, host := range []string{"a1." + server, "a1." + server, "b2." + server, server} {
+			b.want(host, time.Minute, true)
+		}
+		if n := b.dials - dials; n != 2 {
+			t.Errorf("%d connections were opened, want one for each label", n)
+		}
+	})
+}
--- a/event/event.go
+++ b/event/event.go
@@ -38,6 +38,7 @@
 	CatalogRefused        ID = 211
 	StoreLost             ID = 212
 	StoreRegained         ID = 213
+	CatalogUnreadable     ID = 214
 	LeaseTaken            ID = 300
 	LeaseLost             ID = 301
 	OrderSent             ID = 302
@@ -50,6 +51,8 @@
 	ServerTrusted         ID = 323
 	ServerSlow            ID = 324
 	ServersTaken          ID = 325
+	ServerRestarted       ID = 326
+	EntryRefused          ID = 327
 	ElectionWon           ID = 330
 	ElectionLost          ID = 331
 	PlacementPlanned      ID = 332
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -66,7 +66,7 @@
 
 // candidate returns the server as a candidate, if it may be used.
 func (f *Fleet) candidate(m *member, q Query, room bool, now time.Time) (candidate, bool) {
-	if m.Layers.Len() == 0 || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
+	if m.Layers.Len() == 0 || m.Layers.To > m.model.Layers || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
 		return candidate{}, false
 	}
 	if room && now.Before(m.fullUntil) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,6 +35,7 @@
 	service map[string][]*member
 	// links is what this box lately sent between halls.
 	links map[link]use
+	ended endings
 }
 
 // Option changes a Fleet.
@@ -55,6 +56,7 @@
 		members: make(map[slatebridge.ServerID]*member),
 		service: make(map[string][]*member),
 		links:   make(map[link]use),
+		ended:   endings{known: make(map[slatebridge.ServerID]bool)},
 	}
 	for _, o := range opts {
 		o(f)
@@ -95,10 +97,13 @@
 	m.card, _ = s.Model.Card(m.Card)
 }
 
-// Set takes up the entry of a server.
+// Set takes up the entry of a server, unless that start of it has ended.
 func (f *Fleet) Set(s catalog.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.ended.known[s.ID] {
+		return
+	}
 	m, ok := f.members[s.ID]
 	if !ok {
 		m = &member{number: Number(s.ID), peers: make(map[string]Load)}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -69,7 +69,13 @@
 // Hold is work that was reserved at servers.
 type Hold struct {
 	fleet *Fleet
-	parts map[slatebridge.ServerID]Load
+	parts []heldPart
+}
+
+// heldPart is what a Hold has at one server.
+type heldPart struct {
+	member *member
+	load   Load
 }
 
 // reserve reserves what the request needs on the path. The caller holds mu.
@@ -83,14 +89,16 @@
 
 func (f *Fleet) reserveParts(parts map[slatebridge.ServerID]Load) *Hold {
 	now := f.now()
+	h := &Hold{fleet: f, parts: make([]heldPart, 0, len(parts))}
 	for id, l := range parts {
 		if m, ok := f.members[id]; ok {
 			m.own = m.own.Plus(l)
 			m.noteRecent(l, now)
+			h.parts = append(h.parts, heldPart{m, l})
 		}
 	}
 
-	return &Hold{fleet: f, parts: parts}
+	return h
 }
 
 // Release gives the reserved work back. It may be called more than once.
@@ -100,10 +108,8 @@
 	}
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	for id, l := range h.parts {
-		if m, ok := h.fleet.members[id]; ok {
-			m.own = m.own.Plus(l.times(-1))
-		}
+	for _, p := range h.parts {
+		p.member.own = p.member.own.Minus(p.load)
 	}
 	h.parts = nil
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -126,7 +126,7 @@
 
 // usable reports whether the server may get new work.
 func (m *member) usable(now time.Time) bool {
-	return !m.Leaving && now.After(m.suspectUntil)
+	return !m.Leaving && !m.Withdrawn && now.After(m.suspectUntil)
 }
 
 const (
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -34,8 +34,20 @@
 	Stalled map[string]string
 	// Slowness is how many times as long as usual the server takes; 1 is usual.
 	Slowness float64
+	// Start is the start of the server that reports; empty if it does not say.
+	Start string
+	// Orders counts the orders that the server has begun since its start.
+	Orders int64
 }
 
+// ErrUnreadable says that a server answered, and the answer cannot be read. It is
+// alive.
+var ErrUnreadable = errors.New("the answer cannot be read")
+
+// errRestarted says that another start of the server answered: the one that was asked
+// has ended.
+var errRestarted = errors.New("the server has started again")
+
 // ServerCalls are the calls to servers beside requests.
 type ServerCalls struct {
 	Report func(ctx context.Context, s catalog.Server) (Report, error)
@@ -56,6 +68,8 @@
 		switch {
 		case (a == nil || a.err != nil) && h.fleet.AliveSince(id, began):
 			// Its answer is late or lost.
+		case a != nil && (errors.Is(a.err, ErrUnreadable) || errors.Is(a.err, errRestarted)):
+			// It answers. That its earlier start has ended is noted.
 		case a == nil || a.err != nil:
 			silent = append(silent, id)
 		case a.report.Slowness >= slowFrom:
@@ -166,12 +180,31 @@
 			break
 		}
 	}
+	if q.err == nil && s.Start != "" && q.report.Start != "" && q.report.Start != s.Start {
+		// The start that was asked was known before the question, so the one that
+		// answered came after it.
+		h.noteRestart(s, q.report.Start)
+		q.err = errRestarted
+	}
 	h.noteAsked(s.ID, q.err)
 	close(q.done)
 
 	return q
 }
 
+// Ask returns a server's report. It fails if another start of the server answers.
+func (h *Handler) Ask(ctx context.Context, s catalog.Server) (Report, error) {
+	q := h.ask(ctx, s, reportAge)
+
+	return q.report, q.err
+}
+
+// noteRestart notes that another start of a server answered than the one asked.
+func (h *Handler) noteRestart(asked catalog.Server, start string) {
+	h.fleet.End(asked.ID)
+	h.onRestart(asked, start)
+}
+
 // noteAsked notes what an answer, or its error, says of whether the server has
 // ended.
 func (h *Handler) noteAsked(id slatebridge.ServerID, err error) {
--- a/forward/doubt.go
+++ b/forward/doubt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -25,7 +26,7 @@
 // deadOn returns the servers of the path that are dead. One that has no entry any
 // more may serve on, and is asked like the others.
 func (h *Handler) deadOn(ctx context.Context, r *run, path fleet.Path) []slatebridge.ServerID {
-	var dead []slatebridge.ServerID
+	dead := h.fleet.EndedOn(path)
 	known := h.fleet.Suspects()
 	for _, s := range path {
 		if slices.Contains(known, s.Server.ID) {
@@ -52,7 +53,7 @@
 	}
 	h.suspectHalls(ctx, path, silent)
 
-	return silent
+	return append(silent, h.fleet.EndedOn(path)...)
 }
 
 // others is how many servers besides those of a path are asked whether the
@@ -128,7 +129,7 @@
 	if !ok || h.runs.isDead(id) {
 		return
 	}
-	if q := h.ask(ctx, s, reportAge); q.err != nil {
+	if q := h.ask(ctx, s, reportAge); q.err != nil && !errors.Is(q.err, ErrUnreadable) && !errors.Is(q.err, errRestarted) {
 		h.suspect(ctx, id, "another server turned a request away for it, and it does not answer")
 	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -115,9 +115,10 @@
 	started time.Time
 	// others is how many other boxes of the hall are heard, and crowd the longest
 	// jitter.
-	others  atomic.Int64
-	crowd   atomic.Int64
-	onDoubt func()
+	others    atomic.Int64
+	crowd     atomic.Int64
+	onDoubt   func()
+	onRestart func(asked catalog.Server, start string)
 	// stalledAt is when the box was last found to have stood still.
 	stalledAt atomic.Int64
 	seen      observed
@@ -140,8 +141,11 @@
 	Random func() float64
 	// OnDoubt is called when a server has been found dead or slow.
 	OnDoubt func()
-	Logger  *zap.Logger
-	Metrics *Metrics
+	// OnRestart is told that another start of the server answered than the one that
+	// was asked, which has ended.
+	OnRestart func(asked catalog.Server, start string)
+	Logger    *zap.Logger
+	Metrics   *Metrics
 }
 
 // New returns a Handler.
@@ -149,7 +153,7 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: retry.New(c.Bounds.Retry, retry.WithStart(time.Now())), runs: newRuns(), onDoubt: c.OnDoubt,
+		budget: retry.New(c.Bounds.Retry, retry.WithStart(time.Now())), runs: newRuns(), onDoubt: c.OnDoubt, onRestart: c.OnRestart,
 		started: time.Now(), seen: newObserved(), doubted: make(chan slatebridge.ServerID, mostDoubted),
 	}
 	h.bounds.Store(&c.Bounds)
--- a/forward/send.go
+++ b/forward/send.go
@@ -93,7 +93,7 @@
 	h.wire.Prepare(header, a)
 	req := &http.Request{
 		Method:        c.method,
-		URL:           &url.URL{Scheme: "http", Host: a.Server.Address, Opaque: c.target},
+		URL:           &url.URL{Scheme: "http", Host: a.Server.Host(), Opaque: c.target},
 		Host:          c.host,
 		Header:        header,
 		Body:          onceBody{bytes.NewReader(c.body)},
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -172,6 +172,9 @@
 // does not answer may be well, and this box slow: measured, a slow box let five
 // requests run on three servers where two were allowed.
 func (h *Handler) surelyEnded(id slatebridge.ServerID) bool {
+	if h.fleet.HasEnded(id) {
+		return true
+	}
 	ended, silent := h.runs.hasEnded(id)
 	well := time.Now().Add(-wellTime)
 
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -103,6 +103,7 @@
 	tick := time.NewTicker(watchEvery)
 	defer tick.Stop()
 	last := time.Now()
+	endings := h.fleet.Endings()
 	for looks := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -115,6 +116,10 @@
 				h.stalledAt.Store(now.UnixNano())
 			}
 			last = now
+			if n := h.fleet.Endings(); n != endings {
+				endings = n
+				h.leaveEnded(ctx)
+			}
 			d := doubts{suspects: h.fleet.Suspects(), sure: h.fleet.SurelyDead()}
 			for _, r := range h.runs.all() {
 				if r.due(now, d) {
@@ -128,6 +133,20 @@
 	}
 }
 
+// leaveEnded moves all streams that pass a server which has started again. What it
+// had of them is gone, and it is well, so that no silence of it would be found.
+//
+// Load pattern: a third of the servers start again within half a second, and hundreds of
+// streams of many boxes pass them.
+func (h *Handler) leaveEnded(ctx context.Context) {
+	for _, r := range h.runs.all() {
+		path, started, silent := r.state()
+		if ended := h.fleet.EndedOn(path); len(ended) > 0 {
+			go h.leave(ctx, r, path, started, silent, ended)
+		}
+	}
+}
+
 // leaveOne moves one stream away from servers that are leaving or have given
 // the stream's layers up, if there is one that passes them after its first
 // server.
@@ -162,6 +181,12 @@
 	dead := h.deadOn(ctx, r, path)
 	event.Log(h.logger, event.StreamStalled, zap.String("request", r.id), zap.Duration("silent_ms", silent),
 		zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", dead))
+	h.leave(ctx, r, path, started, silent, dead)
+}
+
+// leave has a stream go on without the dead servers of its path, if there are any, or
+// elsewhere if it has been silent for too long.
+func (h *Handler) leave(ctx context.Context, r *run, path fleet.Path, started bool, silent time.Duration, dead []slatebridge.ServerID) {
 	switch {
 	case len(dead) > 0 && started && !slices.Contains(dead, path[0].Server.ID):
 		h.goOnWithout(ctx, r, path, dead)
--- a/mesh/help.go
+++ b/mesh/help.go
@@ -31,11 +31,18 @@
 
 // Servers are the entries of all servers.
 type Servers struct {
-	Entries map[string][]byte `json:"entries"`
+	Entries map[string]Entry `json:"entries"`
 	// Next is the offset up to which Entries is known.
 	Next int64 `json:"next"`
 }
 
+// Entry is the entry of a server, and its offset in the store: the order of a server's
+// entries.
+type Entry struct {
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
 // Document is a part of the state. It is compressed once, when it is first asked
 // for: dozens of boxes ask for the same within a second. A configuration of 1,400
 // routes has about a tenth of its size then, and fits a slow link.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -62,7 +62,7 @@
 			t.Errorf("error %v", err)
 		}
 	})
-	servers := Servers{Entries: map[string][]byte{"s-1": []byte("{}")}, Next: 7}
+	servers := Servers{Entries: map[string]Entry{"s-1": {Value: []byte("{}"), Offset: 5}}, Next: 7}
 	help = Help{Config: NewDocument([]byte(`{"version":3}`)), Servers: NewDocument(servers)}
 	t.Run("the parts come as they are", func(t *testing.T) {
 		cfg, err := AskConfig(t.Context(), srv.Client(), address)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -69,6 +69,8 @@
 	// two boxes.
 	Dead []slatebridge.ServerID `cbor:"18,keyasint,omitempty"`
 	Sure []slatebridge.ServerID `cbor:"24,keyasint,omitempty"`
+	// Restarts are servers that have lately started again.
+	Restarts []Restart `cbor:"25,keyasint,omitempty"`
 	// Slow are servers found slow, with how many times as long as usual they take.
 	Slow map[slatebridge.ServerID]float64 `cbor:"19,keyasint,omitempty"`
 	Term elect.Term                       `cbor:"20,keyasint"`
@@ -112,6 +114,16 @@
 	Tokens   uint32
 }
 
+// Restart says that a server has started again.
+type Restart struct {
+	_ struct{} `cbor:",toarray"`
+	// Name is what the server is listed under, Ended its start that has ended, and
+	// Start the one that followed.
+	Name  string
+	Ended string
+	Start string
+}
+
 // Change is one change of a backend server's entry.
 type Change struct {
 	_      struct{} `cbor:",toarray"`
