--- a/box/orders.go
+++ b/box/orders.go
@@ -235,6 +235,12 @@
 		return
 	}
 	c.adopt(m.term)
+	if c.elected() && m.term.Token == 0 {
+		// Another writer wrote over the record of this box's term, so that nothing shows
+		// that it stands. It is won anew.
+		event.Log(c.box.logger, event.ElectionLost, zap.Int64("token", c.term.Token), zap.String("why", "its record cannot be read"))
+		c.term = elect.Term{Token: c.term.Token}
+	}
 	if !c.elected() || m.term != c.term {
 		return
 	}
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -35,12 +35,21 @@
 	if err != nil || len(data) == 0 {
 		return Term{}, end, err
 	}
+
+	return decodeTerm(data, end), end, nil
+}
+
+// decodeTerm returns the term of a record of a topic that ends at the offset. One that
+// cannot be read, or whose token cannot be, is that of another writer and stands for no
+// term: nobody could ever win against it. The next term has a higher token than those
+// before all the same, since tokens are offsets.
+func decodeTerm(data []byte, end int64) Term {
 	var t Term
-	if err := json.Unmarshal(data, &t); err != nil {
-		return Term{}, end, errors.Wrap(err, "elect: record")
+	if err := json.Unmarshal(data, &t); err != nil || t.Token <= 0 || t.Token > end || t.Box == "" {
+		return Term{}
 	}
 
-	return t, end, nil
+	return t
 }
 
 // Stand tries to win the next term for the box. known is the term that shall
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -110,6 +110,26 @@
 		return Received{}, errors.Newf("mesh: a message has %d bytes; the echo alone has %d", len(data), echoSize)
 	}
 	r := Received{Echo: int64(binary.BigEndian.Uint64(data)), Size: len(data)}
+	if err := decoder.Unmarshal(data[echoSize:], &r.Message); err != nil {
+		return r, errors.Wrap(err, "mesh: message")
+	}
+
+	return r, r.check()
+}
+
+// check returns an error if no box can have sent the message.
+func (m *Message) check() error {
+	if m.Box == "" || m.Hall == "" {
+		return errors.New("mesh: a message names no box or no hall")
+	}
+	if m.ConfigAge < -1 || m.ServersAge < -1 || m.HolderAge < -1 || m.Next < 0 || m.Config < 0 || m.Term.Token < 0 {
+		return errors.New("mesh: a message has an age, offset, version or token below zero")
+	}
+	for _, w := range append([]Work{m.Work}, m.Far...) {
+		if w.Age < 0 || w.Live < 0 || w.Boxes < 0 {
+			return errors.New("mesh: a message has work with an age or number of boxes below zero")
+		}
+	}
 
-	return r, errors.Wrap(decoder.Unmarshal(data[echoSize:], &r.Message), "mesh: message")
+	return nil
 }
