--- a/box/help.go
+++ b/box/help.go
@@ -58,7 +58,12 @@
 		ctx, cancel := context.WithTimeout(c.ctx, helpTime)
 		defer cancel()
 		raw, err := mesh.AskConfig(ctx, c.box.client, address)
-		c.box.tell(&helpedConfig{from: from, raw: raw, err: err})
+		m := &helpedConfig{from: from, err: err}
+		if err == nil {
+			// Not by the control actor, which has the messages of other boxes to read.
+			m.catalog, m.raw, m.err = c.box.platform.DecodeConfig([]logstore.Entry{c.box.platform.EncodeConfig(raw)})
+		}
+		c.box.tell(m)
 	}()
 }
 
@@ -123,12 +128,8 @@
 
 		return
 	}
-	cat, raw, err := c.box.platform.DecodeConfig([]logstore.Entry{c.box.platform.EncodeConfig(m.raw)})
-	if err != nil {
-		c.box.metrics.meshError(err)
-	}
-	if cat != nil {
-		c.onConfig(&configFound{catalog: cat, raw: raw, from: m.from})
+	if m.catalog != nil {
+		c.onConfig(&configFound{catalog: m.catalog, raw: m.raw, from: m.from})
 	}
 }
 
--- a/box/messages.go
+++ b/box/messages.go
@@ -51,9 +51,10 @@
 	// helpedConfig carries another box's configuration, and helpedServers the entries
 	// that it knows, or the error of asking for them.
 	helpedConfig struct {
-		from string
-		raw  []byte
-		err  error
+		from    string
+		catalog *catalog.Catalog
+		raw     []byte
+		err     error
 	}
 	helpedServers struct {
 		servers mesh.Servers
--- a/box/store.go
+++ b/box/store.go
@@ -59,10 +59,10 @@
 func (c *control) publishHelp() {
 	h := *c.box.help.Load()
 	if c.raw != nil && (h.Config == nil || c.helpVersion != c.catalog.Version) {
-		h.Config, c.helpVersion = mesh.NewDocument(c.raw), c.catalog.Version
+		h.Config, c.helpVersion = mesh.NewConfig(c.raw), c.catalog.Version
 	}
 	if c.next > 0 {
-		h.Servers = mesh.NewDocument(mesh.Servers{Entries: maps.Clone(c.entries), Next: c.next})
+		h.Servers = mesh.NewServers(mesh.Servers{Entries: maps.Clone(c.entries), Next: c.next})
 	}
 	c.box.help.Store(&h)
 }
--- /dev/null
+++ b/mesh/fuzz_test.go
@@ -0,0 +1,42 @@
+package mesh
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+)
+
+// FuzzDecode: a datagram is an error, or a message that a box can have sent.
+func FuzzDecode(f *testing.F) {
+	for _, n := range []int{0, 3} {
+		d, err := testMessage(n).Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add([]byte(d))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := decode(data)
+		if err == nil && (r.Box == "" || r.Hall == "" || r.Work.Age < 0) {
+			t.Errorf("%+v", r)
+		}
+	})
+}
+
+// FuzzHelp: what another box gives is an error, or entries with values.
+func FuzzHelp(f *testing.F) {
+	data, err := NewServers(Servers{Entries: map[string]Entry{"s-1": {Value: []byte("{}"), Offset: 3}}, Next: 7}).encoded()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := decodeDocument(bytes.NewReader(data), readServers)
+		if err != nil {
+			return
+		}
+		if _, err := json.Marshal(s); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/mesh/help.go
+++ b/mesh/help.go
@@ -25,8 +25,8 @@
 // Help is the state that a box gives to one that cannot reach the store, as it
 // came from there.
 type Help struct {
-	Config  *Document[[]byte]
-	Servers *Document[Servers]
+	Config  *Document
+	Servers *Document
 }
 
 // Servers are the entries of all servers.
@@ -45,21 +45,31 @@
 
 // Document is a part of the state. It is compressed once, when it is first asked
 // for: dozens of boxes ask for the same within a second. A configuration of 1,400
-// routes has about a tenth of its size then, and fits a slow link.
-type Document[T any] struct {
-	value T
+// routes has about a twentieth of its size then, and fits a slow link.
+type Document struct {
+	write func(w io.Writer) error
 	once  sync.Once
 	data  []byte
 	err   error
 }
 
-// NewDocument returns a Document of the value.
-func NewDocument[T any](value T) *Document[T] {
-	return &Document[T]{value: value}
+// NewConfig returns a Document of a configuration, which goes as it came from the
+// store: to write 0.5 MB as JSON and read that took a box 6 ms of a core more.
+func NewConfig(raw []byte) *Document {
+	return &Document{write: func(w io.Writer) error {
+		_, err := w.Write(raw)
+
+		return err
+	}}
+}
+
+// NewServers returns a Document of the entries of servers.
+func NewServers(s Servers) *Document {
+	return &Document{write: func(w io.Writer) error { return json.NewEncoder(w).Encode(s) }}
 }
 
 // encoded returns the document as it is sent.
-func (d *Document[T]) encoded() ([]byte, error) {
+func (d *Document) encoded() ([]byte, error) {
 	d.once.Do(func() {
 		var buf bytes.Buffer
 		w, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
@@ -68,7 +78,7 @@
 
 			return
 		}
-		d.err = errors.CombineErrors(json.NewEncoder(w).Encode(d.value), w.Close())
+		d.err = errors.CombineErrors(d.write(w), w.Close())
 		d.data = buf.Bytes()
 	})
 
@@ -84,7 +94,7 @@
 	return mux
 }
 
-func serve[T any](w http.ResponseWriter, d *Document[T]) {
+func serve(w http.ResponseWriter, d *Document) {
 	if d == nil {
 		http.Error(w, "nothing is known yet", http.StatusNotFound)
 
@@ -104,15 +114,22 @@
 // AskConfig gets the configuration of the box at the address, as it came from
 // the store.
 func AskConfig(ctx context.Context, client *http.Client, address string) ([]byte, error) {
-	return ask[[]byte](ctx, client, "http://"+address+configPath)
+	return ask(ctx, client, "http://"+address+configPath, io.ReadAll)
 }
 
 // AskServers gets the entries of the servers that the box at the address knows.
 func AskServers(ctx context.Context, client *http.Client, address string) (Servers, error) {
-	return ask[Servers](ctx, client, "http://"+address+serversPath)
+	return ask(ctx, client, "http://"+address+serversPath, readServers)
+}
+
+func readServers(r io.Reader) (Servers, error) {
+	var s Servers
+	err := json.NewDecoder(r).Decode(&s)
+
+	return s, err
 }
 
-func ask[T any](ctx context.Context, client *http.Client, url string) (T, error) {
+func ask[T any](ctx context.Context, client *http.Client, url string, read func(io.Reader) (T, error)) (T, error) {
 	var v T
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
@@ -126,11 +143,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return v, errors.Newf("mesh: help: %s answered %s", url, resp.Status)
 	}
-	body, err := gzip.NewReader(resp.Body)
+
+	return decodeDocument(resp.Body, read)
+}
+
+// decodeDocument reads a Document as it is sent.
+func decodeDocument[T any](r io.Reader, read func(io.Reader) (T, error)) (T, error) {
+	var v T
+	body, err := gzip.NewReader(r)
 	if err != nil {
 		return v, errors.Wrap(err, "mesh: help")
 	}
-	err = json.NewDecoder(io.LimitReader(body, maxHelp)).Decode(&v)
+	v, err = read(io.LimitReader(body, maxHelp))
 
 	return v, errors.Wrap(err, "mesh: help")
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -63,7 +63,7 @@
 		}
 	})
 	servers := Servers{Entries: map[string]Entry{"s-1": {Value: []byte("{}"), Offset: 5}}, Next: 7}
-	help = Help{Config: NewDocument([]byte(`{"version":3}`)), Servers: NewDocument(servers)}
+	help = Help{Config: NewConfig([]byte(`{"version":3}`)), Servers: NewServers(servers)}
 	t.Run("the parts come as they are", func(t *testing.T) {
 		cfg, err := AskConfig(t.Context(), srv.Client(), address)
 		if diff := cmp.Diff(`{"version":3}`, string(cfg)); diff != "" || err != nil {
