Orders wait for the time that loads take; a busy server gets no other order

Cause: after all of 99 boxes before 995 servers were killed, 2,414 orders were given and 421 loads of weights made, though no server had lost its layers. Servers load fifteen at a time without slowing each other down; with a thousand, each takes half a minute, and orders not seen to be done within 8 s were given up and planned anew: a server that still loaded was given other layers, which it loaded after those, and the next plan others again. A box that is newly elected knows of no order under way.

Ruled out: the plan (it is the same for the same servers); lost orders (none refused); the pace of orders (2,414 with all at once and with 32 at a time).

Change: an order counts for 8 s beyond the time that all loads under way take, by the model's loads at once.

Test: TestOrdersOfManyServers (1000 of 1000 were given other orders without it).

--- a/box/orders.go
+++ b/box/orders.go
@@ -33,9 +33,9 @@
 	lackTime = 700 * time.Millisecond
 	// orderTime bounds one order.
 	orderTime = time.Second
-	// orderAgain is when an order that was not seen to be done is given again.
-	// Loading takes up to 14 s times the share of the layers, and longer when
-	// many load.
+	// orderAgain is how long after the time that all loads under way take an order that
+	// was not seen to be done is given again: for what servers still run, and for their
+	// entries to tell.
 	orderAgain = 8 * time.Second
 	// unansweredAgain is when the same order is given again after a call that
 	// failed: the server may have restarted and not had it. Measured with orderAgain
@@ -49,11 +49,16 @@
 type order struct {
 	server catalog.Server
 	layers slatebridge.LayerRange
+	// load is how long all loads take that are under way with this one.
+	load time.Duration
+	// repeated says that the same order was given before, without an answer.
+	repeated bool
 }
 
 // pendingOrder is an order that the server has not yet shown to be done.
 type pendingOrder struct {
 	layers slatebridge.LayerRange
+	load   time.Duration
 	until  time.Time
 	// again is when it is to be repeated; zero if it was answered.
 	again time.Time
@@ -142,7 +147,7 @@
 	var out []order
 	for id, p := range c.pending {
 		if s, ok := c.box.fleet.Server(id); ok && !p.again.IsZero() && now.After(p.again) {
-			out = append(out, order{server: s, layers: p.layers})
+			out = append(out, order{server: s, layers: p.layers, load: p.load, repeated: true})
 		}
 	}
 
@@ -193,14 +198,30 @@
 	if len(todo) == 0 {
 		todo = c.mend(s.Model, holders, now)
 	}
+	load := loadTime(s.Model, servers, slices.Concat(holders, todo))
 	orders := make([]order, 0, len(todo))
 	for _, h := range todo {
-		orders = append(orders, order{server: servers[h.ID], layers: h.Layers})
+		orders = append(orders, order{server: servers[h.ID], layers: h.Layers, load: load})
 	}
 
 	return orders
 }
 
+// loadTime returns how long the servers take until they hold what they are to hold. The
+// more of them load at once, the longer each takes.
+//
+// Load pattern: a thousand servers start, and fifteen load at once without slowing each
+// other down. When orders not seen to be done within 8 s were given up, servers that still
+// loaded were given other layers: 2,414 orders for 995 servers.
+func loadTime(m *catalog.Model, servers map[slatebridge.ServerID]catalog.Server, shall []place.Holder) time.Duration {
+	held := make([]place.Holder, 0, len(servers))
+	for _, v := range servers {
+		held = append(held, holderOf(v, v.Layers))
+	}
+
+	return place.LoadTime(m, held, shall)
+}
+
 func holderOf(s catalog.Server, layers slatebridge.LayerRange) place.Holder {
 	return place.Holder{ID: s.ID, Hall: s.Hall, Card: s.Card, Layers: layers}
 }
@@ -284,7 +305,7 @@
 		return
 	}
 	for _, o := range m.orders {
-		c.pending[o.server.ID] = pendingOrder{layers: o.layers, until: time.Now().Add(orderAgain)}
+		c.pending[o.server.ID] = pendingOrder{layers: o.layers, load: o.load, until: time.Now().Add(orderAgain + o.load)}
 		event.Log(c.box.logger, event.PlacementPlanned, zap.String("server", string(o.server.ID)),
 			zap.String("card", o.server.Card), zap.String("hall", string(o.server.Hall)),
 			zap.Stringer("from", o.server.Layers), zap.Stringer("to", o.layers), zap.Int64("token", c.term.Token))
@@ -303,7 +324,7 @@
 			// The server has started again, or shows that it has the layers.
 			continue
 		}
-		c.pending[o.server.ID] = pendingOrder{layers: o.layers, until: now.Add(orderAgain)}
+		c.pending[o.server.ID] = pendingOrder{layers: o.layers, load: o.load, until: now.Add(orderAgain + o.load)}
 		c.ordersOpen++
 		go c.give(o, c.term.Token)
 	}
@@ -321,7 +342,15 @@
 	ctx, cancel := context.WithTimeout(c.ctx, orderTime)
 	defer cancel()
 	report, err := c.box.handler.Ask(ctx, o.server)
-	if err == nil {
+	switch {
+	case err != nil:
+	case report.Busy && o.repeated:
+		// It has had the order.
+	case report.Busy:
+		// It carries out one that this box does not know of, such as that of a box that
+		// gave the orders before. To load other layers after those helps nobody.
+		err = errors.Wrap(place.ErrRefused, "the server is busy with another order")
+	default:
 		err = c.box.platform.Load(ctx, Order{Server: o.server, Layers: o.layers, Token: token, Taken: report.Orders})
 	}
 	c.box.tell(&ordered{server: o.server.ID, layers: o.layers, err: err})
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -176,3 +176,38 @@
 		}
 	})
 }
+
+// TestOrdersOfManyServers: while a thousand servers load, which takes minutes, none of
+// them is given other layers.
+func TestOrdersOfManyServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &catalog.Model{
+			Layers: 4, LayerMB: 1000, TokenBytes: 2e6, LoadTime: 10 * time.Second, LoadsAtOnce: 10, Name: "m",
+			Cards: []catalog.Card{{Name: "big", MemoryMB: 6000}},
+		}
+		c := testControl(testDecode)
+		for i := range 1000 {
+			c.setServer(logstore.Entry{Key: fmt.Sprintf("s%03d", i), Value: []byte{0}}, false)
+		}
+		c.wasComplete = true
+		time.Sleep(spareTime)
+		service := &catalog.Service{Name: "llm", Model: m}
+		c.box.boot, c.settings.Box, c.term = "x", "b1", elect.Term{Token: 1, Box: "b1", Boot: "x"}
+		c.catalog = catalog.New(1, catalog.Limits{}, nil, []catalog.Service{*service}, nil, false)
+		orders := c.plan(time.Now())
+		if len(orders) == 0 {
+			t.Fatal("no orders")
+		}
+		for _, o := range orders {
+			c.pending[o.server.ID] = pendingOrder{layers: o.layers, load: o.load, until: time.Now().Add(orderAgain + o.load)}
+		}
+		layers := 0
+		for _, o := range orders {
+			layers += o.layers.Len()
+		}
+		time.Sleep(time.Duration(layers/m.LoadsAtOnce) * m.LoadTime / time.Duration(m.Layers))
+		if n := len(c.plan(time.Now())); n != 0 {
+			t.Errorf("%d of %d servers that still load are given orders", n, len(orders))
+		}
+	})
+}
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -36,6 +36,8 @@
 	Slowness float64
 	// Start is the start of the server that reports; empty if it does not say.
 	Start string
+	// Busy says that the server is carrying out an order.
+	Busy bool
 	// Orders counts the orders that the server has begun since its start.
 	Orders int64
 }
