A hall is mended once its servers have stopped coming back

A hall was cut off for five seconds and its servers' entries lapsed. While they came back, within 1.5 s and one after the other, the plan gave one server (layers 17 to 24) the layers 65 to 72, which another brought back a moment later.

Ruled out: servers lost for good (all were back by second 40.9), an outage of the store (grace is given for those), the restart of all boxes later on (the layers were so before).

Change: no server of a hall is moved within 0.7 s of another one's return there, the time that a hall has to lack layers before it is mended.

Test: TestServersThatComeBackOneByOne failed first.

--- a/box/control.go
+++ b/box/control.go
@@ -56,6 +56,8 @@
 	improved map[string]bool
 	// firstSeen is when each server first appeared.
 	firstSeen map[slatebridge.ServerID]time.Time
+	// returned is when a server that holds layers last appeared in each hall.
+	returned map[slatebridge.HallID]time.Time
 	// emptied is when servers that held layers were seen with none. They are
 	// carrying an order out, which may be that of another box.
 	emptied map[slatebridge.ServerID]time.Time
@@ -139,6 +141,7 @@
 		byName:    make(map[string]listed),
 		firstSeen: make(map[slatebridge.ServerID]time.Time),
 		emptied:   make(map[slatebridge.ServerID]time.Time),
+		returned:  make(map[slatebridge.HallID]time.Time),
 		improved:  make(map[string]bool),
 		storeDown: make(map[string]bool), storeDownAt: make(map[string]time.Time),
 		farWork: make(map[slatebridge.HallID]work), said: make(map[slatebridge.ServerID]word), toldSure: make(map[slatebridge.ServerID]time.Time),
--- a/box/orders.go
+++ b/box/orders.go
@@ -257,9 +257,9 @@
 		return nil
 	}
 	if todo := place.Mend(m, alive); len(todo) > 0 {
-		return todo
+		return c.unlessReturning(todo, now)
 	}
-	todo := place.Shift(m, alive)
+	todo := c.unlessReturning(place.Shift(m, alive), now)
 	if len(todo) > 0 && c.mayComeBack(m, holders, todo[0].Hall) && now.Sub(c.lackingLayers) < place.LoadTime(m, alive, todo)+c.box.handler.StreamTime() {
 		// To wait as long as the cure takes costs at most twice as much as to know.
 		return nil
@@ -268,6 +268,18 @@
 	return todo
 }
 
+// unlessReturning leaves out the orders for halls whose servers are coming back.
+//
+// Load pattern: a hall is cut off, and the entries of its servers lapse. Once the cut
+// heals they return within a second and a half, one after the other. Mended meanwhile, a
+// hall gave one server the layers of another that returned a moment later, and was left
+// with 0.39 of its mean memory at the layers that the first one had given up; prompts
+// went over the links to other halls, and first events took 1.4 s for as long as the day
+// lasted.
+func (c *control) unlessReturning(todo []place.Holder, now time.Time) []place.Holder {
+	return slices.DeleteFunc(todo, func(h place.Holder) bool { return now.Sub(c.returned[h.Hall]) < lackTime })
+}
+
 // mayComeBack reports whether the hall would lack no layers if the servers that
 // crashed came back. Those that have left do not.
 func (c *control) mayComeBack(m *catalog.Model, holders []place.Holder, hall slatebridge.HallID) bool {
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -211,3 +211,41 @@
 		}
 	})
 }
+
+// TestServersThatComeBackOneByOne: a hall whose servers return is not mended until no
+// more of them do, and then is.
+func TestServersThatComeBackOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const quarters = 4
+		m := &catalog.Model{
+			Layers: quarters, LayerMB: 1000, TokenBytes: 2e6, LoadTime: time.Second, LoadsAtOnce: 10, Name: "m",
+			Cards: []catalog.Card{{Name: "big", MemoryMB: 6000}},
+		}
+		// Each entry is of one layer: its number is the value. Every layer has two servers.
+		c := testControl(func(e logstore.Entry) (catalog.Server, error) {
+			from := int(e.Value[0])
+
+			return catalog.Server{
+				ID: slatebridge.ServerID(e.Key), Name: e.Key, Service: "llm", Hall: "a", Card: "big",
+				Layers: slatebridge.LayerRange{From: from, To: from + 1},
+			}, nil
+		})
+		c.wasComplete = true
+		service := &catalog.Service{Name: "llm", Model: m}
+		entry := func(i int) logstore.Entry {
+			return logstore.Entry{Key: fmt.Sprintf("s%d", i), Value: []byte{byte(i % quarters)}}
+		}
+		// All but the last layer's servers are back.
+		for _, i := range []int{0, 4, 1, 5, 2, 6} {
+			c.setServer(entry(i), false)
+			time.Sleep(lackTime / 2)
+			if orders := c.ordersFor(service, time.Now()); len(orders) != 0 {
+				t.Fatalf("orders while servers come back: %v", orders)
+			}
+		}
+		time.Sleep(lackTime / 2)
+		if orders := c.ordersFor(service, time.Now()); len(orders) == 0 {
+			t.Error("the hall is not mended once no more servers come back")
+		}
+	})
+}
--- a/box/servers.go
+++ b/box/servers.go
@@ -160,6 +160,9 @@
 	c.byName[s.Name] = s
 	clear(c.improved)
 	before, known := c.box.fleet.Server(s.ID)
+	if !known && s.Layers.Len() > 0 {
+		c.returned[s.Hall] = now
+	}
 	p, ordered := c.pending[s.ID]
 	switch {
 	case ordered && p.layers == s.Layers:
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -15,20 +15,22 @@
 
 // The kinds of causes.
 const (
-	NoLine       Kind = "no line at all"
-	BoxLost      Kind = "the box was lost"
-	ServerDied   Kind = "a server died"
-	BoxWasSlow   Kind = "the box was slow"
-	HallCut      Kind = "a hall was cut off"
-	ServerSlow   Kind = "a slow server"
-	StoreAway    Kind = "the store was away"
-	NoRoom       Kind = "no room"
-	LayersGone   Kind = "layers were on no server"
-	BudgetSpent  Kind = "the budget for retries was spent"
-	WrongRequest Kind = "the configuration does not allow it"
-	ServerFailed Kind = "a server's own failure"
-	InTime       Kind = "answered"
-	Unknown      Kind = "not known"
+	NoLine     Kind = "no line at all"
+	BoxLost    Kind = "the box was lost"
+	ServerDied Kind = "a server died"
+	// ServerRestarted is a server that started again under its name.
+	ServerRestarted Kind = "a server started again"
+	BoxWasSlow      Kind = "the box was slow"
+	HallCut         Kind = "a hall was cut off"
+	ServerSlow      Kind = "a slow server"
+	StoreAway       Kind = "the store was away"
+	NoRoom          Kind = "no room"
+	LayersGone      Kind = "layers were on no server"
+	BudgetSpent     Kind = "the budget for retries was spent"
+	WrongRequest    Kind = "the configuration does not allow it"
+	ServerFailed    Kind = "a server's own failure"
+	InTime          Kind = "answered"
+	Unknown         Kind = "not known"
 )
 
 // Cause is why a request ended as it did.
@@ -92,6 +94,11 @@
 			return Cause{HallCut, fmt.Sprintf("%s found the hall of %s cut off", l.Box, l.Server)}, true
 		}
 	}
+	for _, l := range s.Around {
+		if l.Event == event.ServerRestarted {
+			return Cause{ServerRestarted, fmt.Sprintf("%s started again as %s, found by %s", l.Server, l.Text("now"), l.Text("source"))}, true
+		}
+	}
 	for _, l := range s.Lines {
 		for _, id := range l.Names("dead") {
 			return s.ofDead(id, l.At), true
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -60,6 +60,9 @@
 		"one that looked like a dead server": {[]string{
 			sent, suspected("b1", "silent"), stalled, line(2100, "b1", event.ServerSuspected, map[string]any{fieldServer: "s1", "why": "its hall is cut off"}), answered,
 		}, HallCut},
+		"a server that started again": {[]string{
+			sent, line(1900, "b3", event.ServerRestarted, map[string]any{fieldServer: "s2", "now": "s2@q", "source": "its entry"}), stalled, answered,
+		}, ServerRestarted},
 		"a slow server":                     {[]string{sent, line(1500, "b3", event.ServerSlow, map[string]any{fieldServer: "s1", "slowness": 5.5}), answered}, ServerSlow},
 		"no proof of the configuration":     {[]string{refused(3005, "too old")}, StoreAway},
 		"an unknown key":                    {[]string{refused(1008, "the key is not known")}, WrongRequest},
--- a/explain/story.go
+++ b/explain/story.go
@@ -101,7 +101,7 @@
 // concerns reports whether a line that is about no request belongs to the story.
 func (s *Story) concerns(l Line, servers map[string]bool) bool {
 	switch l.Event {
-	case event.ServerSuspected, event.ServerTrusted, event.ServerSlow, event.ServerRemoved, event.PlacementPlanned, event.ServerChanged:
+	case event.ServerSuspected, event.ServerTrusted, event.ServerSlow, event.ServerRemoved, event.ServerRestarted, event.PlacementPlanned, event.ServerChanged:
 		return servers[l.Server]
 	case event.StoreLost, event.StoreRegained, event.CatalogTaken, event.Ready, event.Stopping, event.Started, event.PeerLost, event.LinesDropped:
 		return l.Box == s.Box
