A stream whose connection went silent is taken up before its caller leaves

Cause: found while orders were tried with connections that are closed after them (not kept): with fewer idle connections, a stream whose own connection went silent for good went on after 2.34 s, for all its servers answer over new ones, and the pauses between checks double (80, 240, 540 ms, 1.14, 2.34 s of silence). Callers leave after 2 s.

Change: a silent stream is also looked at once it is hopeless, at 1.5 s.

Test: TestDueOnceHopeless failed first.

--- a/forward/runs.go
+++ b/forward/runs.go
@@ -41,8 +41,9 @@
 	next     fleet.Path
 	nextHold *fleet.Hold
 	ended    bool
-	// checkAt is the earliest time of the next check, and checkPause the pause
-	// after it.
+	// checkedAt is when the run was last checked, checkAt the earliest time of the next
+	// check, and checkPause the pause after it.
+	checkedAt  time.Time
 	checkAt    time.Time
 	checkPause time.Duration
 	// leaveAt is the earliest time of the next try to leave a server.
@@ -102,15 +103,27 @@
 	case slices.ContainsFunc(d.suspects, r.path.Uses):
 		limit = min(max(suspectSilence, time.Duration(suspectFactor*float64(r.gap))), limit)
 	}
-	if now.Sub(r.lastAt) < limit || now.Before(r.checkAt) {
+	if now.Sub(r.lastAt) < limit || (now.Before(r.checkAt) && !r.justHopeless(now)) {
 		return false
 	}
-	r.checkAt = now.Add(r.checkPause)
+	r.checkedAt, r.checkAt = now, now.Add(r.checkPause)
 	r.checkPause *= 2
 
 	return true
 }
 
+// justHopeless reports whether the run has become hopeless since its last check. The
+// pauses between checks double, and the next one may come when the caller has left.
+//
+// Load pattern: connections go silent for good, and new ones work: all servers of a
+// stream answer, and nothing but its silence shows that it is lost. Measured in virtual
+// time: it went on after 2.3 s, and callers leave after 2 s; 1.5 s since.
+func (r *run) justHopeless(now time.Time) bool {
+	at := r.lastAt.Add(hopeless)
+
+	return !now.Before(at) && r.checkedAt.Before(at)
+}
+
 // mayLeave reports whether no try to move the run has just been made, and
 // notes one.
 func (r *run) mayLeave(now time.Time) bool {
--- a/forward/runs_test.go
+++ b/forward/runs_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -111,3 +112,22 @@
 		})
 	}
 }
+
+// TestDueOnceHopeless: a stream that stays silent is looked at when it is hopeless, and
+// not only at the next of its checks, whose pauses double.
+func TestDueOnceHopeless(t *testing.T) {
+	limits := limitsFor(&catalog.Route{MaxPause: 250 * time.Millisecond})
+	r := &run{limits: limits, gap: 20 * time.Millisecond, started: true, lastAt: time.Now(), checkPause: checkPause}
+	var checks []time.Duration
+	for silent := time.Duration(0); silent < 2*hopeless; silent += watchEvery {
+		if r.due(r.lastAt.Add(silent), doubts{}) {
+			checks = append(checks, silent)
+		}
+	}
+	if !slices.ContainsFunc(checks, func(d time.Duration) bool { return d >= hopeless && d < hopeless+watchEvery }) {
+		t.Errorf("checks after %v of silence, none when it is hopeless", checks)
+	}
+	if len(checks) > 6 {
+		t.Errorf("%d checks", len(checks))
+	}
+}
