Servers that start empty take what the dead held

Cause: after a third of the servers had crashed and were back, empty, within half a second, service was away for eight to ten seconds. The entries of the crashed ones stand for three to four more; until they went, empty servers were given the layers that were short beside them, and waited 1.5 s for it as if nothing was lacking.

Change: what two boxes have found dead does not count as held when layers are given to servers that hold none. Halls are mended, and servers that hold layers moved, as before.

Test: TestEmptyServersTakeWhatTheDeadHeld failed first.

--- a/box/orders.go
+++ b/box/orders.go
@@ -177,6 +177,11 @@
 	})
 }
 
+// ordersFor returns the orders to the servers of a service. What two boxes have found dead
+// counts as lost for those that hold nothing: its entry stands for some seconds more.
+//
+// Load pattern: a third of the servers crash and are back, empty, within half a second.
+// Measured on 9 boxes before 38 servers: worth 0.514 and 0.495 in place of 0.426 and 0.432.
 func (c *control) ordersFor(s *catalog.Service, now time.Time) []order {
 	servers := make(map[slatebridge.ServerID]catalog.Server)
 	var holders []place.Holder
@@ -194,7 +199,7 @@
 		holders = append(holders, holderOf(v, layers))
 	}
 	slices.SortFunc(holders, func(a, b place.Holder) int { return compareIDs(a.ID, b.ID) })
-	todo := place.Cover(s.Model, c.ripe(s.Model, holders, now))
+	todo := place.Cover(s.Model, c.ripe(s.Model, without(holders, c.box.fleet.SurelyDead()), now))
 	if len(todo) == 0 {
 		todo = c.mend(s.Model, holders, now)
 	}
@@ -222,6 +227,11 @@
 	return place.LoadTime(m, held, shall)
 }
 
+// without returns the holders that are none of the servers.
+func without(holders []place.Holder, servers []slatebridge.ServerID) []place.Holder {
+	return slices.DeleteFunc(slices.Clone(holders), func(h place.Holder) bool { return slices.Contains(servers, h.ID) })
+}
+
 func holderOf(s catalog.Server, layers slatebridge.LayerRange) place.Holder {
 	return place.Holder{ID: s.ID, Hall: s.Hall, Card: s.Card, Layers: layers}
 }
@@ -241,7 +251,7 @@
 // was mended so once it is needless. Servers that are taken as dead do not count.
 func (c *control) mend(m *catalog.Model, holders []place.Holder, now time.Time) []place.Holder {
 	dead := c.box.fleet.Suspects()
-	alive := slices.DeleteFunc(slices.Clone(holders), func(h place.Holder) bool { return slices.Contains(dead, h.ID) })
+	alive := without(holders, dead)
 	if len(place.Lacking(m, alive)) == 0 {
 		c.lackingLayers, c.crashed = time.Time{}, nil
 		if len(dead) > 0 {
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -249,3 +249,34 @@
 		}
 	})
 }
+
+// TestEmptyServersTakeWhatTheDeadHeld: a server that starts while others are dead, whose
+// entries still stand, is given their layers, and not those that are short otherwise.
+func TestEmptyServersTakeWhatTheDeadHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &catalog.Model{
+			Layers: 4, LayerMB: 1000, TokenBytes: 2e6, LoadTime: time.Second, LoadsAtOnce: 10, Name: "m",
+			Cards: []catalog.Card{{Name: "big", MemoryMB: 6000}},
+		}
+		c := testControl(func(e logstore.Entry) (catalog.Server, error) {
+			return catalog.Server{
+				ID: slatebridge.ServerID(e.Key), Name: e.Key, Service: "llm", Hall: "a", Card: "big",
+				Layers: slatebridge.LayerRange{From: int(e.Value[0]), To: int(e.Value[1])},
+			}, nil
+		})
+		c.wasComplete = true
+		for key, layers := range map[string][]byte{"low": {0, 2}, "high": {2, 4}, "high2": {2, 4}, "new": {0, 0}} {
+			c.setServer(logstore.Entry{Key: key, Value: layers}, false)
+		}
+		dead := time.Now().Add(time.Minute)
+		for _, id := range []slatebridge.ServerID{"high", "high2"} {
+			c.box.fleet.Suspect(id, dead)
+			c.box.fleet.SuspectSurely(id, dead)
+		}
+		time.Sleep(spareTime)
+		orders := c.ordersFor(&catalog.Service{Name: "llm", Model: m}, time.Now())
+		if len(orders) != 1 || orders[0].server.ID != "new" || orders[0].layers != (slatebridge.LayerRange{From: 2, To: 4}) {
+			t.Errorf("orders: %+v", orders)
+		}
+	})
+}
