The offset of a server's entry rises also when it is written as it was

Cause: found when reading the diff. An entry that was written again unchanged kept its earlier offset, so that an older one that came late between the two was taken for newer. Test: the new case of TestOrderOfStarts failed first.

--- a/box/restarts_test.go
+++ b/box/restarts_test.go
@@ -79,8 +79,12 @@
 		"its entry tells another start":       {func(s starts) starts { return s.entry(2, "q a:1") }, []string{"s1@q a:1 [0,4)"}},
 		"an entry of before comes late":       {func(s starts) starts { return s.entry(2, "q a:1").entry(1, "p a:2") }, []string{"s1@q a:1 [0,4)"}},
 		"an entry of before is written again": {func(s starts) starts { return s.entry(2, "q a:1").entry(3, "p a:2") }, []string{"s1@q a:1 [0,4)"}},
-		"at another address":                  {func(s starts) starts { return s.entry(2, "q a:9") }, []string{"s1@q a:9 [0,4)"}},
-		"an answer tells it first":            {func(s starts) starts { return s.answer("q") }, []string{"s1@q a:1 [0,0)"}},
+		"an older entry comes after the newest was written again": {
+			func(s starts) starts { return s.entry(2, "q a:1").entry(5, "q a:1").entry(4, "q a:7") },
+			[]string{"s1@q a:1 [0,4)"},
+		},
+		"at another address":       {func(s starts) starts { return s.entry(2, "q a:9") }, []string{"s1@q a:9 [0,4)"}},
+		"an answer tells it first": {func(s starts) starts { return s.answer("q") }, []string{"s1@q a:1 [0,0)"}},
 		"then its entry": {
 			func(s starts) starts { return s.answer("q").entry(2, "q a:1") },
 			[]string{"s1@q a:1 [0,4)"},
--- a/box/servers.go
+++ b/box/servers.go
@@ -97,10 +97,13 @@
 // 58 MB in 50 s of 295 boxes.
 func (c *control) setServer(e logstore.Entry, read bool) {
 	before, known := c.entries[e.Key]
-	if known && (e.Offset < before.Offset || string(before.Value) == string(e.Value)) {
+	if known && e.Offset < before.Offset {
 		return
 	}
 	c.entries[e.Key] = mesh.Entry{Value: e.Value, Offset: e.Offset}
+	if known && string(before.Value) == string(e.Value) {
+		return
+	}
 	s, err := c.decodeServer(e)
 	if err != nil {
 		c.withdraw(e.Key, err, read)
