One place says whether a question to a server was answered

A server that answers what cannot be read, or with another start, is alive: the rule stood twice, and a suspected server that answers so is trusted again now.

--- a/forward/ask.go
+++ b/forward/ask.go
@@ -50,6 +50,12 @@
 // has ended.
 var errRestarted = errors.New("the server has started again")
 
+// didAnswer reports whether a question that ended with the error was answered, readable or
+// by whichever start of the server.
+func didAnswer(err error) bool {
+	return err == nil || errors.Is(err, ErrUnreadable) || errors.Is(err, errRestarted)
+}
+
 // ServerCalls are the calls to servers beside requests.
 type ServerCalls struct {
 	Report func(ctx context.Context, s catalog.Server) (Report, error)
@@ -70,11 +76,9 @@
 		switch {
 		case (a == nil || a.err != nil) && h.fleet.AliveSince(id, began):
 			// Its answer is late or lost.
-		case a != nil && (errors.Is(a.err, ErrUnreadable) || errors.Is(a.err, errRestarted)):
-			// It answers. That its earlier start has ended is noted.
-		case a == nil || a.err != nil:
+		case a == nil || !didAnswer(a.err):
 			silent = append(silent, id)
-		case a.report.Slowness >= slowFrom:
+		case a.err == nil && a.report.Slowness >= slowFrom:
 			h.noteSlow(ctx, id, a.report.Slowness)
 		}
 	}
--- a/forward/doubt.go
+++ b/forward/doubt.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -129,7 +128,7 @@
 	if !ok || h.runs.isDead(id) {
 		return
 	}
-	if q := h.ask(ctx, s, reportAge); q.err != nil && !errors.Is(q.err, ErrUnreadable) && !errors.Is(q.err, errRestarted) {
+	if q := h.ask(ctx, s, reportAge); !didAnswer(q.err) {
 		h.suspect(ctx, id, "another server turned a request away for it, and it does not answer")
 	}
 }
@@ -209,7 +208,7 @@
 func (h *Handler) askAgain(ctx context.Context, id slatebridge.ServerID) {
 	defer h.runs.noteAlive(id)
 	h.follow(ctx, id, func(_ Report, err error) bool {
-		if err == nil {
+		if didAnswer(err) {
 			h.fleet.Trust(id)
 			event.Log(h.logger, event.ServerTrusted, zap.String("server", string(id)))
 
