A server that refuses connections and serves on counts among those of a request

It refused new connections, was taken as surely ended, and a third one was allowed, 56 ms after a stream had made progress over it.

Test: the new case of TestServersThatCount failed first.

--- a/forward/runs_test.go
+++ b/forward/runs_test.go
@@ -49,6 +49,11 @@
 		}, ran},
 		"one has no entry any more, and serves on": {func(h *Handler) { h.fleet.Remove("a1", time.Time{}) }, ran},
 		"one refuses connections":                  {func(h *Handler) { h.noteAsked("a1", syscall.ECONNREFUSED) }, nil},
+		"one refuses connections, and just passed a stream on": {func(h *Handler) {
+			h.noteAsked("a1", syscall.ECONNREFUSED)
+			s, _ := h.fleet.Server("a1")
+			h.fleet.NoteProgress(fleet.Path{{Server: s}})
+		}, ran},
 		"it has answered since": {func(h *Handler) {
 			h.noteAsked("a1", syscall.ECONNREFUSED)
 			h.noteAsked("a1", nil)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -177,8 +177,12 @@
 	}
 	ended, silent := h.runs.hasEnded(id)
 	well := time.Now().Add(-wellTime)
+	if h.fleet.AliveSince(id, well) {
+		// A server that leaves refuses new connections, and serves on.
+		return false
+	}
 
-	return ended || (silent && h.stalledAt.Load() < well.UnixNano() && !h.fleet.AliveSince(id, well))
+	return ended || (silent && h.stalledAt.Load() < well.UnixNano())
 }
 
 // attempt makes one attempt and reports whether the request is done with.
