Read once more: no load times for plans without orders, no ages below zero

Each plan, four a second, reckoned how long all loads take, a map of all servers, also when it gave no order; three deletions stood twice; and boxes refuse messages with an age below -1, which a time noted just after the one that a message is made at would give.

Change: the time is reckoned for orders only; one function forgets when things were seen of a server; ages are at least zero. No case of a negative age was seen.

--- a/box/gossip.go
+++ b/box/gossip.go
@@ -332,5 +332,6 @@
 		return -1
 	}
 
-	return now.Sub(at).Microseconds()
+	// A message with an age below zero is refused by those that get it.
+	return max(0, now.Sub(at).Microseconds())
 }
--- a/box/plan.go
+++ b/box/plan.go
@@ -107,6 +107,9 @@
 	if len(todo) == 0 {
 		todo = c.mend(s.Model, holders, now)
 	}
+	if len(todo) == 0 {
+		return nil
+	}
 	load := loadTime(s.Model, servers, slices.Concat(holders, todo))
 	orders := make([]order, 0, len(todo))
 	for _, h := range todo {
--- a/box/servers.go
+++ b/box/servers.go
@@ -189,11 +189,16 @@
 
 // forget forgets what this box planned for a start of a server, and what it was told.
 func (c *control) forget(id slatebridge.ServerID) {
+	c.forgetSeen(id)
+	delete(c.pending, id)
+	delete(c.said, id)
+}
+
+// forgetSeen forgets when things were seen of a server.
+func (c *control) forgetSeen(id slatebridge.ServerID) {
 	delete(c.firstSeen, id)
 	delete(c.emptied, id)
 	delete(c.toldSure, id)
-	delete(c.pending, id)
-	delete(c.said, id)
 }
 
 // removeServer drops a server. Entries also lapse while the store is away, so
@@ -209,9 +214,7 @@
 	}
 	id := server.ID
 	delete(c.byName, key)
-	delete(c.firstSeen, id)
-	delete(c.emptied, id)
-	delete(c.toldSure, id)
+	c.forgetSeen(id)
 	c.unsettledAt = time.Now()
 	clear(c.improved)
 	if s, ok := c.box.fleet.Server(id); ok && !s.Leaving && slices.Contains(c.box.fleet.Suspects(), id) {
