Lines and metrics show what refusals say of their senders

Cause: a line on a refusal had status 0 and none of its headers, so that three hypotheses on requests during a rest could not be told apart.

Change: the answer's status, the server at fault, and what the sender says of itself (leaving, rest, what cannot be read) are decoded in one place and stand in AttemptEnded; slatebridge_server_notices_total counts them. No decision uses them yet.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,6 +67,9 @@
 	// Fault is the address of the server at fault; empty if the answer does
 	// not say.
 	Fault string
+	// Status is the status of the answer, and Notice what its sender says of itself.
+	Status int
+	Notice fleet.Notice
 }
 
 // Wire translates between headers and the types of this package.
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -19,6 +20,7 @@
 	latency  *prometheus.HistogramVec
 	first    prometheus.Histogram
 	pause    prometheus.Histogram
+	notices  *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -49,7 +51,10 @@
 			Buckets: []float64{.05, .1, .15, .2, .25, .3, .5, 1, 2},
 		}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.empty, m.streams, m.latency, m.first, m.pause)
+	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_server_notices_total", Help: "Answers in which backend servers say something of themselves, by what (leaving, rest, unreadable).",
+	}, []string{"what"})
+	reg.MustRegister(m.notices, m.requests, m.attempts, m.empty, m.streams, m.latency, m.first, m.pause)
 
 	return m
 }
@@ -73,6 +78,19 @@
 	m.attempts.WithLabelValues(c.route.Kind.String(), f.String()).Inc()
 }
 
+// noticed counts what a server says of itself.
+func (m *Metrics) noticed(n fleet.Notice) {
+	if n.Leaving {
+		m.notices.WithLabelValues("leaving").Inc()
+	}
+	if n.Rest > 0 {
+		m.notices.WithLabelValues("rest").Inc()
+	}
+	if n.Unreadable != "" {
+		m.notices.WithLabelValues("unreadable").Inc()
+	}
+}
+
 func (m *Metrics) budgetEmpty(service string) {
 	m.empty.WithLabelValues(service).Inc()
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -276,13 +276,29 @@
 const unreachablePause = 500 * time.Millisecond
 
 func (h *Handler) logAttempt(c *call, s catalog.Server, r reply) {
-	status := 0
-	if r.resp != nil {
-		status = r.resp.StatusCode
-	}
-	event.Log(h.logger, event.AttemptEnded, append(h.fields(c), zap.String("server", string(s.ID)), zap.Stringer("same", c.fingerprint()),
+	fields := append(h.fields(c), zap.String("server", string(s.ID)), zap.Stringer("same", c.fingerprint()),
 		zap.String("path", lastOf(c.tried)),
-		zap.Stringer("fate", r.fate), zap.Int("status", status), event.Error(r.err))...)
+		zap.Stringer("fate", r.fate), zap.Int("status", r.answer.Status), event.Error(r.err))
+	if r.answer.Fault != "" {
+		fields = append(fields, zap.String("fault", r.answer.Fault))
+	}
+	event.Log(h.logger, event.AttemptEnded, append(fields, noticeFields(r.answer.Notice)...)...)
+}
+
+// noticeFields returns what a server says of itself as log lines show it.
+func noticeFields(n fleet.Notice) []zap.Field {
+	var fields []zap.Field
+	if n.Leaving {
+		fields = append(fields, zap.Bool("leaving", true))
+	}
+	if n.Rest > 0 {
+		fields = append(fields, zap.Duration("rest_ms", n.Rest))
+	}
+	if n.Unreadable != "" {
+		fields = append(fields, zap.String("unreadable", n.Unreadable))
+	}
+
+	return fields
 }
 
 func lastOf(list []string) string {
--- a/forward/send.go
+++ b/forward/send.go
@@ -70,11 +70,12 @@
 		return reply{fate: mayHaveRun, err: err}
 	}
 	answer := h.wire.Answer(resp)
+	h.metrics.noticed(answer.Notice)
 	switch {
 	case answer.ID != "" && answer.ID != c.ID, answer.ID == "" && !answer.NotRun:
 		_ = resp.Body.Close()
 
-		return reply{fate: mayHaveRun, err: errWrongAnswer}
+		return reply{fate: mayHaveRun, answer: answer, err: errWrongAnswer}
 	case answer.NotRun:
 		_ = resp.Body.Close()
 
@@ -82,7 +83,7 @@
 	case resp.Header.Get("Content-Encoding") != "", !answer.Sealed && resp.StatusCode/100 == 2:
 		_ = resp.Body.Close()
 
-		return reply{fate: mayHaveRun, err: errWrongAnswer}
+		return reply{fate: mayHaveRun, answer: answer, err: errWrongAnswer}
 	}
 
 	return reply{fate: answered, resp: resp, answer: answer}
