--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -267,6 +267,18 @@
 	usedAt time.Time
 }
 
+// RemoteAddr returns the host at the other end.
+func (c *conn) RemoteAddr() net.Addr { return hostAddr(c.peer) }
+
+// hostAddr is a host as an address, with no port.
+type hostAddr string
+
+// Network returns the name of the network.
+func (hostAddr) Network() string { return "memnet" }
+
+// String returns the host and port zero.
+func (a hostAddr) String() string { return net.JoinHostPort(string(a), "0") }
+
 // Write writes unless one of the hosts is frozen; then it waits.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.hushed.Load() {
