What a server says of itself is heard in every answer, and asked for before every send

Cause: nothing read what an answer says of its sender. A 503 was taken for 'full just now': the server cost more for 0.15 s to 1 s and was free to be chosen after that, and while the others fail a part of their requests it was the best of them. That a server is leaving was known from the list of servers alone.

Ruled out: (2) the box knew and had nothing better: in the test the other server serves, and the resting one was chosen; no code reads the header. (3) requests under way: in the test each box sends one at a time.

Change: one place takes up every answer's word on its sender (requests, questions, moves, orders): fleet.Hear. One question is asked by every way out: Barred. Both by start of a server; a leaving start stays so whatever the list says, and other boxes are told at once. A rest holds for this box: no request, question, move or order. When all servers of a service rest, callers are refused at once with the time until the first ends (3008). After a rest one request goes first, and two more with each answer.

--- a/box/box.go
+++ b/box/box.go
@@ -55,7 +55,7 @@
 	Calls        forward.ServerCalls
 	// Load gives an order. It fails with place.ErrFenced if the server has seen a
 	// newer token, and with place.ErrRefused if it has begun other orders since.
-	Load func(ctx context.Context, o Order) error
+	Load func(ctx context.Context, o Order) (fleet.Notice, error)
 }
 
 // Order orders a server to hold layers.
@@ -140,7 +140,8 @@
 		OnRestart: func(asked catalog.Server, start string) {
 			b.tell(&restarted{mesh.Restart{Name: asked.Name, Ended: asked.Start, Start: start}})
 		},
-		Ledger: b.quarantine.ledger, Trial: b.quarantine.begin,
+		OnLeaving: func(id slatebridge.ServerID) { b.tell(&saidLeaving{id: id}) },
+		Ledger:    b.quarantine.ledger, Trial: b.quarantine.begin,
 		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
 
--- a/box/control.go
+++ b/box/control.go
@@ -44,7 +44,9 @@
 	// byName are the servers that the entries name, by the names of the entries.
 	byName map[string]listed
 	// restarts are the servers that were lately found to have started again.
-	restarts  []foundRestart
+	restarts []foundRestart
+	// leavers are the servers that lately said that they are leaving.
+	leavers   []leaver
 	recent    []mesh.Change
 	serversAt time.Time
 	// newServer is when the last new server appeared.
@@ -210,6 +212,8 @@
 		c.settings.Listen = listen
 	case *restarted:
 		c.onRestarted(m.Restart, clock.Now())
+	case *saidLeaving:
+		c.onSaidLeaving(m.id, clock.Now())
 	case *quarantineNews:
 		c.pushQuarantine(m, clock.Now())
 	case *foundDoubt:
--- a/box/messages.go
+++ b/box/messages.go
@@ -79,6 +79,8 @@
 	}
 	// restarted says that a server has started again, as it answered this box.
 	restarted struct{ mesh.Restart }
+	// saidLeaving says that a server has told this box that it is leaving.
+	saidLeaving struct{ id slatebridge.ServerID }
 	// quarantineNews has records of the topic of the quarantine up to the offset to, which
 	// other boxes are to know; none if they are not known here.
 	quarantineNews struct {
--- a/box/orders.go
+++ b/box/orders.go
@@ -12,6 +12,7 @@
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/elect"
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/place"
 )
 
@@ -170,12 +171,17 @@
 	case err != nil:
 	case report.Busy && o.repeated:
 		// It has had the order.
+	case c.box.fleet.Barred(o.server.ID) != fleet.NotBarred:
+		// It has said so since the order was planned.
+		err = errors.Wrap(place.ErrRefused, "the server wants no orders now")
 	case report.Busy:
 		// It carries out one that this box does not know of, such as that of a box that
 		// gave the orders before. To load other layers after those helps nobody.
 		err = errors.Wrap(place.ErrRefused, "the server is busy with another order")
 	default:
-		err = c.box.platform.Load(ctx, Order{Server: o.server, Layers: o.layers, Token: token, Taken: report.Orders})
+		var n fleet.Notice
+		n, err = c.box.platform.Load(ctx, Order{Server: o.server, Layers: o.layers, Token: token, Taken: report.Orders})
+		c.box.handler.Hear(o.server, n)
 	}
 	c.box.tell(&ordered{server: o.server.ID, layers: o.layers, err: err})
 }
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -83,10 +83,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := testControl(testDecode)
 		sent := make(chan slatebridge.ServerID, 10*mostOrders)
-		c.box.platform.Load = func(_ context.Context, o Order) error {
+		c.box.platform.Load = func(_ context.Context, o Order) (fleet.Notice, error) {
 			sent <- o.Server.ID
 
-			return nil
+			return fleet.Notice{}, nil
 		}
 		c.box.handler = forward.New(forward.Config{
 			Fleet: c.box.fleet, Logger: zap.NewNop(), Metrics: forward.NewMetrics(prometheus.NewRegistry()),
--- a/box/peers.go
+++ b/box/peers.go
@@ -148,6 +148,7 @@
 	c.noteHeard(o, msg.Message, m.at)
 	c.takeChanges(msg.Message)
 	c.takeRestarts(msg.Message, m.at)
+	c.takeLeavers(msg.Message, m.at)
 	c.takeProof(o, msg)
 	switch msg.Kind {
 	case mesh.Report:
--- a/box/words.go
+++ b/box/words.go
@@ -53,6 +53,7 @@
 // eight of them at once.
 func (c *control) onDoubt(msg mesh.Message, at time.Time) {
 	c.takeRestarts(msg, at)
+	c.takeLeavers(msg, at)
 	o, ok := c.peers[msg.Box]
 	pass := ok && ((msg.Kind == mesh.Doubt && o.reports(at)) || !o.near(c.settings.Hall))
 	if news := c.believe(msg, at, pass); news && pass {
--- a/event/event.go
+++ b/event/event.go
@@ -60,6 +60,9 @@
 	PlacementPlanned      ID = 332
 	PeerFound             ID = 340
 	PeerLost              ID = 341
+	ServerRests           ID = 350
+	ServerLeaves          ID = 351
+	NoticeUnreadable      ID = 352
 	RouteChosen           ID = 400
 	RouteRefused          ID = 401
 	AttemptFailed         ID = 402
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -37,7 +37,7 @@
 // candidates returns the cheapest usable server of each place. With room, only
 // servers count that have room for the request.
 func (f *Fleet) candidates(q Query, room bool) ([]candidate, *catalog.Model) {
-	now := f.now()
+	now := f.now().Add(q.after)
 	var model *catalog.Model
 	var list []candidate
 	index := make(map[place]int)
--- a/fleet/ended.go
+++ b/fleet/ended.go
@@ -43,6 +43,7 @@
 		return
 	}
 	delete(f.members, id)
+	f.noticed.drop(id)
 	f.service = nil
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// links is what this box lately sent between halls.
 	links map[link]use
 	ended endings
+	// noticed has what servers say of themselves.
+	noticed noticed
 }
 
 // Option changes a Fleet.
@@ -57,6 +59,7 @@
 		service: make(map[string][]*member),
 		links:   make(map[link]use),
 		ended:   endings{known: make(map[slatebridge.ServerID]bool)},
+		noticed: noticed{known: make(map[slatebridge.ServerID]*standing)},
 	}
 	for _, o := range opts {
 		o(f)
@@ -106,12 +109,14 @@
 	}
 	m, ok := f.members[s.ID]
 	if !ok {
-		m = &member{number: Number(s.ID), peers: make(map[string]Load)}
+		m = &member{number: Number(s.ID), peers: make(map[string]Load), standing: f.noticed.known[s.ID]}
 		f.members[s.ID] = m
 	}
 	if m.Layers != s.Layers {
 		m.lacksUntil = time.Time{}
 	}
+	// The list is older than what the server itself has said.
+	s.Leaving = s.Leaving || (m.standing != nil && m.standing.leaving)
 	if s.Leaving && !m.Leaving {
 		m.leavingAt = f.now()
 	}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -96,6 +96,7 @@
 		if m, ok := f.members[id]; ok {
 			m.own = m.own.Plus(l)
 			m.noteRecent(l, now)
+			m.standing.noteBegun(now)
 			h.parts = append(h.parts, heldPart{m, l})
 		}
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -45,6 +45,8 @@
 	// slowUntil.
 	slowness  float64
 	slowUntil time.Time
+	// standing is what the server has said of itself; nil if nothing holds.
+	standing *standing
 	// failures and latency are moving averages over this box's own requests.
 	failures float64
 	latency  time.Duration
@@ -126,7 +128,7 @@
 
 // usable reports whether the server may get new work.
 func (m *member) usable(now time.Time) bool {
-	return !m.Leaving && !m.Withdrawn && now.After(m.suspectUntil)
+	return !m.Leaving && !m.Withdrawn && now.After(m.suspectUntil) && m.standing.admits(now)
 }
 
 const (
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
@@ -61,6 +62,8 @@
 	// Alone says that the request should share its first server with as few others as
 	// can be.
 	Alone bool
+	// after is in which time the path is looked for, from now on.
+	after time.Duration
 	// noise is how far random noise moves the cost of a server; zero stands for
 	// spread.
 	noise float64
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -41,6 +41,8 @@
 	Busy bool
 	// Orders counts the orders that the server has begun since its start.
 	Orders int64
+	// Notice is what the server says of itself, also in an answer that is no report.
+	Notice fleet.Notice
 }
 
 // ErrUnreadable says that a server answered, and the answer cannot be read. It is
@@ -57,12 +59,16 @@
 	return err == nil || errors.Is(err, ErrUnreadable) || errors.Is(err, errRestarted)
 }
 
+// tellsNothing reports whether a question ended with an error that says nothing of the
+// server: it was not asked.
+func tellsNothing(err error) bool { return errors.Is(err, ErrBarred) }
+
 // ServerCalls are the calls to servers beside requests.
 type ServerCalls struct {
 	Report func(ctx context.Context, s catalog.Server) (Report, error)
 	// Move lets a running stream go on over another path with the same first
 	// server.
-	Move func(ctx context.Context, first catalog.Server, id string, p fleet.Path) error
+	Move func(ctx context.Context, first catalog.Server, id string, p fleet.Path) (fleet.Notice, error)
 }
 
 // askAll asks every server of the path for a report, and returns those that
@@ -77,6 +83,7 @@
 		switch {
 		case (a == nil || a.err != nil) && h.fleet.AliveSince(id, began):
 			// Its answer is late or lost.
+		case a != nil && tellsNothing(a.err):
 		case a == nil || !didAnswer(a.err):
 			silent = append(silent, id)
 		case a.err == nil && a.report.Slowness >= slowFrom:
@@ -194,7 +201,7 @@
 	for range mostAsked {
 		began := clock.Now()
 		q.report, q.err = h.report(ctx, s)
-		if q.err == nil || !h.stalledSince(began, reportTime) {
+		if q.err == nil || tellsNothing(q.err) || !h.stalledSince(began, reportTime) {
 			break
 		}
 	}
@@ -204,7 +211,9 @@
 		h.noteRestart(s, q.report.Start)
 		q.err = errRestarted
 	}
-	h.noteAsked(s, q.err)
+	if !tellsNothing(q.err) {
+		h.noteAsked(s, q.err)
+	}
 	close(q.done)
 
 	return q
@@ -236,10 +245,15 @@
 }
 
 func (h *Handler) report(ctx context.Context, s catalog.Server) (Report, error) {
+	if h.fleet.Barred(s.ID) == fleet.BarResting {
+		return Report{}, errors.Wrap(ErrBarred, "question")
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
+	r, err := h.servers.Report(ctx, s)
+	h.hear(s.ID, r.Notice)
 
-	return h.servers.Report(ctx, s)
+	return r, err
 }
 
 const (
--- a/forward/blame.go
+++ b/forward/blame.go
@@ -16,6 +16,8 @@
 func (t *streamTry) noteUnanswered(ctx context.Context, path fleet.Path, r reply) bool {
 	first := path[0].Server
 	switch r.fate {
+	case withheld:
+		t.withheld = true
 	case notRun:
 		t.rejected++
 		t.blame(path, r.answer)
@@ -60,9 +62,12 @@
 			id = s.Server.ID
 		}
 	}
-	if a.Misdirected {
+	switch {
+	case a.Misdirected:
 		t.h.fleet.NoteLacking(id)
-	} else {
+	case a.Notice.Rest > 0 && id == path[0].Server.ID:
+		// It gets nothing for so long.
+	default:
 		t.h.fleet.NoteFull(id)
 		if id != path[0].Server.ID {
 			// The first server speaks for a later one, which may be dead.
--- a/forward/doubt.go
+++ b/forward/doubt.go
@@ -129,7 +129,7 @@
 	if !ok || h.runs.isDead(id) {
 		return
 	}
-	if q := h.ask(ctx, s, reportAge); !didAnswer(q.err) {
+	if q := h.ask(ctx, s, reportAge); !didAnswer(q.err) && !tellsNothing(q.err) {
 		h.suspect(ctx, id, "another server turned a request away for it, and it does not answer")
 	}
 }
@@ -215,6 +215,9 @@
 
 			return true
 		}
+		if tellsNothing(err) {
+			return false
+		}
 		h.runs.noteDead(id)
 		h.fleet.Suspect(id, clock.Now().Add(suspectTime))
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -125,6 +125,7 @@
 	crowd     atomic.Int64
 	onDoubt   func()
 	onRestart func(asked catalog.Server, start string)
+	onLeaving func(id slatebridge.ServerID)
 	// stalledAt is when the box was last found to have stood still.
 	stalledAt atomic.Int64
 	seen      observed
@@ -157,6 +158,8 @@
 	// OnRestart is told that another start of the server answered than the one that
 	// was asked, which has ended.
 	OnRestart func(asked catalog.Server, start string)
+	// OnLeaving is told that a server has said in an answer that it is leaving.
+	OnLeaving func(id slatebridge.ServerID)
 	// Ledger has the requests under which servers have ended, and Trial asks for trials.
 	Ledger  *quarantine.Ledger
 	Trial   TrialFunc
@@ -169,7 +172,7 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: retry.New(c.Bounds.Retry, retry.WithStart(clock.Now())), runs: newRuns(), onDoubt: c.OnDoubt, onRestart: c.OnRestart,
+		budget: retry.New(c.Bounds.Retry, retry.WithStart(clock.Now())), runs: newRuns(), onDoubt: c.OnDoubt, onRestart: c.OnRestart, onLeaving: c.OnLeaving,
 		started: clock.Now(), seen: newObserved(), doubted: make(chan slatebridge.ServerID, mostDoubted),
 		ledger: c.Ledger, trial: c.Trial,
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -251,10 +251,13 @@
 }
 
 // shortage returns the refusal for a request for which there is no server.
-func (h *Handler) shortage(s fleet.Shortage) *result.Error {
+func (h *Handler) shortage(c *call, s fleet.Shortage) *result.Error {
 	if s == fleet.NoMemory {
 		return result.New(result.Overloaded, "no path has memory left for the request").WithRetryAfter(h.roomIn())
 	}
+	if e := h.restLeft(c); e != nil {
+		return e
+	}
 
 	return result.New(result.NoPipeline, "some layers are on no server that can be used").WithRetryAfter(h.roomIn())
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -106,7 +106,12 @@
 			if o.fate == answered {
 				best = o
 			}
-			if t.mayAskAgain(o) {
+			switch {
+			case !t.mayAskAgain(o):
+			case o.fate == withheld:
+				// Nothing was sent that another one would repeat.
+				t.ask()
+			default:
 				t.again(t.h.budget.Take)
 			}
 		}
@@ -171,7 +176,7 @@
 // mayAskAgain reports whether another server may be asked after the outcome.
 func (t *plainTry) mayAskAgain(o *outcome) bool {
 	switch o.fate {
-	case unsent, notRun:
+	case unsent, notRun, withheld:
 		t.refused++
 
 		return true
@@ -216,6 +221,10 @@
 	case !sent && t.ctx.Err() != nil:
 		return result.New(result.NoServer, "no server took the request in time").WithRetryAfter(overload.ComeBackLeast)
 	case !sent:
+		if e := t.h.restLeft(t.c); e != nil {
+			return e
+		}
+
 		return result.New(result.NoServer, "no server takes the request").WithRetryAfter(overload.ComeBackLeast)
 	case t.ctx.Err() != nil:
 		return result.New(result.DeadlineExceeded, "no answer within %s", t.c.until.Sub(t.c.began))
@@ -254,10 +263,20 @@
 	if o.good() {
 		h.answersOf(c.service).Record(o.took)
 		h.fleet.NoteAnswer(o.server.ID, true, o.took)
+		h.fleet.NoteTaken(o.server.ID)
 
 		return
 	}
-	if o.fate == mayHaveRun && errors.Is(o.err, context.Canceled) {
+	if o.fate == answered {
+		h.fleet.NoteTaken(o.server.ID)
+	}
+	if o.fate == withheld || (o.fate == mayHaveRun && errors.Is(o.err, context.Canceled)) {
+		return
+	}
+	if o.answer.Notice.Rest > 0 {
+		// It gets nothing for so long. That it asks for that is no failure.
+		h.logAttempt(c, o.server, o.reply)
+
 		return
 	}
 	h.fleet.NoteAnswer(o.server.ID, false, o.took)
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -313,7 +313,7 @@
 		h.noteDeparted(ctx, c, o.attempt, []catalog.Server{o.server}, o.err)
 	case o.fate == answered && o.rest == nil && o.resp.StatusCode < http.StatusMultipleChoices:
 		h.ledger.Answered(c.fingerprint(), clock.Now())
-	case o.attempt.Trial != 0 && o.fate == unsent:
+	case o.attempt.Trial != 0 && (o.fate == unsent || o.fate == withheld):
 		h.ledger.Void(c.fingerprint(), o.attempt.Trial, clock.Now())
 	case o.attempt.Trial != 0:
 		h.ledger.Over(c.fingerprint(), o.attempt.Trial, clock.Now())
--- a/forward/send.go
+++ b/forward/send.go
@@ -22,6 +22,8 @@
 const (
 	// unsent means that no byte of it can have left.
 	unsent fate = iota
+	// withheld means that it was not sent, since the server wants no requests now.
+	withheld
 	// notRun means that a server said that it has not run the request.
 	notRun
 	// mayHaveRun means that nothing is known after bytes may have left.
@@ -32,7 +34,7 @@
 
 // String returns the name of the fate as logs show it.
 func (f fate) String() string {
-	return [...]string{"unsent", "not run", "may have run", "answered"}[f]
+	return [...]string{"unsent", "withheld", "not run", "may have run", "answered"}[f]
 }
 
 // errWrongAnswer says that an answer is not the one to this request.
@@ -58,6 +60,9 @@
 // send makes one attempt and returns once the head of an answer is there. A
 // returned response has to be closed by the caller.
 func (h *Handler) send(ctx context.Context, c *call, a Attempt) reply {
+	if err := h.barredFor(a); err != nil {
+		return reply{fate: withheld, err: err}
+	}
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req := h.newRequest(httptrace.WithClientTrace(ctx, trace), c, a)
@@ -70,7 +75,7 @@
 		return reply{fate: mayHaveRun, err: err}
 	}
 	answer := h.wire.Answer(resp)
-	h.metrics.noticed(answer.Notice)
+	h.hear(a.Server.ID, answer.Notice)
 	switch {
 	case answer.ID != "" && answer.ID != c.ID, answer.ID == "" && !answer.NotRun:
 		_ = resp.Body.Close()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -62,6 +62,8 @@
 	// retry has been taken out of the budget then.
 	next     fleet.Path
 	nextHold *fleet.Hold
+	// withheld says that the last attempt was not sent.
+	withheld bool
 }
 
 // serveStream serves a request that is answered by events.
@@ -154,17 +156,18 @@
 	if t.next != nil {
 		path, hold := t.next, t.nextHold
 		t.next, t.nextHold = nil, nil
-		if !suspected {
+		if _, bar := t.h.fleet.BarredOn(path); !suspected && bar == fleet.NotBarred {
 			return path, hold, nil
 		}
-		// It was chosen to be quick, and not to be alone.
+		// It was chosen to be quick, and not to be alone; or a server of it has said since
+		// that it wants no more.
 		hold.Release()
 	}
 	firsts := t.h.mayBeginAt(t.ran, t.c.route.MaxServers)
 	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: slices.Concat(t.avoid, taken), Alone: suspected}
 	path, hold, short := t.h.fleet.PathFrom(q, firsts)
 	if path == nil {
-		return nil, nil, t.h.shortage(short)
+		return nil, nil, t.h.shortage(t.c, short)
 	}
 
 	return path, hold, nil
@@ -231,7 +234,7 @@
 	})
 	t.h.metrics.attempt(t.c, r.fate)
 	if r.fate != answered {
-		if end.unsent = r.fate == unsent; r.fate == mayHaveRun {
+		if end.unsent = r.fate == unsent || r.fate == withheld; r.fate == mayHaveRun {
 			end.reason = r.err
 		}
 
@@ -239,6 +242,7 @@
 	}
 	defer func() { _ = r.resp.Body.Close() }()
 	t.noteRan(first.ID)
+	t.h.fleet.NoteTaken(idsOf(path)...)
 	if r.resp.StatusCode != http.StatusOK {
 		return t.passFailure(first, r)
 	}
@@ -286,6 +290,12 @@
 		return result.New(result.AttemptsExhausted, "%d attempts brought no whole answer", t.attempts)
 	case overload.Again:
 	}
+	if t.withheld {
+		// Nothing was sent that the next attempt would repeat.
+		t.withheld = false
+
+		return nil
+	}
 	if t.next == nil && !t.h.budget.Take(c.service, c.state.Boxes, clock.Now()) {
 		t.h.metrics.budgetEmpty(c.service)
 		if !made.Ran {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -298,12 +299,23 @@
 	return true
 }
 
+// sendMove asks the first server of a stream to go on over another path.
+func (h *Handler) sendMove(ctx context.Context, first catalog.Server, id string, next fleet.Path) error {
+	if h.fleet.Barred(first.ID) == fleet.BarResting {
+		return errors.Wrap(ErrBarred, "move")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	n, err := h.servers.Move(ctx, first, id, next)
+	h.hear(first.ID, n)
+
+	return err
+}
+
 // move lets a stream go on over another path with the same first server, and
 // reports whether it does. The hold is that of the new path.
 func (h *Handler) move(ctx context.Context, r *run, path, next fleet.Path, hold *fleet.Hold) bool {
-	ctx, cancel := context.WithTimeout(ctx, reportTime)
-	defer cancel()
-	err := h.servers.Move(ctx, path[0].Server, r.id, next)
+	err := h.sendMove(ctx, path[0].Server, r.id, next)
 	event.Log(h.logger, event.StreamMoved, zap.String("request", r.id), zap.Stringer("from", path),
 		zap.Stringer("to", next), event.Error(err))
 	if err != nil {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -75,6 +75,8 @@
 	Sure []slatebridge.ServerID `cbor:"24,keyasint,omitempty"`
 	// Restarts are servers that have lately started again.
 	Restarts []Restart `cbor:"25,keyasint,omitempty"`
+	// Leavers are servers that lately said in an answer that they are leaving.
+	Leavers []slatebridge.ServerID `cbor:"29,keyasint,omitempty"`
 	// Quarantine is how far the topic goes that has the requests under which servers ended.
 	// In a News, Entries are the last of them, from the offset From on.
 	Quarantine int64   `cbor:"26,keyasint,omitempty"`
--- a/overload/wait.go
+++ b/overload/wait.go
@@ -22,6 +22,15 @@
 	return max(ComeBackLeast, time.Duration((0.5+random)*float64(usual)))
 }
 
+// RestIn returns when a caller may come back whose servers all want rest, the first of them
+// for so much longer. random is a number from 0 to 1.
+//
+// Load pattern: all servers of a service turn requests away. Hundreds of callers are refused
+// until the first rest is over, and come back over half a second after it.
+func RestIn(left time.Duration, random float64) time.Duration {
+	return left + time.Duration(random*float64(ComeBackLeast))
+}
+
 // Waiting is a request that finds no path.
 type Waiting struct {
 	// Begun says that its caller has part of the answer, and Silence since when it has
--- a/result/code.go
+++ b/result/code.go
@@ -38,6 +38,7 @@
 	NotCurrent         Code = 3005
 	HeldBack           Code = 3006
 	OnTrial            Code = 3007
+	Resting            Code = 3008
 	MayHaveRun         Code = 4001
 	AnswerDropped      Code = 4002
 	AttemptsExhausted  Code = 4003
