--- a/box/metrics.go
+++ b/box/metrics.go
@@ -13,6 +13,8 @@
 	age      prometheus.Gauge
 	servers  prometheus.Gauge
 	suspects prometheus.Gauge
+	resting  prometheus.Gauge
+	leaving  prometheus.Gauge
 	boxes    prometheus.Gauge
 	token    prometheus.Gauge
 	ready    prometheus.Gauge
@@ -46,6 +48,8 @@
 		age:      gauge("config_age_seconds", "Time since the configuration was last proved current."),
 		servers:  gauge("servers", "Backend servers that are listed."),
 		suspects: gauge("servers_suspected", "Backend servers that are taken as dead."),
+		resting:  gauge("servers_resting", "Backend servers that want nothing from this box now."),
+		leaving:  gauge("servers_leaving", "Backend servers that are leaving, by their own word or the list."),
 		boxes:    gauge("boxes", "Boxes that are heard, with this one."),
 		token:    gauge("election_token", "Fencing token of the newest election known."),
 		ready:    gauge("ready", "1 if the box takes callers."),
@@ -110,6 +114,8 @@
 	m.age.Set(s.ConfigAge.Seconds())
 	m.servers.Set(float64(s.Servers))
 	m.suspects.Set(float64(len(s.Suspects)))
+	m.resting.Set(float64(len(s.Resting)))
+	m.leaving.Set(float64(len(s.Leaving)))
 	m.boxes.Set(float64(s.Boxes))
 	m.token.Set(float64(s.Token))
 	m.inFlight.Set(float64(s.InFlight))
--- a/box/status.go
+++ b/box/status.go
@@ -53,7 +53,11 @@
 	// slow, with how many times as long as usual they take.
 	Suspects []slatebridge.ServerID           `json:"suspects"`
 	Slow     map[slatebridge.ServerID]float64 `json:"slow"`
-	InFlight int64                            `json:"in_flight"`
+	// Resting are the servers that want nothing from this box now, with for how long, and
+	// Leaving those that are leaving, by their own word or the list.
+	Resting  map[slatebridge.ServerID]time.Duration `json:"resting"`
+	Leaving  []slatebridge.ServerID                 `json:"leaving"`
+	InFlight int64                                  `json:"in_flight"`
 	// Quarantine are the requests that are held back, or sent as trials only, since servers
 	// have ended under them.
 	Quarantine []quarantine.Suspect `json:"quarantine"`
@@ -68,6 +72,11 @@
 		slow = append(slow, fmt.Sprintf("%s x%.1f", id, x))
 	}
 	slices.Sort(slow)
+	resting := make([]string, 0, len(s.Resting))
+	for id, d := range s.Resting {
+		resting = append(resting, fmt.Sprintf("%s for %s", id, d.Round(time.Millisecond)))
+	}
+	slices.Sort(resting)
 	held := make([]string, 0, len(s.Quarantine))
 	for _, q := range s.Quarantine {
 		held = append(held, fmt.Sprintf("%s (%s: %d ended in a row, last %s ago, %d trials)", q.Same, q.Verdict, q.Row, q.Ago.Round(time.Second), q.Trials))
@@ -87,6 +96,8 @@
 		{"boxes", s.Boxes},
 		{"suspects", s.Suspects},
 		{"slow", slow},
+		{"resting", resting},
+		{"leaving", s.Leaving},
 		{"in flight", s.InFlight},
 		{"quarantine", held},
 		{"suspended", s.Away.Round(time.Millisecond)},
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -64,9 +64,19 @@
 	return list, model
 }
 
+// offered reports whether the server has layers that the query may use.
+func (m *member) offered(q Query, now time.Time) bool {
+	switch {
+	case m.Layers.Len() == 0, m.Layers.To > m.model.Layers, now.Before(m.lacksUntil), slices.Contains(q.Avoid, m.ID):
+		return false
+	default:
+		return m.sound(now) && (q.resting || m.standing.admits(now))
+	}
+}
+
 // candidate returns the server as a candidate, if it may be used.
 func (f *Fleet) candidate(m *member, q Query, room bool, now time.Time) (candidate, bool) {
-	if m.Layers.Len() == 0 || m.Layers.To > m.model.Layers || !m.usable(now) || now.Before(m.lacksUntil) || slices.Contains(q.Avoid, m.ID) {
+	if !m.offered(q, now) {
 		return candidate{}, false
 	}
 	if room && now.Before(m.fullUntil) {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -127,8 +127,11 @@
 }
 
 // usable reports whether the server may get new work.
-func (m *member) usable(now time.Time) bool {
-	return !m.Leaving && !m.Withdrawn && now.After(m.suspectUntil) && m.standing.admits(now)
+func (m *member) usable(now time.Time) bool { return m.sound(now) && m.standing.admits(now) }
+
+// sound is usable also for servers that rest.
+func (m *member) sound(now time.Time) bool {
+	return !m.Leaving && !m.Withdrawn && now.After(m.suspectUntil)
 }
 
 const (
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -62,6 +62,8 @@
 	// Alone says that the request should share its first server with as few others as
 	// can be.
 	Alone bool
+	// resting says that servers which rest count as well.
+	resting bool
 	// after is in which time the path is looked for, from now on.
 	after time.Duration
 	// noise is how far random noise moves the cost of a server; zero stands for
@@ -140,10 +142,10 @@
 }
 
 // Complete reports whether every layer of the service's model is on some
-// server that may be used.
+// server that may be used, now or after its rest.
 func (f *Fleet) Complete(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.search(Query{Service: service}, false) != nil
+	return f.search(Query{Service: service, resting: true}, false) != nil
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -84,7 +84,7 @@
 
 // run asks servers until one gives a good answer, and returns the best answer.
 func (t *plainTry) run() *outcome {
-	if !t.ask() {
+	if !t.ask(nil) {
 		return nil
 	}
 	hedge := time.NewTimer(t.hedgeAfter())
@@ -110,7 +110,7 @@
 			case !t.mayAskAgain(o):
 			case o.fate == withheld:
 				// Nothing was sent that another one would repeat.
-				t.ask()
+				t.ask(nil)
 			default:
 				t.again(t.h.budget.Take)
 			}
@@ -132,13 +132,23 @@
 	return overload.HedgeAfter(most, usual, t.c.route.Objective)
 }
 
-// ask sends the request to one more server.
-func (t *plainTry) ask() bool {
+// takeFunc takes one retry out of the budget, if there is one left.
+type takeFunc func(service string, boxes int, now time.Time) bool
+
+// ask sends the request to one more server, if there is one, and a retry for it; a nil take
+// is for what repeats nothing.
+func (t *plainTry) ask(take takeFunc) bool {
 	taken, _ := t.h.onTrial(t.c)
 	s, hold, ok := t.h.fleet.Pick(t.c.service, slices.Concat(t.avoid, taken))
 	if !ok {
 		return false
 	}
+	if take != nil && !take(t.c.service, t.c.state.Boxes, clock.Now()) {
+		hold.Release()
+		t.h.metrics.budgetEmpty(t.c.service)
+
+		return false
+	}
 	permitted, denied := t.h.permit(t.ctx, t.c, []slatebridge.ServerID{s.ID})
 	if denied != nil {
 		hold.Release()
@@ -161,16 +171,10 @@
 }
 
 // again asks one more server if the budget allows it.
-func (t *plainTry) again(take func(service string, boxes int, now time.Time) bool) {
-	if !(overload.Offers{Made: t.c.servers, Refused: t.refused, Most: t.c.route.MaxServers}).More() {
-		return
-	}
-	if !take(t.c.service, t.c.state.Boxes, clock.Now()) {
-		t.h.metrics.budgetEmpty(t.c.service)
-
-		return
+func (t *plainTry) again(take takeFunc) {
+	if (overload.Offers{Made: t.c.servers, Refused: t.refused, Most: t.c.route.MaxServers}).More() {
+		t.ask(take)
 	}
-	t.ask()
 }
 
 // mayAskAgain reports whether another server may be asked after the outcome.
