--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -195,14 +195,26 @@
 		}
 		s.restUntil = time.Time{}
 		if !s.leaving {
-			f.noticed.drop(id)
-			if m := f.members[id]; m != nil {
-				m.standing = nil
-			}
+			f.forget(id)
 		}
 	}
 }
 
+// Forget forgets what a start of a server has said of itself: another one is there under the
+// same ID.
+func (f *Fleet) Forget(id slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forget(id)
+}
+
+func (f *Fleet) forget(id slatebridge.ServerID) {
+	f.noticed.drop(id)
+	if m := f.members[id]; m != nil {
+		m.standing = nil
+	}
+}
+
 // Barred returns why no request may be sent to the server now. It is asked again when a
 // request is really sent: what was chosen before may have waited.
 func (f *Fleet) Barred(id slatebridge.ServerID) Bar {
--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -28,6 +28,10 @@
 	// loads is when it has loaded the layers that it was last told to, which are next.
 	loads time.Duration
 	next  slatebridge.LayerRange
+	// asks is for how long it wants rest of each box that it turns away; zero if it turns
+	// none away. told is what it has told boxes of itself.
+	asks time.Duration
+	told map[*box]toldRest
 }
 
 // cluster is the servers and the links between halls.
@@ -91,6 +95,8 @@
 	gone
 	// lacking says that a server does not hold its layers any more.
 	lacking
+	// resting says that a server turns all away and wants rest.
+	resting
 )
 
 // offer offers a request of so many tokens to the servers of a path. It returns the
@@ -103,6 +109,8 @@
 		switch {
 		case s.lost || c.unreachable(p, i):
 			return s.ID, gone
+		case i == 0 && s.asks > 0:
+			return s.ID, resting
 		case stage.Layers.From < s.Layers.From || stage.Layers.To > s.Layers.To:
 			return s.ID, lacking
 		case tokens*n > room, i == 0 && s.Slots > 0 && s.first >= s.Slots:
--- a/lab/pattern.go
+++ b/lab/pattern.go
@@ -47,6 +47,8 @@
 	Budget Budget    `toml:"budget"`
 	// NoQuarantine has requests that end servers sent like all others, to compare.
 	NoQuarantine bool `toml:"no_quarantine"`
+	// Deaf has boxes pass over what servers say of themselves, to compare.
+	Deaf bool `toml:"deaf"`
 	// Troubles are what happens, in any order.
 	Troubles []Trouble `toml:"trouble"`
 }
@@ -112,8 +114,12 @@
 	Burst = "burst"
 	// Lose takes servers away at once; they come back empty at the end.
 	Lose = "lose"
-	// Drain is Lose after they have said for two seconds that they leave.
+	// Drain is Lose after they have said for two seconds that they leave. The list says so
+	// Factor seconds late.
 	Drain = "drain"
+	// Rest has servers turn away all requests that begin there, and ask for Factor seconds of
+	// rest.
+	Rest = "rest"
 	// Slow makes servers take Factor times as long.
 	Slow = "slow"
 	// Links makes links between halls Factor times slower.
@@ -133,7 +139,7 @@
 	Suspend = "suspend"
 )
 
-var troubles = []string{Burst, Lose, Drain, Slow, Links, Cut, Restart, Impatient, Fill, Fatal, Suspend}
+var troubles = []string{Burst, Lose, Drain, Slow, Links, Cut, Restart, Impatient, Fill, Fatal, Suspend, Rest}
 
 // Trouble is something that happens from At on, for some time.
 type Trouble struct {
--- a/lab/request.go
+++ b/lab/request.go
@@ -128,11 +128,14 @@
 
 		return
 	}
-	code := result.Overloaded
+	code, back := result.Overloaded, q.roomIn()
 	if short == fleet.NoLayers {
 		code = result.NoPipeline
+		if left, ok := q.box.fleet.RestLeftForPath(service); ok {
+			code, back = result.Resting, overload.RestIn(left, q.w.rand.Float64())
+		}
 	}
-	q.refuse(code, q.roomIn())
+	q.refuse(code, back)
 }
 
 // query is what a request looks for a path for.
@@ -181,7 +184,18 @@
 	if !q.permit() {
 		return
 	}
+	if !q.w.p.Deaf {
+		if id, bar := q.box.fleet.BarredOn(q.path); bar != fleet.NotBarred {
+			// What it says was heard since the path was chosen.
+			q.hold.Release()
+			q.avoid = append(q.avoid, id)
+			q.choose()
+
+			return
+		}
+	}
 	q.attempts++
+	q.noteArrival()
 	q.tokens = q.prompt + q.done + q.answer/2
 	id, why := q.w.cluster.offer(q.path, q.tokens)
 	if why == taken {
@@ -205,6 +219,8 @@
 		q.box.fleet.Suspect(id, q.w.clock().Add(detectTime))
 	case lacking:
 		q.box.fleet.NoteLacking(id)
+	case resting:
+		q.hearRest(id)
 	case taken:
 	}
 	q.again()
--- a/lab/running.go
+++ b/lab/running.go
@@ -13,6 +13,7 @@
 	if q.fatal {
 		q.endSoon()
 	}
+	q.hearTaken()
 	q.firstAt = 0
 	since := q.lastAt
 	if q.done == 0 {
--- a/lab/trouble.go
+++ b/lab/trouble.go
@@ -29,6 +29,10 @@
 			w.cluster.cut = ""
 			w.tell(func(b *box) { w.cluster.all(func(s *server) { b.fleet.Trust(s.ID) }) })
 		})
+	case Rest:
+		list := w.drawn(t)
+		w.after(start, func() { setAsks(list, time.Duration(t.Factor*float64(time.Second))) })
+		w.after(stop, func() { setAsks(list, 0) })
 	case Fatal:
 		w.fatal(t)
 	case Suspend:
@@ -66,7 +70,11 @@
 		notice = leaveNotice
 		for _, s := range list {
 			s.Leaving = true
-			w.tell(func(b *box) { b.fleet.Set(s.Server) })
+			w.after(time.Duration(t.Factor*float64(time.Second)), func() {
+				if !s.lost {
+					w.tell(func(b *box) { b.fleet.Set(s.Server) })
+				}
+			})
 		}
 	}
 	w.after(notice, func() {
@@ -84,8 +92,11 @@
 	})
 	w.after(notice+time.Duration(t.For), func() {
 		for _, s := range list {
-			s.lost, s.Leaving, s.used, s.first = false, false, 0, 0
-			w.tell(func(b *box) { b.fleet.Set(s.Server) })
+			s.lost, s.Leaving, s.used, s.first, s.told = false, false, 0, 0, nil
+			w.tell(func(b *box) {
+				b.fleet.Forget(s.ID)
+				b.fleet.Set(s.Server)
+			})
 		}
 	})
 }
