Boxes tell each other at once of a first end under a request

Cause: several callers send the same request that ends servers. One box knew that a server had ended under it, another sent it 0.12 s later to the next, as if for the first time, and then to the third: three servers with the first layers ended within 0.4 s. What is known of a first end was written after 0.5 s, if the request failed.

Ruled out: writing it at once. It is a call to the store by each box for each server that crashes, mostly about requests that are answered a moment later.

Change: by a message alone, of requests that had begun less than 0.5 s before, not of many servers at once. An innocent one that is answered is forgotten without a word.

--- a/box/control.go
+++ b/box/control.go
@@ -216,6 +216,8 @@
 		c.onSaidLeaving(m.id, clock.Now())
 	case *quarantineNews:
 		c.pushQuarantine(m, clock.Now())
+	case *youngSuspects:
+		c.pushYoung(m.list, clock.Now())
 	case *foundDoubt:
 		c.doubtSoon(clock.Now())
 	case *stopping:
--- a/box/help.go
+++ b/box/help.go
@@ -93,6 +93,9 @@
 	if !ok || !o.live() {
 		return
 	}
+	if len(msg.Young) > 0 {
+		c.takeYoung(msg, at)
+	}
 	if msg.Quarantine > 0 {
 		c.takeQuarantine(msg)
 	}
--- a/box/messages.go
+++ b/box/messages.go
@@ -8,6 +8,7 @@
 	"github.com/slatebridge/slatebridge/elect"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/quarantine"
 )
 
 // Messages of the control actor.
@@ -87,6 +88,9 @@
 		from, to int64
 		entries  []logstore.Entry
 	}
+	// youngSuspects are requests under which a first server has ended, of which other boxes
+	// are told by messages alone.
+	youngSuspects struct{ list []quarantine.Change }
 	// foundDoubt says that requests have found a server dead or slow.
 	foundDoubt struct{}
 	// reconfigured carries other settings.
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -166,6 +166,8 @@
 			return
 		case <-s.ledger.Changed():
 			// It may be due before the others.
+			s.tellYoung(ctx)
+
 			continue
 		case <-time.After(wait):
 		}
@@ -182,6 +184,22 @@
 	}
 }
 
+// youngPause is how long what is told by messages alone is gathered: all that ran at a server
+// are found within a few milliseconds to have been there.
+const youngPause = 5 * time.Millisecond
+
+// tellYoung tells other boxes by a message of requests under which a first server has ended.
+func (s *sharedLedger) tellYoung(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(youngPause):
+	}
+	if list := s.ledger.Young(); len(list) > 0 {
+		s.box.tell(&youngSuspects{list: list})
+	}
+}
+
 func (s *sharedLedger) put(ctx context.Context, list []quarantine.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, shareTime)
 	defer cancel()
@@ -298,6 +316,22 @@
 			msg.Entries = append(msg.Entries, mesh.Keyed{Key: e.Key, Value: e.Value})
 		}
 	}
+	c.send(msg, c.concerned(now))
+}
+
+// pushYoung tells other boxes at once of requests under which a first server has ended: the
+// relays, and those that report to this one. A relay also tells the other halls.
+func (c *control) pushYoung(list []quarantine.Change, now time.Time) {
+	msg := mesh.Message{Kind: mesh.News, Box: c.settings.Box, Hall: c.settings.Hall}
+	for _, v := range list {
+		msg.Young = append(msg.Young, mesh.Keyed{Key: v.Key, Value: v.Value})
+	}
+	c.send(msg, c.concerned(now))
+}
+
+// concerned returns whom this box tells at once: the relays, and those that report to it. A
+// relay also tells those of the other halls.
+func (c *control) concerned(now time.Time) []mesh.Target {
 	to := append(c.relays(now), c.reporters(now)...)
 	if c.isRelay(now) {
 		for _, hall := range c.farHalls() {
@@ -308,7 +342,28 @@
 	for _, o := range to {
 		targets = append(targets, o.target())
 	}
-	c.send(msg, targets)
+
+	return targets
+}
+
+// takeYoung takes up requests under which a first server has ended at another box. A relay
+// passes on what is news.
+func (c *control) takeYoung(msg mesh.Message, now time.Time) {
+	var news []quarantine.Change
+	for _, v := range msg.Young {
+		change := quarantine.Change{Key: v.Key, Value: v.Value}
+		ok, err := c.box.quarantine.ledger.TakeYoung(change, now)
+		if err != nil {
+			c.box.metrics.refused("quarantine")
+			event.Log(c.box.logger, event.EntryRefused, zap.String("entry", v.Key), event.Error(err))
+		}
+		if ok {
+			news = append(news, change)
+		}
+	}
+	if len(news) > 0 && c.isRelay(now) {
+		c.pushYoung(news, now)
+	}
 }
 
 // takeQuarantine takes up what another box tells of the topic of the quarantine.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -82,6 +82,9 @@
 	Quarantine int64   `cbor:"26,keyasint,omitempty"`
 	From       int64   `cbor:"27,keyasint,omitempty"`
 	Entries    []Keyed `cbor:"28,keyasint,omitempty"`
+	// Young, in a News, are requests under which a first server has just ended, as entries of
+	// the quarantine that the store does not have.
+	Young []Keyed `cbor:"30,keyasint,omitempty"`
 	// Slow are servers found slow, with how many times as long as usual they take.
 	Slow map[slatebridge.ServerID]float64 `cbor:"19,keyasint,omitempty"`
 	Term elect.Term                       `cbor:"20,keyasint"`
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -181,23 +181,24 @@
 // end.
 func (e Entry) onTrial(since time.Duration) bool {
 	switch {
-	case e.Row >= trialRow && e.quickEnds() >= trialRow, e.Row >= trialEnds:
+	case e.Row >= trialRow && e.quickRow() >= trialRow, e.Row >= trialEnds:
 		return true
 	default:
 		return len(e.Ends) >= trialEnds && since >= trialGrace
 	}
 }
 
-// quickEnds returns how many attempts ended with a server soon after they had begun.
-func (e Entry) quickEnds() int {
-	n := 0
+// quickRow returns how many of the ends in a row came soon after an attempt had begun, at
+// most. Ends that came at the same time count once in a row, and some may be forgotten.
+func (e Entry) quickRow() int {
+	slow := 0
 	for _, end := range e.Ends {
-		if !end.Slow {
-			n++
+		if end.Slow {
+			slow++
 		}
 	}
 
-	return n
+	return max(len(e.Ends)-slow, e.Row-slow)
 }
 
 // late returns how many trials there were after trialEnds servers had ended.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -49,6 +49,8 @@
 	changed chan struct{}
 	// ended are the servers that ended lately.
 	ended []endedServer
+	// young are requests under which a first server has just ended, soon after they began.
+	young map[Fingerprint]bool
 }
 
 // suspect is a request under which servers have ended.
@@ -66,6 +68,7 @@
 	return &Ledger{
 		list: make(map[Fingerprint]*suspect), answers: newAnswers(), cleared: make(map[Fingerprint]time.Time),
 		unsaid: make(map[Fingerprint]time.Time), changed: make(chan struct{}, 1),
+		young: make(map[Fingerprint]bool),
 	}
 }
 
@@ -92,6 +95,8 @@
 		l.say(f, now, sayNow)
 	case s.shared:
 		l.say(f, now, sayFailed)
+	case now.Sub(a.Began) <= quickTime:
+		l.noteYoung(f)
 	}
 
 	return true
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -458,3 +458,46 @@
 		})
 	}
 }
+
+// TestYoung: a first end soon after a beginning is told by messages alone, once, and a box
+// that hears of it knows it as its own.
+func TestYoung(t *testing.T) {
+	s := newStory(t)
+	s.end(s.same, s.begin(s.same), "s1")
+	list := s.Young()
+	if len(list) != 1 || len(s.Young()) != 0 {
+		t.Fatalf("%d requests are told, want one, once", len(list))
+	}
+	other := newStory(t)
+	for i, want := range []bool{true, false} {
+		news, err := other.TakeYoung(list[0], other.now)
+		if err != nil || news != want {
+			t.Errorf("time %d: news %t, error %v", i, news, err)
+		}
+	}
+	other.want(Clear)
+	other.end(s.same, other.begin(s.same), "s2")
+	other.want(OnTrial)
+	t.Run("nothing is written of one that is answered", func(t *testing.T) {
+		third := newStory(t)
+		if _, err := third.TakeYoung(list[0], third.now); err != nil {
+			t.Fatal(err)
+		}
+		third.Answered(s.same, third.now)
+		if n := len(third.told()); n != 0 {
+			t.Errorf("%d changes", n)
+		}
+		if news, _ := third.TakeYoung(list[0], third.now); news {
+			t.Error("it is suspected again")
+		}
+	})
+	t.Run("one that has run for long is not told", func(t *testing.T) {
+		s := newStory(t)
+		a := s.begin(s.same)
+		s.now = s.now.Add(2 * quickTime)
+		s.end(s.same, a, "s1")
+		if n := len(s.Young()); n != 0 {
+			t.Errorf("%d requests are told", n)
+		}
+	})
+}
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -212,10 +212,7 @@
 		return
 	}
 	l.unsaid[f] = at
-	select {
-	case l.changed <- struct{}{}:
-	default:
-	}
+	l.signal()
 }
 
 // key returns the key under which boxes share the entry.
