A failed stream takes one retry, and its failure is passed on at once without one

Found while reading the diff: a server's failure before the first event took two retries out of the budget for the next attempt (TestRetriesOfFailures failed first: twice as many as arrivals ask for), and would have waited 1.6 s for one with the waiting of before. What another start of a server says in a report is not taken as the word of the one asked.

--- a/forward/ask.go
+++ b/forward/ask.go
@@ -205,7 +205,7 @@
 			break
 		}
 	}
-	if q.err == nil && s.Start != "" && q.report.Start != "" && q.report.Start != s.Start {
+	if q.err == nil && otherStart(s, q.report) {
 		// The start that was asked was known before the question, so the one that
 		// answered came after it.
 		h.noteRestart(s, q.report.Start)
@@ -251,11 +251,18 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
 	r, err := h.servers.Report(ctx, s)
-	h.hear(s.ID, r.Notice)
+	if !otherStart(s, r) {
+		h.hear(s.ID, r.Notice)
+	}
 
 	return r, err
 }
 
+// otherStart reports whether another start of the server made the report than the one asked.
+func otherStart(asked catalog.Server, r Report) bool {
+	return asked.Start != "" && r.Start != "" && r.Start != asked.Start
+}
+
 const (
 	// stallLag is by how much the box may be late with its own work. A box that
 	// is later can not tell whether a server was.
--- a/forward/blame.go
+++ b/forward/blame.go
@@ -9,7 +9,9 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/overload"
 )
 
 // noteUnanswered handles an attempt to which no server answered.
@@ -17,7 +19,7 @@
 	first := path[0].Server
 	switch r.fate {
 	case withheld:
-		t.withheld = true
+		t.paid = true
 	case notRun:
 		t.rejected++
 		t.blame(path, r.answer)
@@ -82,7 +84,7 @@
 func (t *streamTry) passFailure(first catalog.Server, r reply) bool {
 	t.h.logAttempt(t.c, first, r)
 	t.avoid = append(t.avoid, first.ID)
-	if t.headSent || (r.resp.StatusCode >= http.StatusInternalServerError && t.c.route.MayRepeat() && t.mayGoOn() == nil) {
+	if t.headSent || (r.resp.StatusCode >= http.StatusInternalServerError && t.payAtOnce()) {
 		return false
 	}
 	body, err := io.ReadAll(io.LimitReader(r.resp.Body, maxWhole))
@@ -94,6 +96,14 @@
 	return true
 }
 
+// payAtOnce takes the retry for another attempt out of the budget, if that may be made and
+// there is one now: the failure is an answer that need not wait.
+func (t *streamTry) payAtOnce() bool {
+	t.paid = t.made().Next() == overload.Again && t.h.budget.Take(t.c.service, t.c.state.Boxes, clock.Now())
+
+	return t.paid
+}
+
 func (t *streamTry) noteBroken(ctx context.Context, path fleet.Path, r reply, err error) {
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -62,8 +62,9 @@
 	// retry has been taken out of the budget then.
 	next     fleet.Path
 	nextHold *fleet.Hold
-	// withheld says that the last attempt was not sent.
-	withheld bool
+	// paid says that no retry is to be taken out of the budget for the next attempt: it was, or
+	// nothing was sent that the next one would repeat.
+	paid bool
 }
 
 // serveStream serves a request that is answered by events.
@@ -290,19 +291,14 @@
 		return result.New(result.AttemptsExhausted, "%d attempts brought no whole answer", t.attempts)
 	case overload.Again:
 	}
-	if t.withheld {
-		// Nothing was sent that the next attempt would repeat.
-		t.withheld = false
-
-		return nil
-	}
-	if t.next == nil && !t.takeRetry() {
+	if paid := t.paid || t.next != nil; !paid && !t.takeRetry() {
 		if !made.Ran {
 			return result.New(result.Overloaded, "the budget for retries is used up").WithRetryAfter(overload.ComeBackLeast)
 		}
 
 		return result.New(result.AttemptsExhausted, "the budget for retries is used up")
 	}
+	t.paid = false
 	if made.Ran {
 		t.h.metrics.moved("resumed")
 		event.Log(t.h.logger, event.StreamResumed, append(t.h.fields(c), zap.Int64("after_event", t.last))...)
