--- a/explain/cause.go
+++ b/explain/cause.go
@@ -30,6 +30,7 @@
 	WrongRequest    Kind = "the configuration does not allow it"
 	ServerFailed    Kind = "a server's own failure"
 	EndsServers     Kind = "the request ends servers"
+	ServersRest     Kind = "its servers asked for rest"
 	InTime          Kind = "answered"
 	Unknown         Kind = "not known"
 )
@@ -74,6 +75,8 @@
 		return Cause{StoreAway, why}, true
 	case result.HeldBack, result.OnTrial:
 		return Cause{EndsServers, why + "; its fingerprint is " + end.Text("same")}, true
+	case result.Resting:
+		return Cause{ServersRest, why}, true
 	case result.UnknownKey, result.UnknownRoute, result.TooLarge, result.Malformed:
 		return Cause{WrongRequest, why}, true
 	case result.NoPipeline, result.NoServer:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -128,6 +128,9 @@
 		line(1400, "b2", event.ServerEnded, map[string]any{fieldServer: "s1"}),
 		line(1500, "b1", event.ServerEnded, map[string]any{fieldServer: "s1"}),
 		line(2050, "b2", event.BoxSuspended, map[string]any{"away_ms": 8000}),
+		line(2060, "b1", event.ServerRests, map[string]any{fieldServer: "s2", "rest_ms": 3000}),
+		line(2070, "b2", event.ServerRests, map[string]any{fieldServer: "s2", "rest_ms": 3000}),
+		line(2080, "b2", event.ServerLeaves, map[string]any{fieldServer: "s3"}),
 		line(2100, "b2", event.RequestRefused, map[string]any{"request": "r", "code": 2003}),
 	)
 	var b strings.Builder
@@ -135,9 +138,9 @@
 		t.Fatal(err)
 	}
 	want := strings.Join(columns, ",") + "\n" +
-		"0,b1,0,1,0,0,0,0,0,0,0,0,0,0,\n" +
-		"1,b1,0,0,0,0,0,0,0,1,0,0,0,0,\n" +
-		"2,b1,0,0,0,0,0,0,0,0,1,0,0,0,2003:1\n"
+		"0,b1,0,1,0,0,0,0,0,0,0,0,0,0,0,0,\n" +
+		"1,b1,0,0,0,0,0,0,0,1,0,0,0,0,0,0,\n" +
+		"2,b1,0,0,0,0,0,0,0,0,1,1,1,0,0,0,2003:1\n"
 	if diff := cmp.Diff(want, b.String()); diff != "" {
 		t.Error(diff)
 	}
--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -37,6 +37,10 @@
 	// Ended counts starts of servers that ended, and Suspended boxes that were suspended.
 	Ended     int
 	Suspended int
+	// Resting counts servers that asked some box for rest, and Leaving those that said that
+	// they are leaving, in the second.
+	Resting int
+	Leaving int
 	// Answered, Moved and Broken count requests and streams.
 	Answered int
 	Moved    int
@@ -48,7 +52,7 @@
 // counting collects one second.
 type counting struct {
 	Second
-	dead, slow, removed, stores, ended, suspended map[string]bool
+	dead, slow, removed, stores, ended, suspended, resting, leaving map[string]bool
 }
 
 // Timeline returns the seconds from the first line to the last. Those in which
@@ -63,6 +67,7 @@
 				Second: Second{At: at, Refused: make(map[int]int)},
 				dead:   make(map[string]bool), slow: make(map[string]bool), removed: make(map[string]bool), stores: make(map[string]bool),
 				ended: make(map[string]bool), suspended: make(map[string]bool),
+				resting: make(map[string]bool), leaving: make(map[string]bool),
 			}
 			if now != nil {
 				out = append(out, now.done())
@@ -82,26 +87,24 @@
 func (c *counting) done() Second {
 	c.Dead, c.Slow, c.Removed, c.StoreLost = len(c.dead), len(c.slow), len(c.removed), len(c.stores)
 	c.Ended, c.Suspended = len(c.ended), len(c.suspended)
+	c.Resting, c.Leaving = len(c.resting), len(c.leaving)
 
 	return c.Second
 }
 
 func (c *counting) count(l Line) {
+	if servers := c.serversOf(l.Event); servers != nil {
+		servers[l.Server] = true
+
+		return
+	}
 	switch l.Event {
 	case event.ElectionWon:
 		c.Orders = l.Box
 	case event.CatalogTaken:
 		c.Config = max(c.Config, int64(l.Number("version")))
-	case event.ServerSuspected:
-		c.dead[l.Server] = true
-	case event.ServerEnded:
-		c.ended[l.Server] = true
 	case event.BoxSuspended:
 		c.suspended[l.Box] = true
-	case event.ServerSlow:
-		c.slow[l.Server] = true
-	case event.ServerRemoved:
-		c.removed[l.Server] = true
 	case event.PlacementPlanned:
 		c.Planned++
 	case event.PeerLost:
@@ -113,6 +116,26 @@
 	}
 }
 
+// serversOf returns the servers of which an event tells; nil if it tells of none.
+func (c *counting) serversOf(id event.ID) map[string]bool {
+	switch id {
+	case event.ServerSuspected:
+		return c.dead
+	case event.ServerEnded:
+		return c.ended
+	case event.ServerSlow:
+		return c.slow
+	case event.ServerRemoved:
+		return c.removed
+	case event.ServerRests:
+		return c.resting
+	case event.ServerLeaves:
+		return c.leaving
+	default:
+		return nil
+	}
+}
+
 func (c *counting) countRequest(l Line) {
 	switch l.Event {
 	case event.RequestAnswered:
@@ -128,7 +151,7 @@
 }
 
 // columns are the titles of a table of seconds.
-var columns = []string{"second", "orders", "config", "dead", "slow", "removed", "planned", "peers_lost", "store_lost", "ended", "suspended", "answered", "moved", "broken", "refused"}
+var columns = []string{"second", "orders", "config", "dead", "slow", "removed", "planned", "peers_lost", "store_lost", "ended", "suspended", "resting", "leaving", "answered", "moved", "broken", "refused"}
 
 // row returns the second as text. The first column counts from the given time.
 func (s Second) row(from time.Time) []string {
@@ -137,7 +160,7 @@
 		refused = append(refused, fmt.Sprintf("%d:%d", code, s.Refused[code]))
 	}
 	out := []string{strconv.Itoa(int(s.At.Sub(from).Seconds())), s.Orders, strconv.FormatInt(s.Config, 10)}
-	for _, n := range []int{s.Dead, s.Slow, s.Removed, s.Planned, s.PeersLost, s.StoreLost, s.Ended, s.Suspended, s.Answered, s.Moved, s.Broken} {
+	for _, n := range []int{s.Dead, s.Slow, s.Removed, s.Planned, s.PeersLost, s.StoreLost, s.Ended, s.Suspended, s.Resting, s.Leaving, s.Answered, s.Moved, s.Broken} {
 		out = append(out, strconv.Itoa(n))
 	}
 
