Places in the store have an era: a store that comes back from an older copy

Cause: offsets were compared bare. After a return each record was taken as old, silently, until offsets had caught up: a server that came was not used. A box whose term the copy lacks saw an older one, and gave no more orders.

Ruled out: that reads fail by themselves: an offset that is given out again can be read, and is something else.

Servers that are leaving by the list stay so for their start.

--- a/box/control.go
+++ b/box/control.go
@@ -12,6 +12,7 @@
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/elect"
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/place"
 )
@@ -40,7 +41,7 @@
 	// entries are the entries of the servers as the store has them, up to the
 	// offset next. recent are the last changes, without a gap up to next.
 	entries map[string]mesh.Entry
-	next    int64
+	next    logstore.Place
 	// byName are the servers that the entries name, by the names of the entries.
 	byName map[string]listed
 	// restarts are the servers that were lately found to have started again.
@@ -49,6 +50,9 @@
 	leavers   []leaver
 	recent    []mesh.Change
 	serversAt time.Time
+	// left has the entries that lately went, with when they did or their time to come back
+	// ended.
+	left map[string]time.Time
 	// unprovedAt is when the entries were last not proved current.
 	unprovedAt time.Time
 	// newServer is when the last new server appeared.
@@ -149,6 +153,7 @@
 	return &control{
 		box: b, ctx: ctx, settings: b.settings, savedAt: clock.Now(),
 		entries:   make(map[string]mesh.Entry),
+		left:      make(map[string]time.Time),
 		byName:    make(map[string]listed),
 		firstSeen: make(map[slatebridge.ServerID]time.Time),
 		emptied:   make(map[slatebridge.ServerID]time.Time),
@@ -235,6 +240,7 @@
 		event.Log(c.box.logger, event.ServerRemoved, zap.String("server", string(id)), zap.String("why", "its entry did not come back"))
 	}
 	c.noteProved(now)
+	c.forgetLeft(now)
 	c.expirePeers(now)
 	c.gossip(now)
 	c.box.reader.Store(c.readsForHall(now))
--- a/box/messages.go
+++ b/box/messages.go
@@ -29,7 +29,7 @@
 	// that there are no others.
 	serversFound struct {
 		entries []logstore.Entry
-		next    int64
+		next    logstore.Place
 		whole   bool
 		// grace is for how long removed servers may come back.
 		grace     time.Duration
@@ -85,7 +85,7 @@
 	// quarantineNews has records of the topic of the quarantine up to the offset to, which
 	// other boxes are to know; none if they are not known here.
 	quarantineNews struct {
-		from, to int64
+		from, to logstore.Place
 		entries  []logstore.Entry
 	}
 	// youngSuspects are requests under which a first server has ended, of which other boxes
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -28,6 +28,7 @@
 	gotSize  prometheus.Counter
 	away     prometheus.Counter
 	held     prometheus.Gauge
+	era      prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -66,6 +67,7 @@
 		got:      counter("mesh_received_total", "Messages received from other boxes."),
 		gotSize:  counter("mesh_received_bytes_total", "Bytes of messages received from other boxes."),
 		held:     gauge("requests_quarantined", "Requests that are held back or sent as trials only, since servers ended under them."),
+		era:      gauge("store_era", "How often the store has come back from an older copy, as far as this box knows."),
 		away:     counter("suspended_seconds_total", "Time for which the machine of the box was suspended."),
 	}
 	reg.MustRegister(m.store, m.unusable)
--- a/box/orders.go
+++ b/box/orders.go
@@ -119,10 +119,10 @@
 		return
 	}
 	c.adopt(m.term)
-	if c.elected() && m.term.Token == 0 {
-		// Another writer wrote over the record of this box's term, so that nothing shows
-		// that it stands. It is won anew.
-		event.Log(c.box.logger, event.ElectionLost, zap.Int64("token", c.term.Token), zap.String("why", "its record cannot be read"))
+	if c.elected() && m.term.Token < c.term.Token {
+		// Another writer wrote over the record of this box's term, or the store came back from
+		// an older copy, so that nothing shows that it stands. It is won anew.
+		event.Log(c.box.logger, event.ElectionLost, zap.Int64("token", c.term.Token), zap.String("why", "its record is not in the store"))
 		c.term = elect.Term{Token: c.term.Token}
 		c.dropOrders()
 	}
--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -201,7 +201,7 @@
 		Newest: func(context.Context) (logstore.Changes, error) {
 			return logstore.Changes{}, logstore.ErrUnreachable
 		},
-		Read: func(context.Context, int64, time.Duration) (logstore.Changes, error) {
+		Read: func(context.Context, logstore.Place, time.Duration) (logstore.Changes, error) {
 			return logstore.Changes{}, logstore.ErrUnreachable
 		},
 	}
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -50,7 +50,7 @@
 	mu sync.Mutex
 	// next is up to which offset the topic is known, heard how far it is known to go, and
 	// behindAt since when that is further.
-	next, heard int64
+	next, heard logstore.Place
 	behindAt    time.Time
 	// read says that the topic was read.
 	read bool
@@ -74,7 +74,7 @@
 	}
 	f.OnNewest = func(c logstore.Changes, _ time.Duration) { s.learn(0, c.Next, c.Entries) }
 	f.OnChanges = func(c logstore.Changes, _ time.Duration) {
-		s.learn(c.Next-int64(len(c.Entries)), c.Next, c.Entries)
+		s.learn(c.Next.Plus(-len(c.Entries)), c.Next, c.Entries)
 	}
 	f.Run(ctx)
 }
@@ -107,7 +107,7 @@
 
 // learn takes up the records from one offset to the other, if all before them are known,
 // and has the other boxes told of them if they are news here.
-func (s *sharedLedger) learn(from, to int64, entries []logstore.Entry) {
+func (s *sharedLedger) learn(from, to logstore.Place, entries []logstore.Entry) {
 	s.mu.Lock()
 	known := from <= s.next && to > s.next
 	news := known || to > s.heard
@@ -144,10 +144,10 @@
 }
 
 // hear notes how far the topic goes.
-func (s *sharedLedger) hear(to int64) { s.learn(to, to, nil) }
+func (s *sharedLedger) hear(to logstore.Place) { s.learn(to, to, nil) }
 
 // offsets returns up to which offset the topic is known, and how far it is known to go.
-func (s *sharedLedger) offsets() (next, heard int64) {
+func (s *sharedLedger) offsets() (next, heard logstore.Place) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -210,7 +210,7 @@
 	end, err := s.topic.PutAll(ctx, entries)
 	s.box.metrics.storeCall(topicQuarantine, err)
 	if err == nil {
-		s.learn(end-int64(len(entries)), end, entries)
+		s.learn(end.Plus(-len(entries)), end, entries)
 	}
 
 	return err
@@ -232,7 +232,7 @@
 		s.box.metrics.storeCall(topicQuarantine, err)
 		if err == nil {
 			s.ledger.Began(f, t, clock.Now())
-			s.learn(at, at+1, []logstore.Entry{e})
+			s.learn(at, at.Plus(1), []logstore.Entry{e})
 
 			return nil
 		}
@@ -255,9 +255,9 @@
 }
 
 // catchUp reads what was written from the offset on.
-func (s *sharedLedger) catchUp(ctx context.Context, from int64) error {
+func (s *sharedLedger) catchUp(ctx context.Context, from logstore.Place) error {
 	c, err := s.topic.Read(ctx, from, 0)
-	if errors.Is(err, logstore.ErrGone) {
+	if errors.IsAny(err, logstore.ErrGone, logstore.ErrReturned) {
 		from = 0
 		c, err = s.topic.Newest(ctx)
 	}
--- a/box/quarantine_test.go
+++ b/box/quarantine_test.go
@@ -28,7 +28,7 @@
 // store, and one that lacks some reads it, the reader of its hall sooner.
 func TestQuarantineInMessages(t *testing.T) {
 	for name, v := range map[string]struct {
-		from   int64
+		from   logstore.Place
 		reader bool
 		// suspects is what the box knows then, and due after how long it reads.
 		suspects int
--- a/box/restarts_test.go
+++ b/box/restarts_test.go
@@ -33,7 +33,7 @@
 // starts is a box that hears of the starts of one server, step by step.
 type starts struct{ *control }
 
-func (s starts) entry(offset int64, value string) starts {
+func (s starts) entry(offset logstore.Place, value string) starts {
 	s.setServer(logstore.Entry{Key: "s1", Value: []byte(value), Offset: offset}, false)
 
 	return s
--- a/box/servers.go
+++ b/box/servers.go
@@ -23,7 +23,7 @@
 	if c.taken == 0 || now.Sub(c.takenAt) < takenEvery {
 		return
 	}
-	event.Log(c.box.logger, event.ServersTaken, zap.Int("entries", c.taken), zap.Int("servers", len(c.byName)), zap.Int64("next", c.next))
+	event.Log(c.box.logger, event.ServersTaken, zap.Int("entries", c.taken), zap.Int("servers", len(c.byName)), zap.Int64("next", c.next.Offset()), zap.Int64("era", c.next.Era()))
 	c.taken, c.takenAt = 0, now
 }
 
@@ -39,6 +39,9 @@
 	if m.next <= c.next && (c.next > 0 || len(m.entries) == 0) {
 		return
 	}
+	if c.next > 0 && m.next.Era() > c.next.Era() {
+		c.onReturn(m, clock.Now())
+	}
 	if m.fromStore && c.provedThroughout(clock.Now()) {
 		m.grace = 0
 	}
@@ -127,6 +130,7 @@
 	if known && e.Offset < before.Offset {
 		return
 	}
+	delete(c.left, e.Key)
 	c.entries[e.Key] = mesh.Entry{Value: e.Value, Offset: e.Offset}
 	if known && string(before.Value) == string(e.Value) {
 		return
@@ -149,7 +153,7 @@
 		return
 	}
 	event.Log(c.box.logger, event.ServerChanged, zap.String("server", string(s.ID)), zap.String("service", s.Service),
-		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset))
+		zap.String("address", s.Address), zap.Bool("leaving", s.Leaving), zap.Stringer("layers", s.Layers), zap.Int64("offset", e.Offset.Offset()), zap.Int64("era", e.Offset.Era()))
 }
 
 // decodeServer returns the server that the entry names.
@@ -239,6 +243,7 @@
 	if !known {
 		return
 	}
+	c.left[key] = clock.Now().Add(grace)
 	id := server.ID
 	delete(c.byName, key)
 	c.forgetSeen(id)
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -30,7 +30,7 @@
 }
 
 // Current returns the newest term in the store, and the end of the topic.
-func Current(ctx context.Context, topic logstore.Guarded) (Term, int64, error) {
+func Current(ctx context.Context, topic logstore.Guarded) (Term, logstore.Place, error) {
 	end, data, err := topic.End(ctx)
 	if err != nil || len(data) == 0 {
 		return Term{}, end, err
@@ -42,10 +42,11 @@
 // decodeTerm returns the term of a record of a topic that ends at the offset. One that
 // cannot be read, or whose token cannot be, is that of another writer and stands for no
 // term: nobody could ever win against it. The next term has a higher token than those
-// before all the same, since tokens are offsets.
-func decodeTerm(data []byte, end int64) Term {
+// before all the same, since tokens are places in the store, which are later after it came back
+// from an older copy.
+func decodeTerm(data []byte, end logstore.Place) Term {
 	var t Term
-	if err := json.Unmarshal(data, &t); err != nil || t.Token <= 0 || t.Token > end || t.Box == "" {
+	if err := json.Unmarshal(data, &t); err != nil || t.Token <= 0 || t.Token > int64(end) || t.Box == "" {
 		return Term{}
 	}
 
@@ -60,7 +61,7 @@
 	if err != nil || now.Newer(known) {
 		return now, err
 	}
-	next := Term{Token: end + 1, Box: box, Boot: boot}
+	next := Term{Token: int64(end.Plus(1)), Box: box, Boot: boot}
 	data, err := json.Marshal(next)
 	if err != nil {
 		return now, errors.Wrap(err, "elect: record")
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -19,21 +19,21 @@
 
 func (t *topic) guarded() logstore.Guarded {
 	return logstore.Guarded{
-		End: func(context.Context) (int64, []byte, error) {
+		End: func(context.Context) (logstore.Place, []byte, error) {
 			n := len(t.records)
 			if n == 0 {
 				return 0, nil, nil
 			}
 
-			return int64(n), t.records[n-1], nil
+			return logstore.Place(n), t.records[n-1], nil
 		},
-		AppendAt: func(_ context.Context, end int64, rec []byte) error {
+		AppendAt: func(_ context.Context, end logstore.Place, rec []byte) error {
 			if t.race != nil {
 				race := t.race
 				t.race = nil
 				race(t)
 			}
-			if end != int64(len(t.records)) {
+			if end != logstore.Place(len(t.records)) {
 				return logstore.ErrConflict
 			}
 			t.records = append(t.records, rec)
--- a/event/event.go
+++ b/event/event.go
@@ -40,6 +40,7 @@
 	StoreLost             ID = 212
 	StoreRegained         ID = 213
 	CatalogUnreadable     ID = 214
+	StoreReturned         ID = 215
 	LeaseTaken            ID = 300
 	LeaseLost             ID = 301
 	OrderSent             ID = 302
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,8 +115,8 @@
 	if m.Layers != s.Layers {
 		m.lacksUntil = time.Time{}
 	}
-	// The list is older than what the server itself has said.
-	s.Leaving = s.Leaving || (m.standing != nil && m.standing.leaving)
+	// The list is older than what the server itself has said, and may be an older copy.
+	s.Leaving = s.Leaving || m.Leaving || (m.standing != nil && m.standing.leaving)
 	if s.Leaving && !m.Leaving {
 		m.leavingAt = f.now()
 	}
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -217,7 +217,7 @@
 func (f *Fleet) forget(id slatebridge.ServerID) {
 	f.noticed.drop(id)
 	if m := f.members[id]; m != nil {
-		m.standing = nil
+		m.standing, m.Leaving = nil, false
 	}
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -58,7 +58,7 @@
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	next, whole := int64(0), false
+	next, whole := logstore.Place(0), false
 	for ctx.Err() == nil {
 		if !f.Active() {
 			sleep(ctx, idle)
@@ -71,14 +71,14 @@
 		} else {
 			next, err = f.newest(ctx)
 		}
-		whole = err == nil || (whole && !errors.Is(err, logstore.ErrGone))
+		whole = err == nil || (whole && !lost(err))
 		if err != nil {
 			f.failed(ctx, err)
 		}
 	}
 }
 
-func (f *Follower) newest(ctx context.Context) (int64, error) {
+func (f *Follower) newest(ctx context.Context) (logstore.Place, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout(answerTime))
 	defer cancel()
 	sent := clock.Now()
@@ -92,7 +92,7 @@
 	return c.Next, nil
 }
 
-func (f *Follower) read(all context.Context, next int64) (int64, error) {
+func (f *Follower) read(all context.Context, next logstore.Place) (logstore.Place, error) {
 	wait := f.Wait
 	if f.missed {
 		// After a failure the reader wants to know at once how far it is behind.
@@ -149,7 +149,11 @@
 		return
 	}
 	f.OnError(err)
-	if errors.Is(err, logstore.ErrGone) {
+	if errors.Is(err, logstore.ErrReturned) {
+		// What is missing in the copy is written again.
+		f.regained = clock.Now()
+	}
+	if lost(err) {
 		return
 	}
 	first := !f.missed
@@ -163,6 +167,9 @@
 	sleep(ctx, f.Pause())
 }
 
+// lost reports whether the records asked for are not there any more.
+func lost(err error) bool { return errors.IsAny(err, logstore.ErrGone, logstore.ErrReturned) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -16,7 +16,7 @@
 type script struct {
 	reads  int
 	newest int
-	read   func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error)
+	read   func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error)
 }
 
 func (s *script) topic() logstore.Keyed {
@@ -26,7 +26,7 @@
 
 			return logstore.Changes{Next: 10}, nil
 		},
-		Read: func(ctx context.Context, from int64, wait time.Duration) (logstore.Changes, error) {
+		Read: func(ctx context.Context, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			s.reads++
 
 			return s.read(ctx, s.reads, from, wait)
@@ -35,7 +35,7 @@
 }
 
 // quiet answers a read after its wait, without news.
-func quiet(ctx context.Context, from int64, wait time.Duration) (logstore.Changes, error) {
+func quiet(ctx context.Context, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 	select {
 	case <-ctx.Done():
 		return logstore.Changes{}, ctx.Err()
@@ -100,13 +100,13 @@
 	return got
 }
 
-func change(key string, next int64) (logstore.Changes, error) {
+func change(key string, next logstore.Place) (logstore.Changes, error) {
 	return logstore.Changes{Entries: []logstore.Entry{{Key: key, Value: []byte("v")}}, Next: next}, nil
 }
 
 func TestFollower(t *testing.T) {
 	t.Run("news come in order, and not as the end of an outage", func(t *testing.T) {
-		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			if n <= 2 {
 				return change([]string{"a", "b"}[n-1], from+1)
 			}
@@ -119,7 +119,7 @@
 		}
 	})
 	t.Run("an answer after a failure ends an outage", func(t *testing.T) {
-		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			switch n {
 			case 1:
 				return logstore.Changes{}, logstore.ErrNotDone
@@ -135,7 +135,7 @@
 		}
 	})
 	t.Run("the time to come back runs from the end of the outage", func(t *testing.T) {
-		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			switch n {
 			case 1:
 				return logstore.Changes{}, logstore.ErrNotDone
@@ -152,7 +152,7 @@
 		}
 	})
 	t.Run("a silent store is given up, and asked again", func(t *testing.T) {
-		s := &script{read: func(ctx context.Context, _ int, _ int64, _ time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, _ int, _ logstore.Place, _ time.Duration) (logstore.Changes, error) {
 			<-ctx.Done()
 
 			return logstore.Changes{}, ctx.Err()
@@ -165,7 +165,7 @@
 
 func TestFollowerProofs(t *testing.T) {
 	t.Run("forgotten records are read anew at once", func(t *testing.T) {
-		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			if n == 1 {
 				return logstore.Changes{}, logstore.ErrGone
 			}
@@ -178,9 +178,9 @@
 		}
 	})
 	t.Run("a follower that rests makes no calls, and goes on where it was", func(t *testing.T) {
-		var last int64
+		var last logstore.Place
 		var reads atomic.Int32
-		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			last = from
 			reads.Add(1)
 			if n == 1 {
@@ -205,7 +205,7 @@
 		}
 	})
 	t.Run("the proof is never older than a wait", func(t *testing.T) {
-		s := &script{read: func(ctx context.Context, n int, from int64, wait time.Duration) (logstore.Changes, error) {
+		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			if n%2 == 0 {
 				time.Sleep(wait - time.Millisecond)
 
--- a/logstore/keyed.go
+++ b/logstore/keyed.go
@@ -14,6 +14,10 @@
 	ErrNotDone = errors.New("store: refused, nothing was done")
 	// ErrGone says that the records asked for are no longer kept.
 	ErrGone = errors.New("store: records are no longer kept")
+	// ErrReturned says that the store has come back from an older copy since the place was
+	// given out. Newest has to be read again; entries that are missing there, and were
+	// written since, are written again within about two seconds.
+	ErrReturned = errors.New("store: came back from an older copy")
 	// ErrConflict says that the condition of an append did not hold.
 	ErrConflict = errors.New("store: condition does not hold")
 )
@@ -23,7 +27,7 @@
 type Entry struct {
 	Key    string
 	Value  []byte
-	Offset int64
+	Offset Place
 }
 
 // Removed reports whether the record removes its key.
@@ -34,8 +38,8 @@
 // Changes is what one read of a keyed topic returns.
 type Changes struct {
 	Entries []Entry
-	// Next is the offset to read from next.
-	Next int64
+	// Next is the place to read from next.
+	Next Place
 }
 
 // Keyed is a topic of the store that keeps the newest record of each key. The
@@ -44,26 +48,26 @@
 	// Newest returns the newest record of every key. Changes that happened
 	// meanwhile are found by reading from Next.
 	Newest func(ctx context.Context) (Changes, error)
-	// Read returns the records from the offset on. It waits up to the given
+	// Read returns the records from the place on. It waits up to the given
 	// time for a first one. ErrGone says that Newest has to be read again.
-	Read func(ctx context.Context, from int64, wait time.Duration) (Changes, error)
+	Read func(ctx context.Context, from Place, wait time.Duration) (Changes, error)
 	// Put writes a record; nil for topics that the system may not write.
 	Put func(ctx context.Context, key string, value []byte) error
 	// PutAll writes records together, and returns where the topic ends then. nil for
 	// topics that the system may not write.
-	PutAll func(ctx context.Context, entries []Entry) (end int64, err error)
-	// PutAt writes a record if the topic still ends at the offset, and fails with
+	PutAll func(ctx context.Context, entries []Entry) (end Place, err error)
+	// PutAt writes a record if the topic still ends at the place, and fails with
 	// ErrConflict if it does not.
-	PutAt func(ctx context.Context, end int64, e Entry) error
+	PutAt func(ctx context.Context, end Place, e Entry) error
 }
 
 // Guarded is a topic to which records are appended on the condition that
 // nothing was appended meanwhile.
 type Guarded struct {
-	// End returns the offset that the next record will get, and the newest
+	// End returns the place that the next record will get, and the newest
 	// record, which is empty if there is none.
-	End func(ctx context.Context) (end int64, newest []byte, err error)
-	// AppendAt appends the record if the topic still ends at the offset, and
+	End func(ctx context.Context) (end Place, newest []byte, err error)
+	// AppendAt appends the record if the topic still ends at the place, and
 	// fails with ErrConflict if it does not.
-	AppendAt func(ctx context.Context, end int64, record []byte) error
+	AppendAt func(ctx context.Context, end Place, record []byte) error
 }
--- a/mesh/help.go
+++ b/mesh/help.go
@@ -10,6 +10,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 // Paths at which a box gives its state to others. The two parts are apart, since
@@ -33,14 +35,14 @@
 type Servers struct {
 	Entries map[string]Entry `json:"entries"`
 	// Next is the offset up to which Entries is known.
-	Next int64 `json:"next"`
+	Next logstore.Place `json:"next"`
 }
 
 // Entry is the entry of a server, and its offset in the store: the order of a server's
 // entries.
 type Entry struct {
-	Value  []byte `json:"value"`
-	Offset int64  `json:"offset"`
+	Value  []byte         `json:"value"`
+	Offset logstore.Place `json:"offset"`
 }
 
 // Document is a part of the state. It is compressed once, when it is first asked
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/elect"
+	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/relay"
 	"github.com/slatebridge/slatebridge/retry"
 )
@@ -54,8 +55,8 @@
 	// Next is the offset up to which the entries of the backend servers are
 	// known, and ServersAge how long ago they were proved to be current, in
 	// microseconds.
-	Next       int64 `cbor:"10,keyasint,omitempty"`
-	ServersAge int64 `cbor:"11,keyasint,omitempty"`
+	Next       logstore.Place `cbor:"10,keyasint,omitempty"`
+	ServersAge int64          `cbor:"11,keyasint,omitempty"`
 	// Recent are the last changes of those entries, without a gap up to Next.
 	Recent []Change `cbor:"12,keyasint,omitempty"`
 	// Reads says that the store answers the sender, as far as it knows.
@@ -79,9 +80,9 @@
 	Leavers []slatebridge.ServerID `cbor:"29,keyasint,omitempty"`
 	// Quarantine is how far the topic goes that has the requests under which servers ended.
 	// In a News, Entries are the last of them, from the offset From on.
-	Quarantine int64   `cbor:"26,keyasint,omitempty"`
-	From       int64   `cbor:"27,keyasint,omitempty"`
-	Entries    []Keyed `cbor:"28,keyasint,omitempty"`
+	Quarantine logstore.Place `cbor:"26,keyasint,omitempty"`
+	From       logstore.Place `cbor:"27,keyasint,omitempty"`
+	Entries    []Keyed        `cbor:"28,keyasint,omitempty"`
 	// Young, in a News, are requests under which a first server has just ended, as entries of
 	// the quarantine that the store does not have.
 	Young []Keyed `cbor:"30,keyasint,omitempty"`
@@ -148,7 +149,7 @@
 // Change is one change of a backend server's entry.
 type Change struct {
 	_      struct{} `cbor:",toarray"`
-	Offset int64
+	Offset logstore.Place
 	Key    string
 	Value  []byte
 	// Grace is for how many microseconds a removed server may come back, since
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -229,3 +229,14 @@
 
 	return f, nil
 }
+
+// SayAgain has other boxes told again of all that they know: what is kept of it may be lost.
+func (l *Ledger) SayAgain(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for f, s := range l.list {
+		if s.shared {
+			l.say(f, now, sayFailed)
+		}
+	}
+}
