--- a/forward/notice.go
+++ b/forward/notice.go
@@ -42,11 +42,12 @@
 // before a server spoke may have waited: for the consent to a trial, or as the path for when
 // an attempt ends.
 //
-// Load pattern: a server of three turns all away for six seconds. Its 3 s of rest, 8 s long,
-// before four boxes: no request came to it in that time, 108 before.
+// Load pattern: for eight seconds a server turns all requests away, and asks for 3 s of rest
+// each time, while the other one fails two of three. In virtual time with four boxes no request
+// reached it in a rest; 108 did before.
 func (h *Handler) barredFor(a Attempt) error {
 	id, bar := a.Server.ID, h.fleet.Barred(a.Server.ID)
-	if bar == fleet.NotBarred && len(a.Path) > 0 {
+	if len(a.Path) > 0 {
 		id, bar = h.fleet.BarredOn(a.Path)
 	}
 	if bar == fleet.NotBarred {
