What a box asks of its fleet costs what is in doubt, not all servers

Cause: a box without any work looked at all servers 130 times a second: twice each 20 ms for those in doubt, and in each round for lapsed entries, its own loads, the loads of others (by server ID, over all servers for each hall that was told of) and a whole search for a path, only to know whether all layers are there. After each change all servers were sorted again.

Ruled out: a longer pause between looks (a larger constant, and slower to find a dead server); a version counter for the whole fleet (loads change it all the time).

Change: an index has the few servers that are in doubt, leaving, without an entry or with work of this box, and finds servers by their numbers in messages. Loads of others are taken up as changes to one sum a server. The list of a service stays in order. Whether all layers are there is found by what servers hold; it stops at the first few dozen.

Test: TestIndex drives a fleet through anything in any order and compares the index, the sums and Complete with a look at all servers; seen to fail with a set, a forgetting and the answer for an unknown service broken.

--- a/box/restarts_test.go
+++ b/box/restarts_test.go
@@ -140,7 +140,7 @@
 		c.said[old] = word{dead: "b2"}
 		c.toldSure[old] = time.Now()
 		c.box.fleet.Suspect(old, time.Now().Add(time.Minute))
-		c.box.fleet.SetPeer("hall a", map[slatebridge.ServerID]fleet.Load{old: {Requests: 9}})
+		c.box.fleet.SetPeer("hall a", fleet.ByNumber(map[slatebridge.ServerID]fleet.Load{old: {Requests: 9}}))
 		s.entry(2, "q a:1")
 		if n := len(c.pending) + len(c.said) + len(c.toldSure) + len(c.box.fleet.Suspects()); n != 0 {
 			t.Errorf("%d things are still known of the earlier start", n)
--- a/box/work.go
+++ b/box/work.go
@@ -198,7 +198,7 @@
 
 // setOthers takes up the work of the other boxes of a hall.
 func (c *control) setOthers(name string, w work) {
-	c.box.fleet.SetPeer(name, c.box.fleet.ByID(w.loads))
+	c.box.fleet.SetPeer(name, w.loads)
 	c.box.handler.Budget().SetPeer(name, w.live, w.usage, w.at)
 }
 
--- a/fleet/crossing_test.go
+++ b/fleet/crossing_test.go
@@ -58,7 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 4, 8})
-				f.SetPeer("hall a", map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: v.used}})
+				f.SetPeer("hall a", ByNumber(map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: v.used}}))
 				pause := func() time.Duration {
 					f.NoteFull("a1")
 					f.NoteFull("a1")
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -34,9 +34,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []slatebridge.ServerID
-	for id, m := range f.members {
-		if m.Leaving && m.leavingAt.Before(at) {
-			out = append(out, id)
+	for m := range f.index.leaving {
+		if m.leavingAt.Before(at) {
+			out = append(out, m.ID)
 		}
 	}
 
@@ -72,6 +72,7 @@
 	fresh := f.now().After(m.suspectUntil)
 	if until.After(m.suspectUntil) {
 		m.suspectUntil = until
+		f.index.doubted.set(m, true)
 	}
 
 	return fresh
@@ -83,12 +84,13 @@
 	defer f.mu.Unlock()
 	if m, ok := f.members[id]; ok && until.After(m.sureUntil) {
 		m.sureUntil = until
+		f.index.doubted.set(m, true)
 	}
 }
 
 // SurelyDead returns the servers that two boxes have found dead.
 func (f *Fleet) SurelyDead() []slatebridge.ServerID {
-	return f.those(func(m *member, now time.Time) bool { return now.Before(m.sureUntil) && now.Before(m.suspectUntil) })
+	return f.doubted(func(m *member, now time.Time) bool { return now.Before(m.sureUntil) && now.Before(m.suspectUntil) })
 }
 
 // Trust takes back a suspicion.
@@ -97,23 +99,34 @@
 	defer f.mu.Unlock()
 	if m, ok := f.members[id]; ok {
 		m.suspectUntil, m.sureUntil = time.Time{}, time.Time{}
+		f.index.doubted.set(m, false)
 	}
 }
 
 // Suspects returns the servers that are taken as dead.
 func (f *Fleet) Suspects() []slatebridge.ServerID {
-	return f.those(func(m *member, now time.Time) bool { return now.Before(m.suspectUntil) })
+	return f.doubted(func(m *member, now time.Time) bool { return now.Before(m.suspectUntil) })
 }
 
-// those returns the servers of which something holds now.
-func (f *Fleet) those(holds func(m *member, now time.Time) bool) []slatebridge.ServerID {
+// doubted returns those of the doubted servers of which something holds now, and forgets the
+// doubts that are over.
+//
+// Load pattern: each box asks 50 times a second, with or without a stream in flight, and of
+// thousands of servers none is in doubt at most times.
+func (f *Fleet) doubted(holds func(m *member, now time.Time) bool) []slatebridge.ServerID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.index.doubted) == 0 {
+		return nil
+	}
 	now := f.now()
 	var out []slatebridge.ServerID
-	for id, m := range f.members {
-		if holds(m, now) {
-			out = append(out, id)
+	for m := range f.index.doubted {
+		switch {
+		case holds(m, now):
+			out = append(out, m.ID)
+		case now.After(m.suspectUntil) && now.After(m.sureUntil):
+			f.index.doubted.set(m, false)
 		}
 	}
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,9 +4,7 @@
 package fleet
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,9 +29,10 @@
 	all     int
 	cat     *catalog.Catalog
 	members map[slatebridge.ServerID]*member
-	// service has the members by service; nil after a member came or went, until it
-	// is needed: a start brings a thousand servers one by one.
-	service map[string][]*member
+	index   index
+	// peers is what others said last of their work, by hall and by the servers' numbers. The
+	// maps are never changed.
+	peers map[string]map[uint32]Load
 	// links is what this box lately sent between halls.
 	links map[link]use
 	ended endings
@@ -60,7 +59,8 @@
 		now:     now,
 		random:  rand.Float64,
 		members: make(map[slatebridge.ServerID]*member),
-		service: make(map[string][]*member),
+		index:   newIndex(),
+		peers:   make(map[string]map[uint32]Load),
 		links:   make(map[link]use),
 		ended:   endings{known: make(map[slatebridge.ServerID]bool)},
 		noticed: noticed{known: make(map[slatebridge.ServerID]*standing)},
@@ -113,8 +113,11 @@
 	}
 	m, ok := f.members[s.ID]
 	if !ok {
-		m = &member{number: Number(s.ID), peers: make(map[string]Load), standing: f.noticed.known[s.ID]}
+		m = &member{number: Number(s.ID), standing: f.noticed.known[s.ID]}
+		m.others = f.peersAt(m.number)
 		f.members[s.ID] = m
+	} else if m.Service != s.Service {
+		f.index.removeFromService(m)
 	}
 	if m.Layers != s.Layers {
 		m.lacksUntil = time.Time{}
@@ -129,8 +132,10 @@
 	}
 	m.Server = s
 	m.removeAt = time.Time{}
+	f.index.add(m)
+	f.index.leaving.set(m, m.Leaving)
+	f.index.lapsing.set(m, false)
 	f.describe(m)
-	f.service = nil
 }
 
 // Remove drops a server at the given time, unless its entry comes back.
@@ -143,6 +148,7 @@
 	}
 	if at.After(f.now()) {
 		m.removeAt = at
+		f.index.lapsing.set(m, true)
 
 		return
 	}
@@ -153,7 +159,7 @@
 func (f *Fleet) drop(m *member) {
 	delete(f.members, m.ID)
 	m.dropped = true
-	f.service = nil
+	f.index.remove(m)
 }
 
 // Expire drops the servers whose time to be removed has come, and returns
@@ -163,10 +169,10 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	var gone []slatebridge.ServerID
-	for id, m := range f.members {
-		if !m.removeAt.IsZero() && now.After(m.removeAt) {
+	for m := range f.index.lapsing {
+		if now.After(m.removeAt) {
 			f.drop(m)
-			gone = append(gone, id)
+			gone = append(gone, m.ID)
 		}
 	}
 
@@ -175,19 +181,7 @@
 
 // of returns the members of the service, in the order of their IDs, so that equal
 // inputs give equal choices. The caller holds mu.
-func (f *Fleet) of(service string) []*member {
-	if f.service == nil {
-		f.service = make(map[string][]*member)
-		for _, m := range f.members {
-			f.service[m.Service] = append(f.service[m.Service], m)
-		}
-		for _, list := range f.service {
-			slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
-		}
-	}
-
-	return f.service[service]
-}
+func (f *Fleet) of(service string) []*member { return f.index.service[service] }
 
 // Servers returns the entries of all servers.
 func (f *Fleet) Servers() []catalog.Server {
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -12,11 +12,9 @@
 func (f *Fleet) Loads() map[slatebridge.ServerID]Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[slatebridge.ServerID]Load)
-	for id, m := range f.members {
-		if m.own.Requests > 0 {
-			out[id] = m.own.rounded()
-		}
+	out := make(map[slatebridge.ServerID]Load, len(f.index.busy))
+	for m := range f.index.busy {
+		out[m.ID] = m.own.rounded()
 	}
 
 	return out
@@ -57,32 +55,45 @@
 	return out
 }
 
-// ByID returns the loads of the servers that are known, by their IDs.
-func (f *Fleet) ByID(loads map[uint32]Load) map[slatebridge.ServerID]Load {
+// SetPeer takes up the work in flight of others, by the numbers of the servers: of the other
+// boxes of the hall, or of all boxes of another one. A nil map says that they are gone. The
+// map must not be changed afterwards.
+func (f *Fleet) SetPeer(name string, loads map[uint32]Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[slatebridge.ServerID]Load, len(loads))
-	for id, m := range f.members {
-		if l, ok := loads[m.number]; ok {
-			out[id] = l
+	before := f.peers[name]
+	for n, l := range before {
+		if _, ok := loads[n]; !ok {
+			f.shift(n, l, Load{})
+		}
+	}
+	for n, l := range loads {
+		if before[n] != l {
+			f.shift(n, before[n], l)
 		}
 	}
+	if loads == nil {
+		delete(f.peers, name)
+	} else {
+		f.peers[name] = loads
+	}
+}
 
-	return out
+// shift changes a part of the others' work at the servers with the number. The caller holds mu.
+func (f *Fleet) shift(number uint32, from, to Load) {
+	for _, m := range f.index.number[number] {
+		m.others = m.others.Plus(to.Minus(from))
+	}
 }
 
-// SetPeer takes up the work in flight of others: of the other boxes of the hall,
-// or of all boxes of another one. A nil map says that they are gone.
-func (f *Fleet) SetPeer(name string, loads map[slatebridge.ServerID]Load) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for id, m := range f.members {
-		if l, ok := loads[id]; ok {
-			m.peers[name] = l
-		} else {
-			delete(m.peers, name)
-		}
+// peersAt returns the others' work at the servers with the number. The caller holds mu.
+func (f *Fleet) peersAt(number uint32) Load {
+	var sum Load
+	for _, loads := range f.peers {
+		sum = sum.Plus(loads[number])
 	}
+
+	return sum
 }
 
 // Hold is work that was reserved at servers.
@@ -112,6 +123,7 @@
 	for id, l := range parts {
 		if m, ok := f.members[id]; ok {
 			m.own = m.own.Plus(l)
+			f.index.busy.set(m, true)
 			m.noteRecent(l, now)
 			m.standing.noteBegun(now)
 			h.parts = append(h.parts, heldPart{m, l})
@@ -130,6 +142,9 @@
 	defer h.fleet.mu.Unlock()
 	for _, p := range h.parts {
 		p.member.own = p.member.own.Minus(p.load)
+		if p.member.own.Requests <= 0 {
+			h.fleet.index.busy.set(p.member, false)
+		}
 	}
 	h.parts = nil
 }
@@ -142,12 +157,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []slatebridge.ServerID
-	for id, m := range f.members {
-		if slices.Contains(numbers, m.number) {
-			out = append(out, id)
+	for _, n := range numbers {
+		for _, m := range f.index.number[n] {
+			out = append(out, m.ID)
 		}
 	}
 	slices.Sort(out)
 
-	return out
+	return slices.Compact(out)
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -16,8 +16,8 @@
 	card   catalog.Card
 	// own is the work that this box has in flight at the server.
 	own Load
-	// peers is what others said last of their work there, by hall.
-	peers map[string]Load
+	// others is the work there of all other boxes, as they said last.
+	others Load
 	// recent is the work that this box gave the server lately, fading since
 	// recentAt.
 	recent   Load
@@ -89,14 +89,7 @@
 	return Load{Requests: math.Round(l.Requests), TokenLayers: math.Round(l.TokenLayers), First: math.Round(l.First)}
 }
 
-func (m *member) load() Load {
-	sum := m.own
-	for _, l := range m.peers {
-		sum = sum.Plus(l)
-	}
-
-	return sum
-}
+func (m *member) load() Load { return m.own.Plus(m.others) }
 
 // newsTime is how long the work of other boxes of the hall is not known yet.
 const newsTime = 750 * time.Millisecond
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -91,6 +91,7 @@
 		return
 	}
 	m.Leaving, m.leavingAt = true, now
+	f.index.leaving.set(m, true)
 }
 
 // NoteTaken notes that servers have taken a request. One that rested before gets more.
@@ -128,6 +129,7 @@
 	f.noticed.drop(id)
 	if m := f.members[id]; m != nil {
 		m.standing, m.Leaving = nil, false
+		f.index.leaving.set(m, false)
 	}
 }
 
@@ -148,5 +150,12 @@
 
 // Leaving returns the servers that are leaving, by their own word or the list.
 func (f *Fleet) Leaving() []slatebridge.ServerID {
-	return f.those(func(m *member, _ time.Time) bool { return m.Leaving })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []slatebridge.ServerID
+	for m := range f.index.leaving {
+		out = append(out, m.ID)
+	}
+
+	return out
 }
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -140,12 +140,3 @@
 
 	return nil, nil, short
 }
-
-// Complete reports whether every layer of the service's model is on some
-// server that may be used, now or after its rest.
-func (f *Fleet) Complete(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.search(Query{Service: service, resting: true}, false) != nil
-}
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -95,7 +95,7 @@
 	})
 	t.Run("work of other boxes counts", func(t *testing.T) {
 		f := newTestFleet(two[:2]...)
-		f.SetPeer("box 2", map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: 3600}})
+		f.SetPeer("box 2", ByNumber(map[slatebridge.ServerID]Load{"a1": {Requests: 1, TokenLayers: 3600}}))
 		wantPath(t, f, Query{Tokens: 800}, "none: 2")
 		f.SetPeer("box 2", nil)
 		wantPath(t, f, Query{Tokens: 800}, "a1[0,4)>a2[4,8)")
@@ -108,13 +108,13 @@
 			f.Set(s)
 		}
 		// a1 has less memory in use, but more requests that began there.
-		f.SetPeer("box 2", map[slatebridge.ServerID]Load{"a1": {TokenLayers: 100, First: 9}, "a3": {TokenLayers: 600, First: 1}})
+		f.SetPeer("box 2", ByNumber(map[slatebridge.ServerID]Load{"a1": {TokenLayers: 100, First: 9}, "a3": {TokenLayers: 600, First: 1}}))
 		wantPath(t, f, Query{Tokens: 10}, "a3[0,4)>a2[4,8)")
 	})
 	t.Run("what others give at the same time is expected, and fades", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(two...)
-			f.SetPeer("box 2", map[slatebridge.ServerID]Load{"b1": {TokenLayers: 1000}, "b2": {TokenLayers: 1000}})
+			f.SetPeer("box 2", ByNumber(map[slatebridge.ServerID]Load{"b1": {TokenLayers: 1000}, "b2": {TokenLayers: 1000}}))
 			wantPath(t, f, Query{Tokens: 30}, "a1[0,4)>a2[4,8)")
 			f.SetOthers(20, 20)
 			wantPath(t, f, Query{Tokens: 30}, "b1[0,4)>b2[4,8)")
@@ -275,7 +275,7 @@
 	})
 	t.Run("a server that has no room is left out", func(t *testing.T) {
 		f := newTestFleet(servers...)
-		f.SetPeer("box 2", map[slatebridge.ServerID]Load{"a4": {Requests: 1, TokenLayers: 3900}})
+		f.SetPeer("box 2", ByNumber(map[slatebridge.ServerID]Load{"a4": {Requests: 1, TokenLayers: 3900}}))
 		wantRepair(t, f, without("a2"), path(t, f), "none: 2")
 	})
 	t.Run("the new path holds its memory", func(t *testing.T) {
--- a/lab/box.go
+++ b/lab/box.go
@@ -82,7 +82,7 @@
 			if hall == b.hall {
 				loads, usage, n = less(h.loads, b.fleet.Loads()), retry.Less(h.usage, b.budget.Usage(now)), h.boxes-1
 			}
-			b.fleet.SetPeer(string(hall), loads)
+			b.fleet.SetPeer(string(hall), fleet.ByNumber(loads))
 			b.budget.SetPeer(string(hall), n, usage, now)
 		}
 	}
