The entries of servers are copied when a box asks for them

Cause: each box copied all entries of servers for other boxes whenever it took up a change, and hardly any box is ever asked. While 2,844 servers load their layers at a start each box takes up some 500 changes a second in several messages, each time with a copy of 3,000 entries.

Ruled out: copies at most every so often (a larger constant, and stale answers).

Change: the entries stand in a table of their own; the copy is made when a box asks, once for each state. The configuration's copy is a document of its own, so that one question does not make the other's answer.

--- a/box/box.go
+++ b/box/box.go
@@ -107,8 +107,10 @@
 	socket *mesh.Socket
 
 	state atomic.Pointer[forward.State]
-	help  atomic.Pointer[mesh.Help]
-	ready atomic.Bool
+	// configCopy and entries are what other boxes can ask for.
+	configCopy atomic.Pointer[mesh.Document]
+	entries    *entryTable
+	ready      atomic.Bool
 	// status is what operators see.
 	status atomic.Pointer[Status]
 }
@@ -122,7 +124,7 @@
 	b := &Box{
 		settings: s, platform: p, logger: logger, client: client,
 		boot: newBoot(), started: clock.Now(),
-		fleet: fleet.New(s.Hall, clock.Now), metrics: newMetrics(reg),
+		fleet: fleet.New(s.Hall, clock.Now), entries: newEntryTable(), metrics: newMetrics(reg),
 	}
 	if s.FirstStart && !slices.Contains(s.Seeds, s.Listen.Mesh) {
 		// Others read the store. Each call has a price, and hundreds of boxes start
@@ -134,7 +136,6 @@
 	b.grants = newGrants(b)
 	b.serversAt.Store(&time.Time{})
 	b.state.Store(&forward.State{Boxes: 1})
-	b.help.Store(&mesh.Help{})
 	b.status.Store(&Status{})
 	b.handler = forward.New(forward.Config{
 		Wire: p.Wire, Fleet: b.fleet, Client: client, Servers: p.Calls,
@@ -181,7 +182,7 @@
 
 // HelpHandler serves other boxes that cannot reach the store.
 func (b *Box) HelpHandler() http.Handler {
-	return mesh.HelpHandler(func() mesh.Help { return *b.help.Load() })
+	return mesh.HelpHandler(mesh.Help{Config: b.configCopy.Load, Servers: b.entries.document})
 }
 
 // Ready reports whether the box can serve callers.
--- a/box/control.go
+++ b/box/control.go
@@ -34,14 +34,10 @@
 	settings Settings
 
 	catalog *catalog.Catalog
-	raw     []byte
 	current time.Time
-	// helpVersion is the version of the configuration that other boxes are given.
-	helpVersion int64
-	// entries are the entries of the servers as the store has them, up to the
-	// offset next. recent are the last changes, without a gap up to next.
-	entries map[string]mesh.Entry
-	next    logstore.Place
+	// next is the offset up to which the entries of the servers are known, which
+	// box.entries has. recent are the last changes, without a gap up to next.
+	next logstore.Place
 	// byName are the servers that the entries name, by the names of the entries.
 	byName map[string]listed
 	// restarts are the servers that were lately found to have started again.
@@ -154,7 +150,6 @@
 func newControl(ctx context.Context, b *Box) *control {
 	return &control{
 		box: b, ctx: ctx, settings: b.settings, savedAt: clock.Now(),
-		entries:   make(map[string]mesh.Entry),
 		left:      make(map[string]time.Time),
 		byName:    make(map[string]listed),
 		firstSeen: make(map[slatebridge.ServerID]time.Time),
--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -25,7 +25,7 @@
 // decoded by the given function.
 func testControl(decode func(e logstore.Entry) (catalog.Server, error)) *control {
 	return newControl(context.Background(), &Box{
-		fleet: fleet.New("a", time.Now), logger: zap.NewNop(), platform: Platform{DecodeServer: decode},
+		fleet: fleet.New("a", time.Now), entries: newEntryTable(), logger: zap.NewNop(), platform: Platform{DecodeServer: decode},
 	})
 }
 
--- a/box/servers.go
+++ b/box/servers.go
@@ -45,15 +45,16 @@
 	if m.fromStore && c.provedThroughout(clock.Now()) {
 		m.grace = 0
 	}
-	if m.whole {
-		c.replaceServers(m)
-	} else {
-		c.changeServers(m)
-	}
+	c.box.entries.change(m.next, func() {
+		if m.whole {
+			c.replaceServers(m)
+		} else {
+			c.changeServers(m)
+		}
+	})
 	c.next, c.changedAt = m.next, clock.Now()
 	c.taken += len(m.entries)
 	c.publish()
-	c.publishHelp()
 	if m.fromStore {
 		c.pushNews()
 	}
@@ -92,7 +93,7 @@
 		seen[e.Key] = true
 		c.setServer(e, m.fromStore && c.next > 0)
 	}
-	for key := range c.entries {
+	for key := range c.box.entries.list {
 		if !seen[key] {
 			c.removeServer(key, m.grace)
 		}
@@ -126,12 +127,12 @@
 // the store logs it: hundreds of boxes hear of each, and their lines made most of
 // 58 MB in 50 s of 295 boxes.
 func (c *control) setServer(e logstore.Entry, read bool) {
-	before, known := c.entries[e.Key]
+	before, known := c.box.entries.list[e.Key]
 	if known && e.Offset < before.Offset {
 		return
 	}
 	delete(c.left, e.Key)
-	c.entries[e.Key] = mesh.Entry{Value: e.Value, Offset: e.Offset}
+	c.box.entries.list[e.Key] = mesh.Entry{Value: e.Value, Offset: e.Offset}
 	if known && string(before.Value) == string(e.Value) {
 		return
 	}
@@ -235,10 +236,10 @@
 // removeServer drops a server. Entries also lapse while the store is away, so
 // after an outage a server has some time to come back.
 func (c *control) removeServer(key string, grace time.Duration) {
-	if _, known := c.entries[key]; !known {
+	if _, known := c.box.entries.list[key]; !known {
 		return
 	}
-	delete(c.entries, key)
+	delete(c.box.entries.list, key)
 	server, known := c.byName[key]
 	if !known {
 		return
--- a/box/store.go
+++ b/box/store.go
@@ -1,7 +1,6 @@
 package box
 
 import (
-	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,13 +20,13 @@
 
 		return
 	}
-	c.catalog, c.raw = m.catalog, m.raw
+	c.catalog = m.catalog
 	clear(c.improved)
 	c.box.fleet.SetCatalog(m.catalog)
 	c.box.metrics.configVersion(m.catalog.Version)
 	event.Log(c.box.logger, event.CatalogTaken, zap.Int64("version", m.catalog.Version), zap.String("from", m.from))
 	c.publish()
-	c.publishHelp()
+	c.box.configCopy.Store(mesh.NewConfig(m.raw))
 	c.pushConfig(clock.Now())
 }
 
@@ -55,17 +54,6 @@
 	c.box.state.Store(&forward.State{Catalog: c.catalog, Current: c.current, Boxes: c.boxesForBudget(), Informed: c.catalog != nil && len(c.byName) > 0})
 }
 
-func (c *control) publishHelp() {
-	h := *c.box.help.Load()
-	if c.raw != nil && (h.Config == nil || c.helpVersion != c.catalog.Version) {
-		h.Config, c.helpVersion = mesh.NewConfig(c.raw), c.catalog.Version
-	}
-	if c.next > 0 {
-		h.Servers = mesh.NewServers(mesh.Servers{Entries: maps.Clone(c.entries), Next: c.next})
-	}
-	c.box.help.Store(&h)
-}
-
 func (c *control) onStoreFailed(m *storeFailed) {
 	c.box.metrics.storeCall(m.topic, m.err)
 	if !c.storeDown[m.topic] {
--- a/mesh/help.go
+++ b/mesh/help.go
@@ -25,10 +25,10 @@
 const maxHelp = 16 << 20
 
 // Help is the state that a box gives to one that cannot reach the store, as it
-// came from there.
+// came from there. Each part is nil as long as nothing is known.
 type Help struct {
-	Config  *Document
-	Servers *Document
+	Config  func() *Document
+	Servers func() *Document
 }
 
 // Servers are the entries of all servers.
@@ -88,10 +88,10 @@
 }
 
 // HelpHandler serves the state.
-func HelpHandler(state func() Help) http.Handler {
+func HelpHandler(h Help) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) { serve(w, state().Config) })
-	mux.HandleFunc("GET "+serversPath, func(w http.ResponseWriter, _ *http.Request) { serve(w, state().Servers) })
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) { serve(w, h.Config()) })
+	mux.HandleFunc("GET "+serversPath, func(w http.ResponseWriter, _ *http.Request) { serve(w, h.Servers()) })
 
 	return mux
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -53,8 +53,8 @@
 }
 
 func TestHelp(t *testing.T) {
-	help := Help{}
-	srv := httptest.NewServer(HelpHandler(func() Help { return help }))
+	var known, listed *Document
+	srv := httptest.NewServer(HelpHandler(Help{Config: func() *Document { return known }, Servers: func() *Document { return listed }}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
 	t.Run("a box that knows nothing says so", func(t *testing.T) {
@@ -63,7 +63,7 @@
 		}
 	})
 	servers := Servers{Entries: map[string]Entry{"s-1": {Value: []byte("{}"), Offset: 5}}, Next: 7}
-	help = Help{Config: NewConfig([]byte(`{"version":3}`)), Servers: NewServers(servers)}
+	known, listed = NewConfig([]byte(`{"version":3}`)), NewServers(servers)
 	t.Run("the parts come as they are", func(t *testing.T) {
 		cfg, err := AskConfig(t.Context(), srv.Client(), address)
 		if diff := cmp.Diff(`{"version":3}`, string(cfg)); diff != "" || err != nil {
