A box without work wakes up when something is due

Cause: a box with nothing to do woke up some 90 times a second: 50 looks at streams that it did not have, and three followers that asked ten times a second each whether the store had to be read. A box of the whole fleet has a request every four seconds.

Ruled out: longer pauses for all (a dead server would be found later, and a hall's reader replaced later).

Change: the watch looks every 20 ms while a request is served or a server asked, from its first moment on, and four times a second otherwise. A follower says after which time it has to read, sleeps for that, and is woken when this box becomes the reader of its hall, when a hall is not heard any more, when the topic of the quarantine goes further than messages told, and after a suspension.

--- a/box/away.go
+++ b/box/away.go
@@ -27,6 +27,7 @@
 	c.dropOrders()
 	c.returnedAt = now
 	c.box.platform.DropIdle()
+	c.box.wakeFollowers()
 	c.publish()
 	c.judgeReady(now)
 }
--- a/box/box.go
+++ b/box/box.go
@@ -280,11 +280,16 @@
 	var own atomic.Pointer[time.Time]
 	own.Store(&time.Time{})
 
-	return &follow.Follower{
+	return follow.New(follow.Follower{
 		Topic: topic,
 		Wait:  time.Duration(waitShare * news),
-		Active: func() bool {
-			return b.reader.Load() || clock.Since(later(later(at(), *own.Load()), b.waitedFrom)) > time.Duration(selfShare*news)+time.Duration(b.patience.Load())
+		Due: func() time.Duration {
+			if b.reader.Load() {
+				return 0
+			}
+			proved := later(later(at(), *own.Load()), b.waitedFrom)
+
+			return time.Duration(selfShare*news) + time.Duration(b.patience.Load()) - clock.Since(proved)
 		},
 		Pause: func() time.Duration {
 			if b.reader.Load() {
@@ -299,6 +304,15 @@
 			b.tell(&storeAnswered{name})
 		},
 		OnError: func(err error) { b.tell(&storeFailed{topic: name, err: err}) },
+	})
+}
+
+// wakeFollowers has the followers look whether they must read.
+func (b *Box) wakeFollowers() {
+	for _, f := range []*follow.Follower{b.config, b.servers, b.quarantine.follower} {
+		if f != nil {
+			f.Wake()
+		}
 	}
 }
 
--- a/box/control.go
+++ b/box/control.go
@@ -243,7 +243,9 @@
 	c.expirePeers(now)
 	c.box.grants.see(c.allocators(now))
 	c.gossip(now)
-	c.box.reader.Store(c.readsForHall(now))
+	if reads := c.readsForHall(now); c.box.reader.Swap(reads) != reads {
+		c.box.wakeFollowers()
+	}
 	c.box.patience.Store(int64(c.patience(now)))
 	c.askForHelp(now)
 	c.noteApart()
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -41,9 +41,10 @@
 // to know them. What was written also goes in messages, so that not every box reads it: each
 // call to the store has a price.
 type sharedLedger struct {
-	box    *Box
-	ledger *quarantine.Ledger
-	topic  logstore.Keyed
+	box      *Box
+	ledger   *quarantine.Ledger
+	topic    logstore.Keyed
+	follower *follow.Follower
 
 	mu sync.Mutex
 	// next is up to which offset the topic is known, heard how far it is known to go, and
@@ -57,24 +58,32 @@
 }
 
 func newSharedLedger(b *Box) *sharedLedger {
-	return &sharedLedger{box: b, ledger: quarantine.New(), topic: b.platform.Quarantine}
+	s := &sharedLedger{box: b, ledger: quarantine.New(), topic: b.platform.Quarantine}
+	s.follower = s.newFollower()
+
+	return s
 }
 
 // run follows the topic and tells the others what this box finds, until ctx ends.
 func (s *sharedLedger) run(ctx context.Context) {
 	go s.share(ctx)
-	f := &follow.Follower{
+	s.follower.Run(ctx)
+}
+
+func (s *sharedLedger) newFollower() *follow.Follower {
+	f := follow.New(follow.Follower{
 		// News come at once, and each call has a price.
-		Topic: s.topic, Wait: s.box.settings.Bounds.News, Active: s.due,
+		Topic: s.topic, Wait: s.box.settings.Bounds.News, Due: s.due,
 		Pause:     func() time.Duration { return otherPause },
 		OnCurrent: func(time.Time) { s.noteRead() },
 		OnError:   func(err error) { s.box.metrics.storeCall(topicQuarantine, err) },
-	}
+	})
 	f.OnNewest = func(c logstore.Changes, _ time.Duration) { s.learn(0, c.Next, c.Entries) }
 	f.OnChanges = func(c logstore.Changes, _ time.Duration) {
 		s.learn(c.Next.Plus(-len(c.Entries)), c.Next, c.Entries)
 	}
-	f.Run(ctx)
+
+	return f
 }
 
 func (s *sharedLedger) noteRead() {
@@ -84,10 +93,10 @@
 	s.read = true
 }
 
-// due reports whether the topic has to be read: it goes further than messages have told.
+// due returns after which time the topic has to be read: it goes further than messages have told.
 // The box that reads the store for its hall also reads it at its start, and while some hall
 // is not heard.
-func (s *sharedLedger) due() bool {
+func (s *sharedLedger) due() time.Duration {
 	reader := s.box.reader.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,12 +106,18 @@
 			wait = readerBehind
 		}
 
-		return clock.Since(s.behindAt) >= wait
+		return wait - clock.Since(s.behindAt)
+	}
+	if reader && (!s.read || s.apart) {
+		return 0
 	}
 
-	return reader && (!s.read || s.apart)
+	return notDue
 }
 
+// notDue is returned by due while nothing shows that the topic has to be read.
+const notDue = time.Hour
+
 // learn takes up the records from one offset to the other, if all before them are known,
 // and has the other boxes told of them if they are news here.
 func (s *sharedLedger) learn(from, to logstore.Place, entries []logstore.Entry) {
@@ -119,7 +134,11 @@
 	case s.behindAt.IsZero():
 		s.behindAt = clock.Now()
 	}
+	behind := s.heard > s.next
 	s.mu.Unlock()
+	if behind {
+		s.follower.Wake()
+	}
 	if known {
 		s.take(entries)
 	} else {
@@ -384,5 +403,8 @@
 	s := c.box.quarantine
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apart = apart || c.liveBoxes() == 1
+	if apart = apart || c.liveBoxes() == 1; apart != s.apart {
+		s.apart = apart
+		s.follower.Wake()
+	}
 }
--- a/box/quarantine_test.go
+++ b/box/quarantine_test.go
@@ -53,15 +53,15 @@
 				if n := len(s.ledger.Suspects(time.Now())); n != v.suspects {
 					t.Errorf("%d suspects, want %d", n, v.suspects)
 				}
-				if s.due() {
+				if s.due() <= 0 {
 					t.Error("it reads at once")
 				}
 				time.Sleep(max(v.due, time.Second))
-				if s.due() != (v.due > 0) {
-					t.Errorf("it reads: %t", s.due())
+				if (s.due() <= 0) != (v.due > 0) {
+					t.Errorf("it reads: %t", s.due() <= 0)
 				}
 				s.learn(0, 2, []logstore.Entry{})
-				if s.due() {
+				if s.due() <= 0 {
 					t.Error("it reads what it knows")
 				}
 			})
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -24,8 +24,9 @@
 	// meanwhile have to come back. The platform's servers need about two seconds;
 	// one that left must get nothing after two.
 	returnTime = 1900 * time.Millisecond
-	// idle is how often a Follower that need not read looks whether it must.
-	idle = 100 * time.Millisecond
+	// mostIdle is the longest time after which a Follower that need not read looks whether it
+	// must, should nobody wake it.
+	mostIdle = 500 * time.Millisecond
 )
 
 // Follower follows one topic. Its functions are called by one goroutine.
@@ -34,9 +35,10 @@
 	// Wait is how long one read waits for news; news come at once. It is the
 	// age of the proof just before the next answer. Each call has a price.
 	Wait time.Duration
-	// Active reports whether the topic has to be read: others may be reading
-	// it for this process.
-	Active func() bool
+	// Due returns after which time the topic has to be read; zero stands for now. Others may
+	// be reading it for this process. It is asked again once that time is over, or Wake is
+	// called.
+	Due func() time.Duration
 	// Pause returns the pause after a call that failed.
 	Pause func() time.Duration
 	// OnNewest receives the whole content: at the start, and again after
@@ -54,14 +56,31 @@
 	missed bool
 	// regained is when the last outage ended.
 	regained time.Time
+	// woken has an element while the Follower is to look whether it must read.
+	woken chan struct{}
+}
+
+// New returns f, which Wake may be called on before it runs.
+func New(f Follower) *Follower {
+	f.woken = make(chan struct{}, 1)
+
+	return &f
+}
+
+// Wake has the Follower ask at once when it has to read.
+func (f *Follower) Wake() {
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	next, whole := logstore.Place(0), false
 	for ctx.Err() == nil {
-		if !f.Active() {
-			sleep(ctx, idle)
+		if left := f.Due(); left > 0 {
+			f.rest(ctx, min(left, mostIdle))
 
 			continue
 		}
@@ -169,6 +188,17 @@
 // lost reports whether the records asked for are not there any more.
 func lost(err error) bool { return errors.IsAny(err, logstore.ErrGone, logstore.ErrReturned) }
 
+// rest sleeps for some time, or until the Follower is woken.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.woken:
+	case <-t.C:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -55,8 +55,11 @@
 type probe struct {
 	errors  atomic.Int32
 	current atomic.Pointer[time.Time]
-	// resting makes the follower rest.
+	// resting makes the follower rest, asked counts how often it asked whether to, and wake
+	// has it ask again.
 	resting atomic.Bool
+	asked   atomic.Int32
+	wake    func()
 }
 
 // wait is how long the reads of the tests wait for news.
@@ -70,13 +73,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
-		f := &Follower{
-			Topic:    s.topic(),
-			Wait:     wait,
-			Active:   func() bool { return !p.resting.Load() },
+		f := New(Follower{
+			Topic: s.topic(),
+			Wait:  wait,
+			Due: func() time.Duration {
+				p.asked.Add(1)
+				if p.resting.Load() {
+					return time.Hour
+				}
+
+				return 0
+			},
 			Pause:    func() time.Duration { return 300 * time.Millisecond },
 			OnNewest: func(logstore.Changes, time.Duration) {},
-		}
+		})
+		p.wake = f.Wake
 		f.OnChanges = func(c logstore.Changes, grace time.Duration) {
 			for _, e := range c.Entries {
 				got.Changes = append(got.Changes, e.Key)
@@ -193,12 +204,21 @@
 			time.Sleep(time.Second)
 			p.resting.Store(true)
 			time.Sleep(time.Second)
-			before := reads.Load()
+			before, asked := reads.Load(), p.asked.Load()
 			time.Sleep(9 * time.Second)
 			if n := reads.Load(); n != before {
 				t.Errorf("%d reads while resting", n-before)
 			}
+			if n, most := p.asked.Load()-asked, int32(9*time.Second/mostIdle); n > most {
+				t.Errorf("asked %d times whether to read, want %d at most", n, most)
+			}
+			time.Sleep(time.Millisecond)
 			p.resting.Store(false)
+			p.wake()
+			time.Sleep(time.Millisecond)
+			if n := reads.Load(); n != before+1 {
+				t.Errorf("%d reads at once after it was woken, want 1", n-before)
+			}
 		})
 		if last != 11 {
 			t.Errorf("the last read is from %d, want 11", last)
--- a/forward/ask.go
+++ b/forward/ask.go
@@ -196,6 +196,7 @@
 	q = &question{at: clock.Now(), done: make(chan struct{})}
 	h.runs.questions[s.ID] = q
 	h.runs.mu.Unlock()
+	defer h.work.begin()()
 	for range mostAsked {
 		began := clock.Now()
 		q.report, q.err = h.report(ctx, s)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -124,6 +124,7 @@
 	budget  *retry.Budget
 	runs    *runs
 	drain   drainState
+	work    underWay
 	started time.Time
 	// others is how many other boxes of the hall are heard, and crowd the longest
 	// jitter.
@@ -186,7 +187,7 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: retry.New(c.Bounds.Retry, retry.WithStart(clock.Now())), runs: newRuns(), onDoubt: c.OnDoubt, onRestart: c.OnRestart, onLeaving: c.OnLeaving,
+		budget: retry.New(c.Bounds.Retry, retry.WithStart(clock.Now())), runs: newRuns(), work: underWay{began: make(chan struct{}, 1)}, onDoubt: c.OnDoubt, onRestart: c.OnRestart, onLeaving: c.OnLeaving,
 		started: clock.Now(), seen: newObserved(), doubted: make(chan slatebridge.ServerID, mostDoubted),
 		ledger: c.Ledger, trial: c.Trial, grants: c.Grants, onLimit: c.OnLimit,
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -75,6 +75,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.drain.inFlight.Add(1)
 	defer h.drain.inFlight.Add(-1)
+	defer h.work.begin()()
 	if h.drain.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// watchEvery is the pause between two looks at the streams in flight.
+	// watchEvery is the pause between two looks at the streams in flight, and idleEvery while
+	// nothing is under way.
 	watchEvery = 20 * time.Millisecond
+	idleEvery  = 250 * time.Millisecond
 	// silenceShare is the part of the pause that its route allows for which a
 	// running stream may be silent before its servers are asked: to find a dead
 	// one, and for another to read all tokens, takes the rest. Events come every
@@ -104,25 +106,33 @@
 // Watch looks after the streams in flight until ctx ends: those that make no
 // progress are moved away from servers that are dead.
 func (h *Handler) Watch(ctx context.Context) {
-	tick := time.NewTicker(watchEvery)
+	tick := time.NewTicker(idleEvery)
 	defer tick.Stop()
-	w := &watcher{h: h, last: clock.Now(), away: clock.Away(), endings: h.fleet.Endings()}
+	w := &watcher{h: h, every: idleEvery, last: clock.Now(), away: clock.Away(), endings: h.fleet.Endings()}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case id := <-h.doubted:
 			go h.verify(ctx, id)
+		case <-h.work.began:
+			w.last = clock.Now()
+			w.look(ctx, w.last)
 		case <-tick.C:
 			w.look(ctx, clock.Now())
 		}
+		if w.pace() {
+			tick.Reset(w.every)
+		}
 	}
 }
 
 // watcher is what Watch knows from its last look.
 type watcher struct {
-	h    *Handler
-	last time.Time
+	h *Handler
+	// every is the pause between two looks, and last when the last one was.
+	every time.Duration
+	last  time.Time
 	// away is for how long the machine had been suspended, and endings how many starts of
 	// servers had ended.
 	away    time.Duration
@@ -130,10 +140,24 @@
 	looks   int
 }
 
+// pace chooses the pause until the next look, and reports whether it is another one than before.
+//
+// Load pattern: a thousand boxes of which each has a request every four seconds. What a box does
+// while it has none is most of what it does.
+func (w *watcher) pace() bool {
+	before := w.every
+	w.every = watchEvery
+	if w.h.work.idle() {
+		w.every = idleEvery
+	}
+
+	return w.every != before
+}
+
 // look looks once at all streams in flight.
 func (w *watcher) look(ctx context.Context, now time.Time) {
 	h := w.h
-	if now.Sub(w.last) > watchEvery+stallLag {
+	if now.Sub(w.last) > w.every+stallLag {
 		h.stalledAt.Store(now.UnixNano())
 	}
 	w.last = now
@@ -145,8 +169,12 @@
 		w.endings = n
 		h.leaveEnded(ctx)
 	}
+	runs := h.runs.all()
+	if len(runs) == 0 {
+		return
+	}
 	d := doubts{suspects: h.fleet.Suspects(), sure: h.fleet.SurelyDead()}
-	for _, r := range h.runs.all() {
+	for _, r := range runs {
 		if r.due(now, d) {
 			go h.check(ctx, r)
 		}
