A server that closed a stream's connection and refuses new ones has ended

With the pool the retries were there, and 3 or 4 of 48 streams were broken off all the same: they had run at two servers, the most that they may, and both had ended within 0.3 s. A server at which a stream made progress within 2 s counts as alive, since one that leaves refuses connections as well and serves on. So another attempt could begin at these two only, for longer than callers wait.

Ruled out: a shorter time (a slow box would run the request on more servers than it may).

Change: where a server closed the connection under the stream itself and refuses new ones, it has ended: one that leaves finishes what it has.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -65,6 +65,8 @@
 	// paid says that no retry is to be taken out of the budget for the next attempt: it was, or
 	// nothing was sent that the next one would repeat.
 	paid bool
+	// closed are the servers that closed the connection under the stream.
+	closed []slatebridge.ServerID
 	// withheld counts the attempts that were not sent.
 	withheld int
 	// queued says that there was no path but ones that begin at limited servers, for one of
@@ -198,7 +200,7 @@
 		// that it wants no more.
 		hold.Release()
 	}
-	firsts := t.h.mayBeginAt(t.ran, t.c.route.MaxServers)
+	firsts := t.h.mayBeginAt(t.mayRunOn(), t.c.route.MaxServers)
 	q := fleet.Query{Service: t.c.service, Tokens: t.tokens(), Avoid: slices.Concat(t.avoid, taken), Alone: suspected}
 	path, hold, short := t.h.fleet.PathFrom(q, firsts)
 	if path == nil && t.mayQueue() {
@@ -220,6 +222,20 @@
 	return limited && (!t.queued || t.headSent)
 }
 
+// mayRunOn returns the servers that have run the stream and may do so still. One that closed the
+// connection under it and refuses new ones has ended; one that leaves refuses them as well, but
+// finishes what it has.
+//
+// Load pattern: a server ends, and 0.3 s later the one to which its streams went on. Neither is
+// known for sure to have ended within the time for which callers wait.
+func (t *streamTry) mayRunOn() []slatebridge.ServerID {
+	return slices.DeleteFunc(slices.Clone(t.ran), func(id slatebridge.ServerID) bool {
+		refuses, _ := t.h.runs.hasEnded(id)
+
+		return refuses && slices.Contains(t.closed, id)
+	})
+}
+
 // mayBeginAt returns the servers at which another attempt may begin, when the
 // request has been at the given ones and may run at most servers; nil stands
 // for any. Servers that
@@ -302,6 +318,9 @@
 		return true
 	}
 	end.reason = err
+	if brokeOff(err) {
+		t.closed = append(t.closed, first.ID)
+	}
 	t.noteBroken(ctx, path, r, err)
 
 	return gone(t.ctx)
