Loads that messages tell are taken up in place

Cause: each of the eight messages a second from relays made a new map of the loads of a hall's servers, a sixth of which it tells, and the fleet kept one map for each.

Ruled out: parts as maps of their own (they are divided anew whenever their number changes).

Change: the control actor keeps one map a hall and relay, and the fleet one of its own, and both change what the message tells. A relay tells nothing of a hall of which it knows no work yet; it told of work of no time before.

Test: the sums and parts of TestWork, through take.

--- a/box/control.go
+++ b/box/control.go
@@ -84,7 +84,7 @@
 	// boxes of the hall as far as it is known, and farWork that of the other halls.
 	reported work
 	hallWork work
-	farWork  map[slatebridge.HallID]work
+	farWork  map[slatebridge.HallID]*work
 	// nearBoxes is how many boxes of the hall may be using the retry budget, as was
 	// known at nearBoxesAt.
 	nearBoxes   int
@@ -157,7 +157,7 @@
 		returned:  make(map[slatebridge.HallID]time.Time),
 		improved:  make(map[string]bool),
 		storeDown: make(map[string]bool), storeDownAt: make(map[string]time.Time),
-		farWork: make(map[slatebridge.HallID]work), said: make(map[slatebridge.ServerID]word), toldSure: make(map[slatebridge.ServerID]time.Time),
+		farWork: make(map[slatebridge.HallID]*work), said: make(map[slatebridge.ServerID]word), toldSure: make(map[slatebridge.ServerID]time.Time),
 		peers:     make(map[slatebridge.BoxID]*otherBox),
 		hallHeard: make(map[slatebridge.HallID]time.Time),
 		pending:   make(map[slatebridge.ServerID]pendingOrder),
--- a/box/crowd_bench_test.go
+++ b/box/crowd_bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/internal/standin/memnet"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/retry"
 )
 
 // crowd is a fleet of a benchmark: boxes and servers a hall, with streams in
@@ -29,17 +30,22 @@
 
 // start starts the boxes of the crowd, and returns a registry for each.
 func (v crowd) start(ctx context.Context, network *memnet.Network) []*prometheus.Registry {
+	return v.startWith(ctx, network, v.fill)
+}
+
+// startWith is start with another way to fill the fleets of the boxes.
+func (v crowd) startWith(ctx context.Context, network *memnet.Network, fill func(f *fleet.Fleet)) []*prometheus.Registry {
 	var regs []*prometheus.Registry
 	for hall := range v.halls {
 		for n := range v.boxes {
-			address := fmt.Sprintf("10.%d.%d.%d:7340", hall+1, n/250, n%250+1)
+			address := boxAddress(hall, n)
 			reg := prometheus.NewRegistry()
 			b := New(Settings{
 				Box: slatebridge.BoxID(fmt.Sprintf("box-%d-%d", hall, n)), Hall: slatebridge.HallID(fmt.Sprint("hall-", hall)),
 				Listen: Listen{Mesh: address}, Seeds: []string{"10.1.0.1:7340", "10.2.0.1:7340"}, Link: usualLink,
 				Bounds: Bounds{News: 4 * time.Second, Revocation: 5 * time.Second, RetryWindow: time.Second},
 			}, silentPlatform(), http.DefaultClient, zap.NewNop(), reg)
-			v.fill(b.fleet)
+			fill(b.fleet)
 			go b.Run(ctx, mesh.NewSocket(network.ListenPacket(address)))
 			regs = append(regs, reg)
 		}
@@ -48,6 +54,12 @@
 	return regs
 }
 
+func boxAddress(hall, n int) string { return fmt.Sprintf("10.%d.%d.%d:7340", hall+1, n/250, n%250+1) }
+
+func (v crowd) serverID(hall, n int) slatebridge.ServerID {
+	return slatebridge.ServerID(fmt.Sprintf("i-%02d-%08d", hall, n))
+}
+
 // fill gives the fleet the servers of all halls, and streams in flight.
 func (v crowd) fill(f *fleet.Fleet) {
 	m := &catalog.Model{Layers: 8 * stages, LayerMB: 1750, TokenBytes: 459000, Cards: []catalog.Card{{Name: "c", MemoryMB: 36000, Pace: 3}}}
@@ -56,7 +68,7 @@
 		for i := range v.servers {
 			from := 8 * (i % stages)
 			f.Set(catalog.Server{
-				ID: slatebridge.ServerID(fmt.Sprintf("i-%02d-%08d", hall, i)), Service: "llm", Card: "c",
+				ID: v.serverID(hall, i), Service: "llm", Card: "c",
 				Hall: slatebridge.HallID(fmt.Sprint("hall-", hall)), Layers: slatebridge.LayerRange{From: from, To: from + 8},
 			})
 		}
@@ -136,3 +148,85 @@
 
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// relayed is what the two relays of the boxes of BenchmarkCommonBox say in a round: the work at a
+// part of the servers of their own and of another hall, in turn.
+func (v crowd) relayed(relayBox, round int) mesh.Message {
+	hall := func(n int) slatebridge.HallID { return slatebridge.HallID(fmt.Sprint("hall-", n)) }
+	m := mesh.Message{
+		Kind: mesh.Relay, Box: slatebridge.BoxID(fmt.Sprint("relay-", relayBox)), Hall: hall(0), Boot: "0d7f9f3f5b11",
+		Address: fmt.Sprintf("10.99.0.%d:7340", relayBox+1), Link: 1.25e8, Sent: int64(round + 1), Ready: true, Reads: true,
+		Work: v.work(0, round), Far: []mesh.Work{v.work(1+round%(v.halls-1), round/(v.halls-1))},
+	}
+
+	return m
+}
+
+// work is the work in flight in a hall: one request or two at each server.
+func (v crowd) work(hall, round int) mesh.Work {
+	parts := (v.servers + mostLoads - 1) / mostLoads
+	w := mesh.Work{
+		Hall: slatebridge.HallID(fmt.Sprint("hall-", hall)), Live: v.boxes, Boxes: v.boxes, Parts: uint32(parts), Part: uint32(round % parts),
+		Usage: map[string]retry.Usage{"llm": {Requests: 400, Retries: 3}},
+	}
+	for i := range v.servers {
+		n := fleet.Number(v.serverID(hall, i))
+		if n%w.Parts == w.Part {
+			w.Loads = append(w.Loads, mesh.ServerLoad{Server: n, Requests: uint32(1 + (i+round)%2), Tokens: 9000})
+		}
+	}
+
+	return w
+}
+
+// BenchmarkCommonBox reports the processor time that a box takes which is no relay, gives no
+// orders and has no requests, in real time: it hears two relays, whose words on hundreds of
+// servers come by turns.
+func BenchmarkCommonBox(b *testing.B) {
+	const few = 50
+	for _, v := range []crowd{{5, 20, 60, 0}, {5, 200, 600, 0}, {5, 400, 1200, 0}} {
+		b.Run(fmt.Sprintf("boxes=%d,servers=%d", v.halls*v.boxes, v.halls*v.servers), func(b *testing.B) {
+			const settle, span = 3 * time.Second, 6 * time.Second
+			for b.Loop() {
+				network := memnet.New()
+				ctx, cancel := context.WithCancel(b.Context())
+				one := crowd{halls: 1, boxes: few, servers: v.servers, streams: 0}
+				one.startWith(ctx, network, v.fill)
+				go v.tell(ctx, network, few)
+				time.Sleep(settle)
+				used := processorTime(b)
+				time.Sleep(span)
+				used = processorTime(b) - used
+				b.ReportMetric(used.Seconds()*1e3/span.Seconds()/few, "cpu-ms/s/box")
+				cancel()
+				network.Close()
+			}
+		})
+	}
+}
+
+// tell has two relays tell so many boxes in each round.
+func (v crowd) tell(ctx context.Context, network *memnet.Network, boxes int) {
+	var sockets []*mesh.Socket
+	for i := range 2 {
+		sockets = append(sockets, mesh.NewSocket(network.ListenPacket(fmt.Sprintf("10.99.0.%d:7340", i+1))))
+	}
+	var to []mesh.Target
+	for n := range boxes {
+		to = append(to, mesh.Target{Address: boxAddress(0, n)})
+	}
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		for i, s := range sockets {
+			if d, err := v.relayed(i, round).Encode(); err == nil {
+				_ = s.Send(d, to)
+			}
+		}
+	}
+}
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -129,7 +129,9 @@
 	m := c.relayMessage(now)
 	if far := c.farHalls(); len(far) > 0 {
 		hall := far[c.round%len(far)]
-		m.Far = append(m.Far, c.farWork[hall].message(hall, c.round/len(far), now))
+		if w := c.farWork[hall]; w != nil {
+			m.Far = append(m.Far, w.message(hall, c.round/len(far), now))
+		}
 		m.Relays[hall] = c.candidates(hall, relay.Count)
 	}
 	for _, o := range boxes {
--- a/box/peers.go
+++ b/box/peers.go
@@ -153,7 +153,8 @@
 	c.takeProof(o, msg)
 	switch msg.Kind {
 	case mesh.Report:
-		o.report, o.reportSent = o.report.taking(msg.Work, m.at), msg.Sent
+		o.report.take(msg.Work, m.at)
+		o.reportSent = msg.Sent
 		o.report.live, o.report.boxes = 1, 1
 		c.believe(msg.Message, m.at, true)
 	case mesh.Relay:
@@ -183,7 +184,8 @@
 
 // takeRelayed takes up what a relay says of its hall and of others.
 func (c *control) takeRelayed(o *otherBox, msg mesh.Received, at time.Time) {
-	o.relayed, o.relayEcho, o.reader = o.relayed.taking(msg.Work, at), msg.Echo, msg.Reader
+	o.relayed.take(msg.Work, at)
+	o.relayEcho, o.reader = msg.Echo, msg.Reader
 	c.takeFar(msg.Hall, msg.Work, at)
 	for _, w := range msg.Far {
 		c.takeFar(w.Hall, w, at)
--- a/box/relays_test.go
+++ b/box/relays_test.go
@@ -129,7 +129,7 @@
 			if len(m.Loads) > mostLoads {
 				t.Errorf("%d loads in one message", len(m.Loads))
 			}
-			got = got.taking(m, now)
+			got.take(m, now)
 		}
 		if diff := cmp.Diff(all.loads, got.loads); diff != "" {
 			t.Error(diff)
--- a/box/work.go
+++ b/box/work.go
@@ -66,25 +66,30 @@
 	return w
 }
 
-// taking returns the work once a message tells more of it. A message with a part
-// of the loads replaces those of that part.
-func (w work) taking(m mesh.Work, at time.Time) work {
-	loads := make(map[uint32]fleet.Load, len(w.loads)+len(m.Loads))
-	if m.Parts > 1 {
-		for n, l := range w.loads {
-			if n%m.Parts != m.Part {
-				loads[n] = l
-			}
+// take takes up what a message tells of the work. A message with a part of the loads replaces
+// those of that part.
+//
+// Load pattern: a box of hundreds hears eight such messages a second, each with a sixth of the
+// loads of a hall's servers.
+func (w *work) take(m mesh.Work, at time.Time) {
+	if w.loads == nil {
+		w.loads = make(map[uint32]fleet.Load, len(m.Loads))
+	}
+	for n := range w.loads {
+		if m.Parts <= 1 || n%m.Parts == m.Part {
+			delete(w.loads, n)
 		}
 	}
 	for _, l := range m.Loads {
-		loads[l.Server] = fleet.Load{Requests: float64(l.Requests), First: float64(l.First), TokenLayers: float64(l.Tokens)}
+		w.loads[l.Server] = fleet.Load{Requests: float64(l.Requests), First: float64(l.First), TokenLayers: float64(l.Tokens)}
 	}
+	w.at = toldAt(m, at)
+	w.live, w.boxes, w.usage = m.Live, m.Boxes, m.Usage
+}
 
-	return work{
-		at:   at.Add(-time.Duration(m.Age) * time.Microsecond),
-		live: m.Live, boxes: m.Boxes, loads: loads, usage: m.Usage,
-	}
+// toldAt returns of when the work is that a message tells which came at the time.
+func toldAt(m mesh.Work, at time.Time) time.Time {
+	return at.Add(-time.Duration(m.Age) * time.Microsecond)
 }
 
 // message returns the work as messages tell it, with the loads whose turn it is
@@ -208,13 +213,17 @@
 	if hall == c.settings.Hall || hall == "" {
 		return
 	}
-	before := c.farWork[hall]
-	w := before.taking(m, at)
-	if !w.at.After(before.at) || (w.live < before.live && w.at.Sub(before.at) < workTime) {
+	w := c.farWork[hall]
+	if w == nil {
+		w = &work{}
+	}
+	told := toldAt(m, at)
+	if !told.After(w.at) || (m.Live < w.live && told.Sub(w.at) < workTime) {
 		return
 	}
+	w.take(m, at)
 	c.farWork[hall] = w
-	c.setOthers(hallName(hall), w)
+	c.setOthers(hallName(hall), *w)
 }
 
 // hallName returns the name of a hall's work.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,8 +30,7 @@
 	cat     *catalog.Catalog
 	members map[slatebridge.ServerID]*member
 	index   index
-	// peers is what others said last of their work, by hall and by the servers' numbers. The
-	// maps are never changed.
+	// peers is what others said last of their work, by hall and by the servers' numbers.
 	peers map[string]map[uint32]Load
 	// links is what this box lately sent between halls.
 	links map[link]use
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -56,26 +56,29 @@
 }
 
 // SetPeer takes up the work in flight of others, by the numbers of the servers: of the other
-// boxes of the hall, or of all boxes of another one. A nil map says that they are gone. The
-// map must not be changed afterwards.
+// boxes of the hall, or of all boxes of another one. A nil map says that they are gone.
 func (f *Fleet) SetPeer(name string, loads map[uint32]Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.peers[name]
-	for n, l := range before {
+	known := f.peers[name]
+	if known == nil {
+		known = make(map[uint32]Load, len(loads))
+		f.peers[name] = known
+	}
+	for n, l := range known {
 		if _, ok := loads[n]; !ok {
 			f.shift(n, l, Load{})
+			delete(known, n)
 		}
 	}
 	for n, l := range loads {
-		if before[n] != l {
-			f.shift(n, before[n], l)
+		if before := known[n]; before != l {
+			f.shift(n, before, l)
+			known[n] = l
 		}
 	}
 	if loads == nil {
 		delete(f.peers, name)
-	} else {
-		f.peers[name] = loads
 	}
 }
 
