--- a/box/metrics.go
+++ b/box/metrics.go
@@ -22,6 +22,8 @@
 	inFlight prometheus.Gauge
 	store    *prometheus.CounterVec
 	unusable *prometheus.CounterVec
+	asked    *prometheus.CounterVec
+	given    *prometheus.CounterVec
 	mesh     prometheus.Counter
 	sent     prometheus.Counter
 	sentSize prometheus.Counter
@@ -63,6 +65,12 @@
 		unusable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "slatebridge_entries_refused_total", Help: "Entries that name no server to use and configurations that cannot be read, by reason.",
 		}, []string{"reason"}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_retries_asked_total", Help: "Retries that this box asked for out of the pool of all boxes, by service and result.",
+		}, []string{"service", "result"}),
+		given: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_retries_given_total", Help: "Retries that this box gave to others out of the pool of all boxes, or refused, by service and result.",
+		}, []string{"service", "result"}),
 		mesh:     counter("mesh_errors_total", "Messages between boxes that could not be sent or read."),
 		sent:     counter("mesh_sent_total", "Messages sent to other boxes."),
 		sentSize: counter("mesh_sent_bytes_total", "Bytes of messages sent to other boxes."),
@@ -72,11 +80,31 @@
 		era:      gauge("store_era", "How often the store has come back from an older copy, as far as this box knows."),
 		away:     counter("suspended_seconds_total", "Time for which the machine of the box was suspended."),
 	}
-	reg.MustRegister(m.store, m.unusable)
+	reg.MustRegister(m.store, m.unusable, m.asked, m.given)
 
 	return m
 }
 
+// Results of asking for a retry.
+const (
+	retryGiven      = "given"
+	retryRefused    = "refused"
+	retryUnanswered = "unanswered"
+)
+
+// givenOr returns the result of a question that was answered.
+func givenOr(given bool) string {
+	if given {
+		return retryGiven
+	}
+
+	return retryRefused
+}
+
+func (m *metrics) retryAsked(service, result string) { m.asked.WithLabelValues(service, result).Inc() }
+
+func (m *metrics) retryGave(service, result string) { m.given.WithLabelValues(service, result).Inc() }
+
 func (m *metrics) refused(reason string) { m.unusable.WithLabelValues(reason).Inc() }
 
 func (m *metrics) configVersion(v int64) { m.version.Set(float64(v)) }
--- a/box/repeats.go
+++ b/box/repeats.go
@@ -28,26 +28,35 @@
 	if g.emptySince(service) {
 		return false
 	}
+	got, err := g.askAround(ctx, service, u)
+	if err != nil {
+		g.box.metrics.retryAsked(service, retryUnanswered)
+
+		return false
+	}
+	g.box.metrics.retryAsked(service, givenOr(got.Given))
+	if !got.Given {
+		g.noteEmpty(service, micros(got.Again))
+	}
+
+	return got.Given
+}
+
+// askAround asks the box that gives, or the one that it names in its place.
+func (g *grants) askAround(ctx context.Context, service string, u retry.Urgency) (mesh.Grant, error) {
 	to, ok := g.view.Load().allocator(repeatLine(service))
 	for range 2 {
 		if !ok || g.skips(to.Box) {
-			return false
+			break
 		}
 		got, err := g.askRetry(ctx, to, service, u)
-		if err != nil {
-			return false
-		}
-		if got.Allocator == nil {
-			if !got.Given {
-				g.noteEmpty(service, micros(got.Again))
-			}
-
-			return got.Given
+		if err != nil || got.Allocator == nil {
+			return got, err
 		}
 		to = *got.Allocator
 	}
 
-	return false
+	return mesh.Grant{}, errNoAllocator
 }
 
 // askRetry asks one box.
@@ -80,6 +89,7 @@
 		u = retry.Spare
 	}
 	out.Given = g.box.handler.Budget().Give(m.Service, g.box.state.Load().Boxes, u, now)
+	g.box.metrics.retryGave(m.Service, givenOr(out.Given))
 
 	return out
 }
