A box that lacks changes of servers asks for the changes

Cause: messages carry 60 changes, and 2,844 servers that load their layers at a start change some 500 times a second. The list grows with the servers, and how often it was asked for with the changes: it grew with the square.

Ruled out: more changes a message (datagrams hold 64 KB, and each goes to 200 boxes); longer waits before asking (news would be older).

Change: a box says up to which offset it knows the entries, and gets the changes since, if they are kept: as many as there are entries, since all entries are cheaper then. A box of an earlier version gets all, and gives all. Messages carry nothing any more for a box that lacks more than is kept, which it could not use.

--- a/box/control.go
+++ b/box/control.go
@@ -13,7 +13,6 @@
 	"github.com/slatebridge/slatebridge/elect"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/logstore"
-	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/place"
 )
 
@@ -36,7 +35,7 @@
 	catalog *catalog.Catalog
 	current time.Time
 	// next is the offset up to which the entries of the servers are known, which
-	// box.entries has. recent are the last changes, without a gap up to next.
+	// box.entries has.
 	next logstore.Place
 	// byName are the servers that the entries name, by the names of the entries.
 	byName map[string]listed
@@ -46,7 +45,6 @@
 	leavers []leaver
 	// limits are the servers that lately began or ceased to name a limit.
 	limits    []limitTold
-	recent    []mesh.Change
 	serversAt time.Time
 	// left has the entries that lately went, with when they did or their time to come back
 	// ended.
--- a/box/entries.go
+++ b/box/entries.go
@@ -1,13 +1,19 @@
 package box
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
 )
 
+// leastRecent is how many changes are kept for other boxes at least: as many as a few messages
+// carry.
+const leastRecent = 4 * mostChanges
+
 // entryTable has the entries of the servers as the store has them. The control actor changes
 // them. What boxes that ask get is made when one asks.
 //
@@ -17,29 +23,75 @@
 type entryTable struct {
 	mu   sync.Mutex
 	list map[string]mesh.Entry
-	// next is the offset up to which the entries are known.
-	next logstore.Place
-	// copied is what boxes that ask get; nil after a change until one asks.
-	copied *mesh.Document
+	// next is the offset up to which the entries are known, and recent the last changes, without
+	// a gap up to next.
+	next   logstore.Place
+	recent []mesh.Change
+	// copies are what boxes that ask get, by the offset up to which they know the entries; none
+	// after a change until one asks.
+	copies map[logstore.Place]*mesh.Document
 }
 
-func newEntryTable() *entryTable { return &entryTable{list: make(map[string]mesh.Entry)} }
+func newEntryTable() *entryTable {
+	return &entryTable{list: make(map[string]mesh.Entry), copies: make(map[logstore.Place]*mesh.Document)}
+}
 
 // change has f change the entries, which are known up to the offset next afterwards.
 func (t *entryTable) change(next logstore.Place, f func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f()
-	t.next, t.copied = next, nil
+	t.next = next
+	clear(t.copies)
+}
+
+// note adds a change to the last ones, of which as many are kept as there are entries: to tell
+// more is dearer than to tell all entries.
+func (t *entryTable) note(v mesh.Change) {
+	t.recent = append(t.recent, v)
+	if most := max(leastRecent, len(t.list)); len(t.recent) > most {
+		t.recent = t.recent[len(t.recent)-most:]
+	}
+}
+
+// since returns the changes from the offset on; it reports false if there are
+// none, or some of them are not kept.
+func (t *entryTable) since(from logstore.Place) ([]mesh.Change, bool) {
+	if from <= 0 || from >= t.next || len(t.recent) == 0 || t.recent[0].Offset > from {
+		return nil, false
+	}
+	at, _ := slices.BinarySearchFunc(t.recent, from, func(v mesh.Change, from logstore.Place) int { return cmp.Compare(v.Offset, from) })
+
+	return t.recent[at:], true
 }
 
-// document returns the entries for other boxes; nil if none are known.
-func (t *entryTable) document() *mesh.Document {
+// document returns the entries for a box that knows them up to an offset: the changes since, or
+// all. It returns nil if none are known.
+//
+// Load pattern: thousands of servers load their layers at once, and messages do not carry all
+// changes. Each of hundreds of boxes asked for the whole list seven times, with as many entries
+// to read as there are servers each time.
+func (t *entryTable) document(from logstore.Place) *mesh.Document {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.copied == nil && t.next > 0 {
-		t.copied = mesh.NewServers(mesh.Servers{Entries: maps.Clone(t.list), Next: t.next})
+	if t.next == 0 {
+		return nil
+	}
+	changes, ok := t.since(from)
+	if !ok {
+		from = 0
+	}
+	d := t.copies[from]
+	if d == nil {
+		s := mesh.Servers{Next: t.next}
+		if ok {
+			s.Changes = slices.Clone(changes)
+		} else {
+			s.Entries = maps.Clone(t.list)
+		}
+		d = mesh.NewServers(s)
+		t.copies[from] = d
 	}
 
-	return t.copied
+	return d
 }
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -278,19 +278,16 @@
 // changesFor returns the changes that the box lacks and that are its business: a
 // box of another hall only hears of those that it should have had from the store.
 func (c *control) changesFor(o *otherBox, now time.Time) []mesh.Change {
-	for i, v := range c.recent {
-		if v.Offset < o.last.Next {
-			continue
-		}
-		missing := c.recent[i:]
-		if !o.near(c.settings.Hall) && now.Sub(c.changedAt) < farChangeTime {
-			return nil
-		}
-
-		return missing[:min(len(missing), mostChanges)]
+	missing, ok := c.box.entries.since(o.last.Next)
+	if !ok {
+		// It lacks none, or more than is kept, and asks for the whole.
+		return nil
+	}
+	if !o.near(c.settings.Hall) && now.Sub(c.changedAt) < farChangeTime {
+		return nil
 	}
 
-	return nil
+	return missing[:min(len(missing), mostChanges)]
 }
 
 func longer(a, b []mesh.Change) []mesh.Change {
--- a/box/help.go
+++ b/box/help.go
@@ -78,11 +78,11 @@
 		return
 	}
 	c.lackingServers.asking = true
-	address := o.address
+	address, from := o.address, c.next
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, helpTime)
 		defer cancel()
-		servers, err := mesh.AskServers(ctx, c.box.client, address)
+		servers, err := mesh.AskServers(ctx, c.box.client, address, from)
 		c.box.tell(&helpedServers{servers: servers, err: err})
 	}()
 }
@@ -159,6 +159,11 @@
 
 		return
 	}
+	if len(m.servers.Changes) > 0 {
+		c.takeChanges(m.servers.Changes)
+
+		return
+	}
 	list := make([]logstore.Entry, 0, len(m.servers.Entries))
 	for k, v := range m.servers.Entries {
 		list = append(list, logstore.Entry{Key: k, Value: v.Value, Offset: v.Offset})
--- a/box/peers.go
+++ b/box/peers.go
@@ -146,7 +146,7 @@
 		return
 	}
 	c.noteHeard(o, msg.Message, m.at)
-	c.takeChanges(msg.Message)
+	c.takeChanges(msg.Recent)
 	c.takeRestarts(msg.Message, m.at)
 	c.takeLeavers(msg.Message, m.at)
 	c.takeLimits(msg.Message, m.at)
@@ -244,13 +244,13 @@
 }
 
 // takeChanges takes up changes of servers' entries that follow what is known.
-func (c *control) takeChanges(msg mesh.Message) {
-	if c.next == 0 || len(msg.Recent) == 0 || msg.Recent[0].Offset > c.next {
+func (c *control) takeChanges(list []mesh.Change) {
+	if c.next == 0 || len(list) == 0 || list[0].Offset > c.next {
 		return
 	}
 	// Entries with the same grace are taken up together: each time the state for other
 	// boxes is made anew.
-	for rest := msg.Recent; len(rest) > 0; {
+	for rest := list; len(rest) > 0; {
 		n := 1
 		for n < len(rest) && rest[n].Grace == rest[0].Grace {
 			n++
--- a/box/servers.go
+++ b/box/servers.go
@@ -98,13 +98,9 @@
 			c.removeServer(key, m.grace)
 		}
 	}
-	c.recent = nil
+	c.box.entries.recent = nil
 }
 
-// mostRecent is how many changes are kept for other boxes: as many as a few messages
-// carry. A box that lacks more asks for the whole.
-const mostRecent = 4 * mostChanges
-
 // changeServers takes up changes that are not yet known.
 func (c *control) changeServers(m *serversFound) {
 	for _, e := range m.entries {
@@ -116,10 +112,7 @@
 		} else {
 			c.setServer(e, m.fromStore)
 		}
-		c.recent = append(c.recent, mesh.Change{Offset: e.Offset, Key: e.Key, Value: e.Value, Grace: m.grace.Microseconds()})
-	}
-	if n := len(c.recent); n > mostRecent {
-		c.recent = c.recent[n-mostRecent:]
+		c.box.entries.note(mesh.Change{Offset: e.Offset, Key: e.Key, Value: e.Value, Grace: m.grace.Microseconds()})
 	}
 }
 
--- a/mesh/help.go
+++ b/mesh/help.go
@@ -5,8 +5,10 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +21,8 @@
 const (
 	configPath  = "/mesh/config"
 	serversPath = "/mesh/servers"
+	// fromName is the parameter that says up to which offset a box knows the servers.
+	fromName = "from"
 )
 
 // maxHelp is the largest state that is read, in bytes.
@@ -27,13 +31,17 @@
 // Help is the state that a box gives to one that cannot reach the store, as it
 // came from there. Each part is nil as long as nothing is known.
 type Help struct {
-	Config  func() *Document
-	Servers func() *Document
+	Config func() *Document
+	// Servers gives the entries to a box that knows them up to an offset; zero if it knows none.
+	Servers func(from logstore.Place) *Document
 }
 
-// Servers are the entries of all servers.
+// Servers are the entries of all servers, or what has changed of them.
 type Servers struct {
-	Entries map[string]Entry `json:"entries"`
+	Entries map[string]Entry `json:"entries,omitempty"`
+	// Changes, if there are any, are those since the offset that the box which asked named,
+	// and stand in place of Entries.
+	Changes []Change `json:"changes,omitempty"`
 	// Next is the offset up to which Entries is known.
 	Next logstore.Place `json:"next"`
 }
@@ -91,7 +99,11 @@
 func HelpHandler(h Help) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) { serve(w, h.Config()) })
-	mux.HandleFunc("GET "+serversPath, func(w http.ResponseWriter, _ *http.Request) { serve(w, h.Servers()) })
+	mux.HandleFunc("GET "+serversPath, func(w http.ResponseWriter, r *http.Request) {
+		// Without a number, or with one that cannot be read, the box gets all.
+		from, _ := strconv.ParseInt(r.URL.Query().Get(fromName), 10, 64)
+		serve(w, h.Servers(logstore.Place(from)))
+	})
 
 	return mux
 }
@@ -119,9 +131,10 @@
 	return ask(ctx, client, "http://"+address+configPath, io.ReadAll)
 }
 
-// AskServers gets the entries of the servers that the box at the address knows.
-func AskServers(ctx context.Context, client *http.Client, address string) (Servers, error) {
-	return ask(ctx, client, "http://"+address+serversPath, readServers)
+// AskServers gets the entries of the servers that the box at the address knows, for one that knows
+// them up to an offset; zero if it knows none.
+func AskServers(ctx context.Context, client *http.Client, address string, from logstore.Place) (Servers, error) {
+	return ask(ctx, client, fmt.Sprintf("http://%s%s?%s=%d", address, serversPath, fromName, from), readServers)
 }
 
 func readServers(r io.Reader) (Servers, error) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/slatebridge/slatebridge/internal/standin/memnet"
+	"github.com/slatebridge/slatebridge/logstore"
 )
 
 func TestSocket(t *testing.T) {
@@ -54,7 +55,7 @@
 
 func TestHelp(t *testing.T) {
 	var known, listed *Document
-	srv := httptest.NewServer(HelpHandler(Help{Config: func() *Document { return known }, Servers: func() *Document { return listed }}))
+	srv := httptest.NewServer(HelpHandler(Help{Config: func() *Document { return known }, Servers: func(logstore.Place) *Document { return listed }}))
 	defer srv.Close()
 	address := strings.TrimPrefix(srv.URL, "http://")
 	t.Run("a box that knows nothing says so", func(t *testing.T) {
@@ -69,7 +70,7 @@
 		if diff := cmp.Diff(`{"version":3}`, string(cfg)); diff != "" || err != nil {
 			t.Error(diff, err)
 		}
-		got, err := AskServers(t.Context(), srv.Client(), address)
+		got, err := AskServers(t.Context(), srv.Client(), address, 0)
 		if diff := cmp.Diff(servers, got); diff != "" || err != nil {
 			t.Error(diff, err)
 		}
