--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -151,6 +151,8 @@
 	random   *rand.Rand
 	cutFrom  int
 	burst    int
+	// lostAt is from which step on the first box gives no retries any more.
+	lostAt int
 	// take has a box take a retry in a step.
 	take func(i, n int, now time.Time) bool
 	// requests and spent count requests and retries by step.
--- a/retry/pool_test.go
+++ b/retry/pool_test.go
@@ -103,12 +103,15 @@
 // until they miss the others, and it has settled.
 const cutNotice = 45
 
+// lossNotice is the same for boxes that have lost the one that gave, and hear all others.
+const lossNotice = 35
+
 // giver returns the box that gives to another one in a step; nil while it reaches none.
 func (b *boxes) giver(i, n int) *Budget {
 	since := n - b.cutFrom
 	switch {
 	case since < 0 || since >= cutSteps || hall(i) == 0:
-		return b.list[0]
+		return b.usualGiver(n)
 	case since < cutNotice:
 		return nil
 	default:
@@ -116,6 +119,19 @@
 	}
 }
 
+// usualGiver returns the box that gives to those that are not cut off: the first one, until it no
+// longer does, and the third one from some time after that.
+func (b *boxes) usualGiver(n int) *Budget {
+	switch {
+	case n < b.lostAt || len(b.list) < 3:
+		return b.list[0]
+	case n < b.lostAt+lossNotice:
+		return nil
+	default:
+		return b.list[2]
+	}
+}
+
 // TestPoolKeepsTheBudget is TestBoxesTogetherKeepTheBudget for boxes that ask one of them for what
 // their own part does not have.
 func TestPoolKeepsTheBudget(t *testing.T) {
@@ -124,6 +140,7 @@
 			list:    make([]*Budget, rapid.IntRange(2, 40).Draw(t, "boxes")),
 			random:  rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 			cutFrom: rapid.IntRange(0, steps).Draw(t, "cut"),
+			lostAt:  rapid.IntRange(0, steps).Draw(t, "lost"),
 		}
 		b.reported = make([]map[string]Usage, len(b.list))
 		for i := range b.list {
