--- a/box/orders_test.go
+++ b/box/orders_test.go
@@ -88,8 +88,9 @@
 
 			return fleet.Notice{}, nil
 		}
-		c.box.handler = forward.New(forward.Config{Random: func() float64 { return 0 },
-			Fleet: c.box.fleet, Logger: zap.NewNop(), Metrics: forward.NewMetrics(prometheus.NewRegistry()),
+		c.box.handler = forward.New(forward.Config{
+			Random: func() float64 { return 0 },
+			Fleet:  c.box.fleet, Logger: zap.NewNop(), Metrics: forward.NewMetrics(prometheus.NewRegistry()),
 			Servers: forward.ServerCalls{Report: func(context.Context, catalog.Server) (forward.Report, error) { return forward.Report{}, nil }},
 		})
 		c.box.boot, c.settings.Box = "x", "b1"
--- a/retry/pool_test.go
+++ b/retry/pool_test.go
@@ -35,37 +35,37 @@
 const many = 300
 
 // known returns a budget that has heard that all other boxes sent nothing.
-func known(boxes int, opts ...Option) *Budget {
+func known(opts ...Option) *Budget {
 	b := New(bounds, opts...)
-	b.SetPeer("others", boxes-1, nil, start)
+	b.SetPeer("others", many-1, nil, start)
 
 	return b
 }
 
 func TestPool(t *testing.T) {
 	t.Run("one box of many gets what the others do not want", func(t *testing.T) {
-		wantSpent(t, spend(known(many), many, start), 0)
-		wantSpent(t, spendPooled(known(many), known(many), many, Needed, start), 52)
+		wantSpent(t, spend(known(), many, start), 0)
+		wantSpent(t, spendPooled(known(), known(), many, Needed, start), 52)
 	})
 	t.Run("boxes that reach nobody have their parts, and no more than these together", func(t *testing.T) {
 		r := rand.New(rand.NewPCG(1, 1))
 		n := 0
 		for range many {
-			n += spendPooled(known(many, WithRounding(r.Float64())), nil, many, Needed, start)
+			n += spendPooled(known(WithRounding(r.Float64())), nil, many, Needed, start)
 		}
 		if want := ownShare * margin * bounds.Extra; float64(n) > 1.5*want || float64(n) < 0.5*want {
 			t.Errorf("%d retries, want about %.0f", n, want)
 		}
 	})
 	t.Run("some is left when the spare retries are used", func(t *testing.T) {
-		b, giver := known(many), known(many)
+		b, giver := known(), known()
 		wantSpent(t, spendPooled(b, giver, many, Spare, start), 30)
 		if n := spendPooled(b, giver, many, Needed, start); n < 15 {
 			t.Errorf("%d retries were left", n)
 		}
 	})
 	t.Run("what was given is reported and not counted twice", func(t *testing.T) {
-		b, giver := known(many), known(many)
+		b, giver := known(), known()
 		for range 20 {
 			ask(b, giver, many, Needed, start)
 		}
@@ -74,8 +74,8 @@
 		wantSpent(t, spendPooled(b, giver, many, Needed, later), 32)
 	})
 	t.Run("a box that has just started gives nothing", func(t *testing.T) {
-		giver := known(many, WithStart(start))
-		wantSpent(t, spendPooled(known(many), giver, many, Needed, start), 0)
+		giver := known(WithStart(start))
+		wantSpent(t, spendPooled(known(), giver, many, Needed, start), 0)
 	})
 	// cut returns a budget that hears so many other boxes, and has not heard the rest for long.
 	cut := func(heard int) *Budget {
