--- a/box/entries.go
+++ b/box/entries.go
@@ -15,11 +15,11 @@
 const leastRecent = 4 * mostChanges
 
 // entryTable has the entries of the servers as the store has them. The control actor changes
-// them. What boxes that ask get is made when one asks.
+// them, and other boxes ask for them.
 //
-// Load pattern: thousands of servers load their layers at a start, and each box takes up some
-// changes of their entries in each message; hardly any is asked for them. A copy for each such
-// message was most of what boxes did then.
+// Load pattern: thousands of servers load their layers at a start. Each box takes up changes of
+// their entries with each message, and hardly any is asked for them, so that the copy for others
+// is made only when one asks.
 type entryTable struct {
 	mu   sync.Mutex
 	list map[string]mesh.Entry
@@ -68,9 +68,9 @@
 // document returns the entries for a box that knows them up to an offset: the changes since, or
 // all. It returns nil if none are known.
 //
-// Load pattern: thousands of servers load their layers at once, and messages do not carry all
-// changes. Each of hundreds of boxes asked for the whole list seven times, with as many entries
-// to read as there are servers each time.
+// Load pattern: thousands of servers load their layers at once, messages do not carry all
+// changes, and hundreds of boxes ask again and again. The list of all servers would be read as
+// often.
 func (t *entryTable) document(from logstore.Place) *mesh.Document {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/box/repeats.go
+++ b/box/retries.go
@@ -13,12 +13,12 @@
 	"github.com/slatebridge/slatebridge/retry"
 )
 
-// emptyPause is how long a box that got no retry out of the pool asks for none, in the mean: as
-// long as news of what boxes use take.
+// emptyPause is for how long, in the mean, a box that got no retry out of the pool asks for none:
+// what boxes use is told in each round.
 const emptyPause = tickEvery
 
-// repeatLine stands for a service where boxes agree on who gives out of its pool of retries.
-func repeatLine(service string) catalog.Server {
+// retryLine stands for a service where boxes agree on who gives out of its pool of retries.
+func retryLine(service string) catalog.Server {
 	return catalog.Server{ID: slatebridge.ServerID("retries of " + service)}
 }
 
@@ -44,7 +44,7 @@
 
 // askAround asks the box that gives, or the one that it names in its place.
 func (g *grants) askAround(ctx context.Context, service string, u retry.Urgency) (mesh.Grant, error) {
-	to, ok := g.view.Load().allocator(repeatLine(service))
+	to, ok := g.view.Load().allocator(retryLine(service))
 	for range 2 {
 		if !ok || g.skips(to.Box) {
 			break
@@ -72,7 +72,7 @@
 // giveRetry gives a retry out of the pool, or says who does.
 func (g *grants) giveRetry(m mesh.Grant, now time.Time) mesh.Grant {
 	out := mesh.Grant{ID: m.ID, Service: m.Service}
-	line, v := repeatLine(m.Service), g.view.Load()
+	line, v := retryLine(m.Service), g.view.Load()
 	if !v.gives(g.box.settings.Box, line) {
 		if other, ok := v.allocator(line); ok {
 			out.Allocator = &other
--- a/box/repeats_test.go
+++ b/box/retries_test.go
@@ -41,7 +41,7 @@
 		boxes := startManyHalls(t, network, map[slatebridge.HallID]int{"a": 1, "b": 2, "c": 3}, each, bounds)
 		time.Sleep(6 * time.Second)
 		asking := boxes[len(boxes)-1]
-		giver, _ := asking.grants.view.Load().allocator(repeatLine("llm"))
+		giver, _ := asking.grants.view.Load().allocator(retryLine("llm"))
 		if giver.Box == asking.settings.Box {
 			t.Fatal("the last box is a relay")
 		}
--- a/fleet/doubt.go
+++ b/fleet/doubt.go
@@ -111,8 +111,8 @@
 // doubted returns those of the doubted servers of which something holds now, and forgets the
 // doubts that are over.
 //
-// Load pattern: each box asks 50 times a second, with or without a stream in flight, and of
-// thousands of servers none is in doubt at most times.
+// Load pattern: a box with a stream in flight asks at each look, and of thousands of servers
+// none is in doubt at most times.
 func (f *Fleet) doubted(holds func(m *member, now time.Time) bool) []slatebridge.ServerID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/fleet/index.go
+++ b/fleet/index.go
@@ -7,8 +7,8 @@
 	"github.com/slatebridge/slatebridge"
 )
 
-// memberSet holds the members of which something is so that is so of few at a time. Looking at
-// these costs nothing for all the others.
+// memberSet has the members of which something holds that holds for few at a time. A look at
+// these does not pass all the others.
 type memberSet map[*member]struct{}
 
 // set adds the member or takes it out.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -175,8 +175,8 @@
 	// Ledger has the requests under which servers have ended, and Trial asks for trials.
 	Ledger *quarantine.Ledger
 	Trial  TrialFunc
-	// Grants asks for grants for limited servers, and Retry for retries. OnLimit is told that a server began or ceased
-	// to name a limit.
+	// Grants asks for grants for limited servers, and Retry for retries. OnLimit is told that
+	// a server began or ceased to name a limit.
 	Grants  GrantFunc
 	Retry   RetryFunc
 	OnLimit func(id slatebridge.ServerID, w allowance.Observation)
@@ -189,7 +189,8 @@
 	h := &Handler{
 		wire: c.Wire, fleet: c.Fleet, client: c.Client, servers: c.Servers, state: c.State,
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
-		budget: retry.New(c.Bounds.Retry, retry.WithStart(clock.Now()), retry.WithRounding(c.Random())), runs: newRuns(), work: underWay{began: make(chan struct{}, 1)}, onDoubt: c.OnDoubt, onRestart: c.OnRestart, onLeaving: c.OnLeaving,
+		budget: retry.New(c.Bounds.Retry, retry.WithStart(clock.Now()), retry.WithRounding(c.Random())), runs: newRuns(),
+		work: underWay{began: make(chan struct{}, 1)}, onDoubt: c.OnDoubt, onRestart: c.OnRestart, onLeaving: c.OnLeaving,
 		started: clock.Now(), seen: newObserved(), doubted: make(chan slatebridge.ServerID, mostDoubted),
 		ledger: c.Ledger, trial: c.Trial, grants: c.Grants, retry: c.Retry, onLimit: c.OnLimit,
 	}
