A long list of servers is read as long as each page comes in time, and is needed

Cause: one answer of the store may take 0.7 s, and so might all pages of a topic together. With twice as many servers hardly any box could read the list, and a hall whose fast boxes are all lost would have had none that can.

Ruled out: a longer bound for all pages (holds up to the next size); restarted boxes wait for others first (a box that restarts alone in its hall would be late).

Change: Newest gives a page, and Keyed.Whole reads all; each page has its bound. Between two pages the follower looks whether the topic is still to be read, and stops where others have told it meanwhile.

Test: TestPages: ten pages of half the bound each are read (one failure after the other before), a late page fails, reading ends when not needed, and begins anew in another era of the store.

--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -205,8 +205,8 @@
 // silentPlatform returns a platform whose store does not answer.
 func silentPlatform() Platform {
 	silent := logstore.Keyed{
-		Newest: func(context.Context) (logstore.Changes, error) {
-			return logstore.Changes{}, logstore.ErrUnreachable
+		Newest: func(context.Context, string) (logstore.Page, error) {
+			return logstore.Page{}, logstore.ErrUnreachable
 		},
 		Read: func(context.Context, logstore.Place, time.Duration) (logstore.Changes, error) {
 			return logstore.Changes{}, logstore.ErrUnreachable
--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -271,12 +271,15 @@
 	return errOnTrial
 }
 
+// pageTime bounds a page of the topic.
+const pageTime = time.Second
+
 // catchUp reads what was written from the offset on.
 func (s *sharedLedger) catchUp(ctx context.Context, from logstore.Place) error {
 	c, err := s.topic.Read(ctx, from, 0)
 	if errors.IsAny(err, logstore.ErrGone, logstore.ErrReturned) {
 		from = 0
-		c, err = s.topic.Newest(ctx)
+		c, err = s.topic.Whole(ctx, pageTime, func() bool { return false })
 	}
 	s.box.metrics.storeCall(topicQuarantine, err)
 	if err == nil {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -98,10 +98,8 @@
 }
 
 func (f *Follower) newest(ctx context.Context) (logstore.Place, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.timeout(answerTime))
-	defer cancel()
 	sent := clock.Now()
-	c, err := f.Topic.Newest(ctx)
+	c, err := f.Topic.Whole(ctx, f.timeout(answerTime), func() bool { return f.Due() > 0 })
 	if err != nil {
 		return 0, err
 	}
@@ -164,7 +162,7 @@
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, logstore.ErrStopped) {
 		return
 	}
 	f.OnError(err)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -16,15 +16,20 @@
 type script struct {
 	reads  int
 	newest int
-	read   func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error)
+	// page answers questions for pages of the whole topic; without it there are no entries.
+	page func(ctx context.Context, after string) (logstore.Page, error)
+	read func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error)
 }
 
 func (s *script) topic() logstore.Keyed {
 	return logstore.Keyed{
-		Newest: func(context.Context) (logstore.Changes, error) {
+		Newest: func(ctx context.Context, after string) (logstore.Page, error) {
 			s.newest++
+			if s.page != nil {
+				return s.page(ctx, after)
+			}
 
-			return logstore.Changes{Next: 10}, nil
+			return logstore.Page{Changes: logstore.Changes{Next: 10}}, nil
 		},
 		Read: func(ctx context.Context, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
 			s.reads++
@@ -49,6 +54,8 @@
 	Changes []string
 	Outage  []bool
 	errors  int
+	// whole is how many entries the whole topic last had.
+	whole int
 }
 
 // probe looks at a follower, and changes it, while it runs.
@@ -85,7 +92,7 @@
 				return 0
 			},
 			Pause:    func() time.Duration { return 300 * time.Millisecond },
-			OnNewest: func(logstore.Changes, time.Duration) {},
+			OnNewest: func(c logstore.Changes, _ time.Duration) { got.whole = len(c.Entries) },
 		})
 		p.wake = f.Wake
 		f.OnChanges = func(c logstore.Changes, grace time.Duration) {
@@ -115,6 +122,76 @@
 	return logstore.Changes{Entries: []logstore.Entry{{Key: key, Value: []byte("v")}}, Next: next}, nil
 }
 
+// pages answers questions for pages: so many of one entry each, after some time each.
+func pages(n int, each time.Duration) func(ctx context.Context, after string) (logstore.Page, error) {
+	return func(ctx context.Context, after string) (logstore.Page, error) {
+		select {
+		case <-ctx.Done():
+			return logstore.Page{}, ctx.Err()
+		case <-time.After(each):
+		}
+		key := string(rune('a' + len(after)))
+		p := logstore.Page{Changes: logstore.Changes{Entries: []logstore.Entry{{Key: key, Value: []byte("v")}}, Next: logstore.Place(10 + len(after))}}
+		if len(after)+1 < n {
+			p.After = after + key
+		}
+
+		return p, nil
+	}
+}
+
+// TestPages: a topic of many pages is read whole as long as each page comes in time, and no further
+// than it is needed.
+func TestPages(t *testing.T) {
+	s := &script{page: pages(10, answerTime/2), read: func(ctx context.Context, _ int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
+		if from != 10 {
+			t.Errorf("reading goes on at %d, want the end that the first page told", from)
+		}
+
+		return quiet(ctx, from, wait)
+	}}
+	got := run(t, s, 5*time.Second, nil)
+	if s.newest != 10 || got.errors != 0 || s.reads == 0 {
+		t.Errorf("%d pages and %d reads, %d errors", s.newest, s.reads, got.errors)
+	}
+	if got.whole != 10 {
+		t.Errorf("%d entries, want 10", got.whole)
+	}
+	t.Run("a page that does not come in time is a failure", func(t *testing.T) {
+		s := &script{page: pages(10, 3*answerTime)}
+		if got := run(t, s, 2*answerTime, nil); got.errors == 0 || got.whole != 0 {
+			t.Errorf("%d errors, %d entries", got.errors, got.whole)
+		}
+	})
+	t.Run("a topic that others have told meanwhile is not read to its end", func(t *testing.T) {
+		s := &script{page: pages(10, answerTime/2)}
+		got := run(t, s, 20*time.Second, func(p *probe) {
+			time.Sleep(answerTime)
+			p.resting.Store(true)
+		})
+		if s.newest > 3 || got.errors != 0 || got.whole != 0 {
+			t.Errorf("%d pages, %d errors, %d entries", s.newest, got.errors, got.whole)
+		}
+	})
+	t.Run("a store that comes back from an older copy between two pages is read again", func(t *testing.T) {
+		s := &script{read: func(ctx context.Context, _ int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
+			return quiet(ctx, from, wait)
+		}}
+		s.page = func(context.Context, string) (logstore.Page, error) {
+			era := min(int64(s.newest-1), 1)
+			p := logstore.Page{Changes: logstore.Changes{Next: logstore.PlaceOf(era, 5)}}
+			if s.newest == 1 {
+				p.After = "a"
+			}
+
+			return p, nil
+		}
+		if got := run(t, s, 5*time.Second, nil); s.newest != 3 || got.errors != 1 {
+			t.Errorf("%d pages, %d errors", s.newest, got.errors)
+		}
+	})
+}
+
 func TestFollower(t *testing.T) {
 	t.Run("news come in order, and not as the end of an outage", func(t *testing.T) {
 		s := &script{read: func(ctx context.Context, n int, from logstore.Place, wait time.Duration) (logstore.Changes, error) {
--- a/logstore/keyed.go
+++ b/logstore/keyed.go
@@ -45,9 +45,9 @@
 // Keyed is a topic of the store that keeps the newest record of each key. The
 // fields are seams: tests put a stand-in behind them.
 type Keyed struct {
-	// Newest returns the newest record of every key. Changes that happened
-	// meanwhile are found by reading from Next.
-	Newest func(ctx context.Context) (Changes, error)
+	// Newest returns a page of the newest records of all keys: the one after the given key, or
+	// the first for an empty one. Whole reads all pages.
+	Newest func(ctx context.Context, after string) (Page, error)
 	// Read returns the records from the place on. It waits up to the given
 	// time for a first one. ErrGone says that Newest has to be read again.
 	Read func(ctx context.Context, from Place, wait time.Duration) (Changes, error)
