The boxes of a large hall that is cut off do not all stand for election

Cause: boxes that are no relays were spread over eight ranks, 0.4 s apart, however many there are.

Ruled out: a longer pause between ranks (later orders in small halls); no election while the relays of the hall do not read (the store may turn away the relays alone).

Change: they are spread over as many ranks as the hall has boxes, eight at least. The first stands about as soon as before.

Test: TestOtherRanks: at most eight of 5 to 2,000 boxes have the same rank, and one of the first eight ranks is taken; with eight ranks 250 of 2,000 had the same.

--- a/box/election.go
+++ b/box/election.go
@@ -88,9 +88,19 @@
 	}()
 }
 
-// otherRanks is how many ranks the boxes that are no relays are spread over. They
+// leastOtherRanks is how many ranks the boxes that are no relays are spread over at least. They
 // stand only if no relay does: the store may turn all of these away.
-const otherRanks = 8
+const leastOtherRanks = 8
+
+// otherRank returns the rank of a box among those of a hall with so many that are no relays. Few
+// have the same, and one of them is among the first.
+//
+// Load pattern: a hall of two hundred boxes is cut off from the store, and from the box that gives
+// orders. Each finds out by itself that it can't be elected, at the cost of a call or two, and the
+// first that the store answers again takes the orders from a box that is well.
+func otherRank(box slatebridge.BoxID, boxes int) int {
+	return int(fleet.Number(slatebridge.ServerID(box)) % uint32(max(leastOtherRanks, boxes)))
+}
 
 // rank returns how many boxes stand for election before this one. In halls of
 // more than a few boxes the one that would be the next relay stands first: the box
@@ -129,7 +139,7 @@
 		return before + first
 	}
 
-	return before + all + int(fleet.Number(slatebridge.ServerID(c.settings.Box)))%otherRanks
+	return before + all + otherRank(c.settings.Box, c.hallWork.live)
 }
 
 // heardHalls returns the halls that are heard, with this one, in order.
--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -103,6 +103,24 @@
 	})
 }
 
+// TestOtherRanks: of the boxes that are no relays, few stand at the same time, however many there
+// are, and some stand soon.
+func TestOtherRanks(t *testing.T) {
+	for _, boxes := range []int{5, 30, 200, 2000} {
+		ranks := make(map[int]int)
+		for i := range boxes {
+			ranks[otherRank(slatebridge.BoxID(fmt.Sprintf("front-hall-a-%d", i)), boxes)]++
+		}
+		most, first := 0, boxes
+		for rank, n := range ranks {
+			most, first = max(most, n), min(first, rank)
+		}
+		if most > leastOtherRanks || first >= leastOtherRanks {
+			t.Errorf("%d boxes: %d stand at the same time, and the first has rank %d", boxes, most, first)
+		}
+	}
+}
+
 // TestBoxesForBudget: boxes that a lost relay told of still share the retry budget,
 // until they are forgotten.
 func TestBoxesForBudget(t *testing.T) {
