--- a/retry/pool.go
+++ b/retry/pool.go
@@ -6,13 +6,12 @@
 	// ownShare is the part of what is left of the budget that boxes may take without asking,
 	// each the same; the rest is the pool, out of which one box gives to all that ask.
 	ownShare = 0.25
-	// most is the part of all boxes that has to be heard to give out of the pool: two sides that
-	// are cut off from each other never both do.
-	most = 0.5
-	// few is up to which part of all boxes those that are heard may take their whole equal part
-	// without a pool: what the others gave before they noticed the cut, and this, stay within
-	// the budget.
-	few = 0.4
+	// majority is the part of all boxes beyond which as many have to be heard to give out of the
+	// pool: two sides that are cut off from each other never both do.
+	majority = 0.5
+	// minority is the part up to which those that are heard take their whole equal part without
+	// a pool: what the others gave before they noticed the cut, and this, stay within the budget.
+	minority = 0.4
 	// Settle is for how long a box that has become the one that gives out of the pool gives
 	// nothing: until it knows what was taken before.
 	Settle = fresh
@@ -25,7 +24,7 @@
 // boxes. Each box's equal part is less than one retry, and what the others have stays unused.
 func (b *Budget) TakeOwn(service string, boxes int, u Urgency, now time.Time) bool {
 	share := ownShare
-	if b.heard(now) <= few*float64(boxes) {
+	if b.heard(now) <= minority*float64(boxes) {
 		share = 1
 	}
 
@@ -55,7 +54,7 @@
 	heard := b.heard(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.began) < fresh || heard <= most*float64(boxes) {
+	if now.Sub(b.began) < fresh || heard <= majority*float64(boxes) {
 		return false
 	}
 	own := b.window(b.own, service, now).sum(b.bounds.Window)
