No process starts while a test's bench probes for a free address

A process that is started copies the open files of its parent until its program runs, the probing socket with them, and parallel tests start dozens.

Ruled out: another bench with the same IP number (each has its own); the same address picked twice (TestFreeAddr).

--- a/internal/standin/processes/bench_test.go
+++ b/internal/standin/processes/bench_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -70,13 +71,7 @@
 func (b *bench) freeAddr() string {
 	b.t.Helper()
 	for {
-		var cfg net.ListenConfig
-		ln, err := cfg.Listen(b.t.Context(), "tcp", b.ip+":0")
-		if err != nil {
-			b.t.Fatal(err)
-		}
-		addr := ln.Addr().String()
-		_ = ln.Close()
+		addr := b.probe()
 		if !b.picked[addr] {
 			b.picked[addr] = true
 
@@ -85,6 +80,50 @@
 	}
 }
 
+// probe returns an address that was free a moment ago. A process that is started meanwhile holds a
+// copy of the open socket until its program runs, and with it the address; none is started here.
+func (b *bench) probe() string {
+	b.t.Helper()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	var cfg net.ListenConfig
+	ln, err := cfg.Listen(b.t.Context(), "tcp", b.ip+":0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+
+	return ln.Addr().String()
+}
+
+// TestFreeAddrBesideStarts: an address that was picked is free, also while other processes start.
+func TestFreeAddrBesideStarts(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var starts sync.WaitGroup
+	for range 8 {
+		starts.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.CommandContext(ctx, "true").Run()
+			}
+		})
+	}
+	for range 2000 {
+		var cfg net.ListenConfig
+		addr := b.freeAddr()
+		ln, err := cfg.Listen(t.Context(), "tcp", addr)
+		if err != nil {
+			t.Error(err)
+
+			break
+		}
+		_ = ln.Close()
+	}
+	cancel()
+	starts.Wait()
+}
+
 // TestFreeAddr picks far more addresses than a bench needs. Drawn from some
 // 14,000, a thousand would hold some twice.
 func TestFreeAddr(t *testing.T) {
