A call that ends at its deadline was not answered in time, whichever end is heard first

A server ends its work at the deadline that it was given, which is the box's own; heard first, its end counted as a broken answer.

Change: once the deadline is over the answer is that no answer came in time.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -260,7 +260,8 @@
 		}
 
 		return result.New(result.NoServer, "no server takes the request").WithRetryAfter(overload.ComeBackLeast)
-	case t.ctx.Err() != nil:
+	case t.ctx.Err() != nil, clock.Until(t.c.until) <= 0:
+		// A server ends its work at the same moment, and may be heard first.
 		return result.New(result.DeadlineExceeded, "no answer within %s", t.c.until.Sub(t.c.began))
 	case t.broken:
 		return result.New(result.BrokenAnswer, "the answer broke off or was not one to this request")
