A test of a resting follower counts between two moments at which it asks

It counted from second 2 to 11, and a follower that began to rest at second 1 asks at both ends: the check was wrong by one when both fell into it.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -280,7 +280,8 @@
 		run(t, s, 12*time.Second, func(p *probe) {
 			time.Sleep(time.Second)
 			p.resting.Store(true)
-			time.Sleep(time.Second)
+			// Not at a moment at which the follower asks.
+			time.Sleep(time.Second + time.Millisecond)
 			before, asked := reads.Load(), p.asked.Load()
 			time.Sleep(9 * time.Second)
 			if n := reads.Load(); n != before {
