--- a/box/peers.go
+++ b/box/peers.go
@@ -248,8 +248,7 @@
 	if c.next == 0 || len(list) == 0 || list[0].Offset > c.next {
 		return
 	}
-	// Entries with the same grace are taken up together: each time the state for other
-	// boxes is made anew.
+	// Entries with the same grace are taken up together.
 	for rest := list; len(rest) > 0; {
 		n := 1
 		for n < len(rest) && rest[n].Grace == rest[0].Grace {
