Priority of requests as the configuration has it; limits of a query on room

Cause: the priority of routes and accounts was decoded and read by nothing, so that servers were never told it and every decision under load was first come, first served. Room was one constant share of memory, the same for all, and the slots of first servers bounded nothing.

Ruled out: a switch of its own; a service is prioritized if the configuration has requests of more than one priority before it, so that all others are served as before.

Change: catalog.Priority and Catalog.Prioritized; requests and attempts carry the priority, which the adapter sends to servers of prioritized services; fleet.Query.Limits bounds memory and slots, its zero value is the share that held before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -194,6 +194,8 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Account
 	byService map[string]*Service
+	// prioritized has the services before which there are requests of more than one priority.
+	prioritized map[string]bool
 }
 
 // New returns a Catalog that indexes the given routes, services and accounts.
@@ -202,7 +204,7 @@
 		Version: version, Limits: limits, Services: services, RequireAPIKey: requireAPIKey,
 		byHost:    make(map[string][]*Route),
 		byKey:     make(map[string]*Account),
-		byService: make(map[string]*Service, len(services)),
+		byService: make(map[string]*Service, len(services)), prioritized: prioritizedServices(routes, accounts),
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -87,10 +87,10 @@
 	if needRoom && now.Before(m.rejectingUntil) {
 		return candidate{}, false
 	}
-	used, capacity := m.load().TokenLayers, m.capacity()
-	if needRoom && used+q.Tokens*float64(m.Layers.Len()) > maxPlannedFill*capacity {
+	if needRoom && !m.hasRoom(q, m.load()) {
 		return candidate{}, false
 	}
+	used, capacity := m.load().TokenLayers, m.capacity()
 	expected := m.expectedLoad(f.hallPeers, now)
 	used = max(used, expected.TokenLayers)
 	cost := m.layerCost(used, capacity) * (1 + f.noise(q, now)*(2*f.random()-1))
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -63,6 +63,8 @@
 	FirstServer slatebridge.ServerID
 	// Isolated asks for a first server with as few other requests as possible.
 	Isolated bool
+	// Limits bounds how far the request may fill the servers of the path.
+	Limits Limits
 	// WaitForGrant says that the request may wait for a grant if its first server is rate-limited.
 	WaitForGrant bool
 	// ignoreAdmission makes servers in a cooldown, in the slow start after one, or without a grant
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,6 +52,10 @@
 	Account string
 	// LastEventID is the ID of the last event relayed to the caller; zero if there is none.
 	LastEventID int64
+	// Priority is the priority of the request, 0 for the most urgent. The server is told it only if
+	// Prioritized is set.
+	Priority    int
+	Prioritized bool
 }
 
 // ResponseHead holds what the head of a server's response states.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -35,7 +35,11 @@
 	route     *catalog.Route
 	service   string
 	account   string
-	state     State
+	// priority is the priority of the request, 0 for the most urgent. It counts only if prioritized
+	// is set, that is, if there are requests of other priorities before the service.
+	priority    int
+	prioritized bool
+	state       State
 	// plainAttempts counts the attempts at single servers, including those that were not sent. It
 	// stays zero for a stream over paths.
 	plainAttempts int
@@ -156,6 +160,7 @@
 		c.deadline = c.startedAt.Add(c.Timeout)
 	}
 	c.service = c.route.ChooseService(h.random())
+	c.priority, c.prioritized = catalog.Priority(c.route, c.state.Catalog.Account(c.APIKey)), c.state.Catalog.Prioritized(c.service)
 	c.header = endToEndHeaders(r.Header)
 
 	if e := h.readBody(w, r, c); e != nil {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -289,7 +289,7 @@
 
 		return
 	}
-	o.attemptResult = h.send(ctx, c, Attempt{Server: o.server, Grant: grant, Timeout: clock.Until(c.deadline), Account: c.account})
+	o.attemptResult = h.send(ctx, c, Attempt{Server: o.server, Grant: grant, Timeout: clock.Until(c.deadline), Account: c.account, Priority: c.priority, Prioritized: c.prioritized})
 	if o.fate != answered {
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -202,7 +202,7 @@
 		reservation.Release()
 	}
 	firstServers := t.h.allowedFirstServers(t.possiblyRunningOn(), t.c.route.MaxServers)
-	query := fleet.Query{Service: t.c.service, Tokens: t.kvTokens(), Exclude: slices.Concat(t.exclude, reserved), Isolated: trialOnly}
+	query := fleet.Query{Service: t.c.service, Tokens: t.kvTokens(), Exclude: slices.Concat(t.exclude, reserved), Isolated: trialOnly, Limits: t.h.roomLimits(t.c, len(t.ranOn) > 0)}
 	path, reservation, shortage := t.h.fleet.FindPathFrom(query, firstServers)
 	if path == nil && t.mayWaitForGrant() {
 		query.WaitForGrant, t.queuesForGrant = true, true
@@ -295,6 +295,7 @@
 	event.Log(t.h.logger, event.StreamSent, zap.String("request", t.c.ID), zap.Int("attempt", t.attempts), zap.Stringer("path", path))
 	r := t.h.send(ctx, t.c, Attempt{
 		Server: first, Path: path, Grant: plan.grant, Timeout: clock.Until(t.c.deadline), Account: t.c.account, LastEventID: max(0, t.lastEventID),
+		Priority: t.c.priority, Prioritized: t.c.prioritized,
 	})
 	t.h.metrics.attemptDone(t.c, r.fate)
 	if r.fate != answered {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -275,7 +275,7 @@
 	if load*h.random() > maxFailoverLoad && h.restartElsewhere(ctx, a, path, exclude) {
 		return
 	}
-	next, reservation, shortage := h.fleet.Repair(fleet.Query{Service: a.service, Tokens: a.kvTokens, Exclude: exclude}, path)
+	next, reservation, shortage := h.fleet.Repair(h.repairQuery(a, exclude), path)
 	// If the new path has more hops between halls, all tokens of the stream must be transferred
 	// over slow links. After a crash many streams do so at once and stall for longer than their
 	// callers wait. A restart within one hall takes a tenth of a second.
@@ -312,7 +312,7 @@
 			exclude = append(exclude, s.Server.ID)
 		}
 	}
-	next, reservation, _ := h.fleet.FindPathFrom(fleet.Query{Service: a.service, Tokens: a.kvTokens, Exclude: exclude}, h.allowedFirstServers(a.ranOn, a.maxRuns))
+	next, reservation, _ := h.fleet.FindPathFrom(h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
 	if next == nil {
 		return false
 	}
