Ledger of room shared by the boxes of a hall

Cause: boxes choose servers by what others had in flight up to half a second ago, so that many choose the same nearly full server. Change: package room decides; box/room.go asks and answers; forward claims room for paths with nearly full servers. Waiting for answers is shared with the grants (box/exchanges.go). Run: go test ./room ./box ./forward ./mesh ./fleet ./catalog: pass.

--- a/box/box.go
+++ b/box/box.go
@@ -102,6 +102,8 @@
 	// grants requests and allocates grants for rate-limited servers and retries from the shared
 	// pools.
 	grants *grants
+	// rooms claims and gives room at nearly full servers.
+	rooms *rooms
 	// serversConfirmedAt is the time at which the server entries were last confirmed current.
 	serversConfirmedAt atomic.Pointer[time.Time]
 
@@ -140,6 +142,7 @@
 	b.config, b.servers = b.followConfig(), b.followServers()
 	b.quarantine = newReplicatedLedger(b)
 	b.grants = newGrants(b)
+	b.rooms = newRooms(b)
 	b.serversConfirmedAt.Store(&time.Time{})
 	b.state.Store(&forward.State{BoxCount: 1})
 	b.status.Store(&Status{})
@@ -154,7 +157,8 @@
 		OnServerLeaving: func(id slatebridge.ServerID) { b.post(&serverLeaving{id: id}) },
 		OnServerLimit:   func(id slatebridge.ServerID, w allowance.Observation) { b.post(&limitObserved{id: id, observation: w}) },
 		Ledger:          b.quarantine.ledger, RequestTrial: b.quarantine.beginTrial, RequestGrant: b.grants.request, RequestRetry: b.grants.requestRetry,
-		Random: rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
+		RequestRoom: b.rooms.claim,
+		Random:      rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
 
 	return b
@@ -219,7 +223,7 @@
 	b.pid.Store(b.system.Root.Spawn(actor.PropsFromFunc(c.receive)))
 	go socket.Receive(
 		func(m mesh.ReceivedMessage) {
-			if !b.grants.receive(m) {
+			if !b.grants.receive(m) && !b.rooms.receive(m) {
 				b.post(&peerMessage{message: m, receivedAt: clock.Now()})
 			}
 		},
--- a/box/control.go
+++ b/box/control.go
@@ -87,6 +87,9 @@
 	// known at hallBudgetBoxesAt.
 	hallBudgetBoxes   int
 	hallBudgetBoxesAt time.Time
+	// recentHallBoxes is the number of boxes of the hall that were heard at recentHallBoxesAt.
+	recentHallBoxes   int
+	recentHallBoxesAt time.Time
 	// sentReports are the last reports of this box, and lastSentTimestamp the timestamp of its last
 	// message.
 	sentReports       []sentReport
--- a/box/grants.go
+++ b/box/grants.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,8 +23,6 @@
 	// grantTimeout bounds the wait for the answer to a grant request. Boxes of one region answer
 	// within two milliseconds, and busy ones take longer.
 	grantTimeout = 60 * time.Millisecond
-	// skipDuration is how long a box that did not answer is not asked again.
-	skipDuration = 500 * time.Millisecond
 	// handoverDelay is how long a new allocator of a server gives no grants: boxes that have not
 	// yet heard of the change may still ask its predecessor.
 	handoverDelay = 600 * time.Millisecond
@@ -42,6 +39,8 @@
 type grants struct {
 	box     *Box
 	current atomic.Pointer[allocators]
+	// asked are the requests to other boxes.
+	asked *exchanges[mesh.GrantMessage]
 
 	mu sync.Mutex
 	// allocator decides on the grants for the servers of which this box is the allocator.
@@ -49,20 +48,13 @@
 	// previous are the allocators before the last change, at changedAt.
 	previous  *allocators
 	changedAt time.Time
-	// waiting are the unanswered requests to other boxes, by message ID.
-	waiting map[uint64]chan mesh.GrantMessage
-	lastID  uint64
-	// skippedUntil is, by box that did not answer, until when it is not asked.
-	skippedUntil map[slatebridge.BoxID]time.Time
 	// emptyUntil is, by service, until when no retry is requested because its retry pool was empty.
 	emptyUntil map[string]time.Time
 }
 
 func newGrants(b *Box) *grants {
 	g := &grants{
-		box: b, allocator: allowance.NewAllocator(), waiting: make(map[uint64]chan mesh.GrantMessage),
-		// After a restart the box must not accept answers to requests of its previous process.
-		lastID: rand.Uint64(), skippedUntil: make(map[slatebridge.BoxID]time.Time), emptyUntil: make(map[string]time.Time),
+		box: b, allocator: allowance.NewAllocator(), asked: newExchanges[mesh.GrantMessage](grantTimeout), emptyUntil: make(map[string]time.Time),
 	}
 	g.current.Store(&allocators{})
 
@@ -86,7 +78,7 @@
 // request asks the allocator of a rate-limited server for a grant.
 func (g *grants) request(ctx context.Context, s catalog.Server, observed []allowance.Observation, maxWait time.Duration) (forward.Grant, error) {
 	to, ok := g.current.Load().allocator(s)
-	if !ok || g.isSkipped(to.Box) {
+	if !ok || g.asked.isSkipped(to.Box) {
 		return forward.Grant{}, errNoAllocator
 	}
 	for range 2 {
@@ -129,26 +121,15 @@
 
 // exchange sends a request to another box and waits for the answer.
 func (g *grants) exchange(ctx context.Context, to relay.Candidate, m mesh.GrantMessage) (mesh.GrantMessage, error) {
-	answer := make(chan mesh.GrantMessage, 1)
-	g.mu.Lock()
-	g.lastID++
-	m.ID = g.lastID
-	g.waiting[m.ID] = answer
-	g.mu.Unlock()
-	defer g.stopWaiting(m.ID)
-	g.send(mesh.GrantRequest, m, to.Address)
-	timeout := time.NewTimer(grantTimeout)
-	defer timeout.Stop()
-	select {
-	case a := <-answer:
-		return a, nil
-	case <-ctx.Done():
-		return mesh.GrantMessage{}, context.Cause(ctx)
-	case <-timeout.C:
-		g.skip(to.Box)
-
-		return mesh.GrantMessage{}, errors.Wrapf(errNoAllocator, "box %s did not answer in time", to.Box)
+	answer, err := g.asked.exchange(ctx, to.Box, func(id uint64) {
+		m.ID = id
+		g.send(mesh.GrantRequest, m, to.Address)
+	})
+	if errors.Is(err, errUnanswered) {
+		err = errors.Mark(err, errNoAllocator)
 	}
+
+	return answer, err
 }
 
 // lowestRates returns the n observations with the lowest rates. Only these are sent, since the
@@ -159,31 +140,6 @@
 	return list[:min(n, len(list))]
 }
 
-func (g *grants) stopWaiting(id uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.waiting, id)
-}
-
-// skip excludes a box for a while, so that not every request waits for it.
-func (g *grants) skip(id slatebridge.BoxID) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.skippedUntil[id] = clock.Now().Add(skipDuration)
-}
-
-func (g *grants) isSkipped(id slatebridge.BoxID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	until, ok := g.skippedUntil[id]
-	if ok && !clock.Now().Before(until) {
-		delete(g.skippedUntil, id)
-		ok = false
-	}
-
-	return ok
-}
-
 // allocate answers a grant request, or names the allocator if it is another box.
 func (g *grants) allocate(from slatebridge.BoxID, m mesh.GrantMessage, observed []allowance.Observation, now time.Time) mesh.GrantMessage {
 	out := mesh.GrantMessage{ID: m.ID, Server: m.Server}
@@ -266,7 +222,7 @@
 		}
 		g.send(mesh.GrantResponse, g.allocate(m.Box, *m.Grant, observed, now), m.Address)
 	case mesh.GrantResponse:
-		g.deliver(*m.Grant)
+		g.asked.deliver(m.Grant.ID, *m.Grant)
 	case mesh.GrantRelease:
 		g.releaseLocal(m.Grant.Server, m.Grant.Slot)
 	default:
@@ -275,28 +231,6 @@
 	return true
 }
 
-// deliver passes an answer to the waiting request. A grant in a late answer is lost.
-func (g *grants) deliver(m mesh.GrantMessage) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if answer, ok := g.waiting[m.ID]; ok {
-		delete(g.waiting, m.ID)
-		answer <- m
-	}
-}
-
-// send sends a message about grants. Its boot ID and its zero timestamp make boxes of earlier
-// versions drop it as outdated.
 func (g *grants) send(kind mesh.Kind, m mesh.GrantMessage, to string) {
-	d, err := mesh.Message{
-		Kind: kind, Box: g.box.settings.Box, Hall: g.box.settings.Hall, Boot: g.box.bootID,
-		Address: g.box.settings.Listen.Mesh, Grant: &m,
-	}.Encode()
-	if err == nil {
-		err = g.box.socket.Send(d, []mesh.Target{{Address: to}})
-	}
-	if err != nil {
-		g.box.metrics.meshError(err)
-	}
-	g.box.metrics.meshSent(1, len(d))
+	g.box.sendDirect(mesh.Message{Kind: kind, Grant: &m}, to)
 }
--- a/box/metrics.go
+++ b/box/metrics.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/slatebridge/slatebridge/logstore"
+	"github.com/slatebridge/slatebridge/room"
 )
 
 // metrics are the Prometheus metrics of the control plane.
@@ -24,6 +25,7 @@
 	refusedEntries     *prometheus.CounterVec
 	retriesRequested   *prometheus.CounterVec
 	retriesAnswered    *prometheus.CounterVec
+	claimsAnswered     *prometheus.CounterVec
 	meshErrors         prometheus.Counter
 	messagesSent       prometheus.Counter
 	bytesSent          prometheus.Counter
@@ -71,6 +73,9 @@
 		retriesAnswered: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "slatebridge_retries_given_total", Help: "Retry requests that this box decided as allocator of the pool, by service and result.",
 		}, []string{"service", "result"}),
+		claimsAnswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "slatebridge_room_answers_total", Help: "Claims of room that this box decided as holder of the ledger, by service and result.",
+		}, []string{"service", "result"}),
 		meshErrors:       counter("mesh_errors_total", "Messages between boxes that could not be sent or read."),
 		messagesSent:     counter("mesh_sent_total", "Messages sent to other boxes."),
 		bytesSent:        counter("mesh_sent_bytes_total", "Bytes of messages sent to other boxes."),
@@ -80,7 +85,7 @@
 		storeEra:         gauge("store_era", "Number of times the store has rolled back to an older copy, as far as this box knows."),
 		suspendedTime:    counter("suspended_seconds_total", "Time for which the machine of the box was suspended."),
 	}
-	reg.MustRegister(m.storeCalls, m.refusedEntries, m.retriesRequested, m.retriesAnswered)
+	reg.MustRegister(m.storeCalls, m.refusedEntries, m.retriesRequested, m.retriesAnswered, m.claimsAnswered)
 
 	return m
 }
@@ -109,6 +114,18 @@
 	m.retriesAnswered.WithLabelValues(service, result).Inc()
 }
 
+// roomAnswered counts a decision on a claim of room.
+func (m *metrics) roomAnswered(service string, d room.Decision) {
+	result := "undecided"
+	switch {
+	case d.Granted:
+		result = "granted"
+	case len(d.Full) > 0:
+		result = "refused"
+	}
+	m.claimsAnswered.WithLabelValues(service, result).Inc()
+}
+
 func (m *metrics) entryRefused(reason string) { m.refusedEntries.WithLabelValues(reason).Inc() }
 
 func (m *metrics) configVersion(v int64) { m.configVersionGauge.Set(float64(v)) }
--- a/box/peers.go
+++ b/box/peers.go
@@ -58,6 +58,8 @@
 	// report.
 	lastReport      work
 	reportTimestamp int64
+	// completeReportAt is the sender timestamp of its last report with the loads of all servers.
+	completeReportAt int64
 	// hallDigest is the work of its hall in its last digest, digestEcho the timestamp of this box's
 	// newest report included there, and storeReader the box that the digest names to read the
 	// store.
@@ -157,6 +159,9 @@
 	case mesh.Report:
 		o.lastReport.apply(msg.Work, m.receivedAt)
 		o.reportTimestamp = msg.SentAt
+		if msg.Work.ShardCount <= 1 {
+			o.completeReportAt = msg.SentAt
+		}
 		o.lastReport.live, o.lastReport.budgetBoxes = 1, 1
 		c.applySuspicions(msg.Message, m.receivedAt, true)
 	case mesh.RelayDigest:
@@ -178,7 +183,7 @@
 		o.messageInterval += time.Duration(intervalWeight * float64(interval-o.messageInterval))
 	}
 	if o.bootID != msg.Boot {
-		o.lastReport, o.hallDigest, o.storeReader, o.messageInterval = work{}, work{}, "", tickInterval
+		o.lastReport, o.hallDigest, o.storeReader, o.messageInterval, o.completeReportAt = work{}, work{}, "", tickInterval, 0
 	}
 	o.bootID, o.lastTimestamp, o.address, o.hall, o.linkRate, o.canLead = msg.Boot, msg.SentAt, msg.Address, msg.Hall, msg.LinkRate, msg.CanLead
 	o.lastSeenAt, o.lastMessage, o.lost, o.unansweredSince = at, msg, false, time.Time{}
--- a/box/retry_pool.go
+++ b/box/retry_pool.go
@@ -48,7 +48,7 @@
 func (g *grants) askPoolAllocator(ctx context.Context, service string, u retry.Urgency) (mesh.GrantMessage, error) {
 	to, ok := g.current.Load().allocator(poolPlaceholder(service))
 	for range 2 {
-		if !ok || g.isSkipped(to.Box) {
+		if !ok || g.asked.isSkipped(to.Box) {
 			break
 		}
 		answer, err := g.askRetry(ctx, to, service, u)
--- /dev/null
+++ b/box/room.go
@@ -0,0 +1,338 @@
+package box
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/relay"
+	"github.com/slatebridge/slatebridge/room"
+)
+
+const (
+	// roomTimeout bounds the wait for the answer to a claim, which is taken from the time in which
+	// the caller expects its first event. Boxes of one region answer within two milliseconds.
+	roomTimeout = 30 * time.Millisecond
+	// maxRoomViewAge is the age of the reports up to which the holder of a ledger decides. Reports
+	// are applied once per tick.
+	maxRoomViewAge = 4 * tickInterval
+	// maxHallClaims is the number of claims a second that the boxes of a hall send together. It
+	// bounds the bytes that the holder of the ledger sends and receives for them to about 18 KB a
+	// second.
+	maxHallClaims = 60
+	// minClaimBurst is the number of claims that a box may send at once.
+	minClaimBurst = 4
+	// roomShareMemory is how long a lost box of the hall counts as using its part of the room.
+	roomShareMemory = 5 * time.Second
+)
+
+// errNoLedger reports that no ledger decided on a claim.
+var errNoLedger = errors.New("no ledger of the hall decides")
+
+// rooms claims room at nearly full servers for requests of this box, and decides on the claims of
+// other boxes for the services of which this box holds the ledger. It bypasses the control actor,
+// because requests wait for the answer.
+type rooms struct {
+	box *Box
+	// asked are the claims sent to other boxes.
+	asked *exchanges[mesh.RoomMessage]
+
+	mu sync.Mutex
+	// ledgers are those held by this box, by service.
+	ledgers map[string]*room.Ledger
+	// reportedAt and liveShare are for the decisions of the ledgers, and reportsAsOf is when they
+	// were set; see setReports.
+	reportedAt  map[string]int64
+	liveShare   float64
+	reportsAsOf time.Time
+	// claimTokens is the number of claims that may be sent now, as of claimTokensAt.
+	claimTokens   float64
+	claimTokensAt time.Time
+}
+
+func newRooms(b *Box) *rooms {
+	return &rooms{box: b, asked: newExchanges[mesh.RoomMessage](roomTimeout), ledgers: make(map[string]*room.Ledger)}
+}
+
+// roomPlaceholder returns a server that stands for the room of a service in a hall, so that the
+// holder of the ledger is chosen like the allocator of a rate-limited server.
+func roomPlaceholder(service string, hall slatebridge.HallID) catalog.Server {
+	return catalog.Server{ID: slatebridge.ServerID("room of " + service), Hall: hall}
+}
+
+// roomHolder returns the box that holds the ledger of room for the service in the hall. It is a box
+// of the hall, since only these know the work at its servers without delay.
+func (v *allocators) roomHolder(service string, hall slatebridge.HallID) (relay.Candidate, bool) {
+	if len(v.byHall[hall]) == 0 {
+		return relay.Candidate{}, false
+	}
+
+	return v.allocator(roomPlaceholder(service, hall))
+}
+
+// holdsLedger reports whether this box holds the ledger of the service in the hall.
+func (r *rooms) holdsLedger(service string, hall slatebridge.HallID) bool {
+	c, ok := r.box.grants.current.Load().roomHolder(service, hall)
+
+	return ok && hall == r.box.settings.Hall && c.Box == r.box.settings.Box
+}
+
+// claim claims room for a request in each of the halls. It returns the servers without room. It
+// fails if no server was found full and the ledger of some hall did not decide.
+func (r *rooms) claim(ctx context.Context, c forward.RoomClaim) ([]slatebridge.ServerID, error) {
+	var granted []claimedRoom
+	var undecided error
+	for _, hall := range c.Halls {
+		a, err := r.claimInHall(ctx, c, hall)
+		switch {
+		case err != nil:
+			undecided = err
+		case a.message.Granted:
+			granted = append(granted, a)
+		default:
+			for _, a := range granted {
+				r.release(a)
+			}
+
+			return serversByShortID(c.Path, a.message.Full), nil
+		}
+	}
+
+	return nil, undecided
+}
+
+// serversByShortID returns the servers of the path with one of the short IDs.
+func serversByShortID(p fleet.Path, shortIDs []uint32) []slatebridge.ServerID {
+	var out []slatebridge.ServerID
+	for _, s := range p {
+		for _, n := range shortIDs {
+			if fleet.ShortID(s.Server.ID) == n {
+				out = append(out, s.Server.ID)
+			}
+		}
+	}
+
+	return out
+}
+
+// claimedRoom is the answer to a claim and the box that gave it.
+type claimedRoom struct {
+	holder  relay.Candidate
+	claim   mesh.RoomMessage
+	message mesh.RoomMessage
+}
+
+// claimInHall claims room at the servers of one hall from the holder of its ledger, or from the box
+// that it names instead.
+func (r *rooms) claimInHall(ctx context.Context, c forward.RoomClaim, hall slatebridge.HallID) (claimedRoom, error) {
+	m := newRoomClaim(c, hall)
+	to, ok := r.box.grants.current.Load().roomHolder(c.Service, hall)
+	for range 2 {
+		if !ok || r.asked.isSkipped(to.Box) {
+			break
+		}
+		answer, err := r.ask(ctx, to, m)
+		switch {
+		case err != nil:
+			return claimedRoom{}, err
+		case answer.Granted || len(answer.Full) > 0:
+			m.ID = answer.ID
+
+			return claimedRoom{holder: to, claim: m, message: answer}, nil
+		case answer.Holder == nil:
+			return claimedRoom{}, errors.Wrapf(errNoLedger, "box %s", to.Box)
+		}
+		to = *answer.Holder
+	}
+
+	return claimedRoom{}, errNoLedger
+}
+
+// newRoomClaim returns the part of the claim that concerns servers of the hall.
+func newRoomClaim(c forward.RoomClaim, hall slatebridge.HallID) mesh.RoomMessage {
+	m := mesh.RoomMessage{
+		Service: c.Service, Hall: hall, First: c.Path[0].Server.Hall == hall, Tokens: wireCount(math.Ceil(c.Tokens)),
+		MemoryLimit: float32(c.Limits.MemoryShare()), SlotLimit: float32(c.Limits.Slots),
+	}
+	for _, s := range c.Path {
+		if s.Server.Hall == hall {
+			m.Stages = append(m.Stages, mesh.RoomStage{ShortID: fleet.ShortID(s.Server.ID), Layers: uint16(s.Layers.Len())})
+		}
+	}
+
+	return m
+}
+
+// ask sends a claim to one box, or decides on it locally.
+func (r *rooms) ask(ctx context.Context, to relay.Candidate, m mesh.RoomMessage) (mesh.RoomMessage, error) {
+	now := clock.Now()
+	if to.Box == r.box.settings.Box {
+		return r.decide(r.box.bootID, m, true, now), nil
+	}
+	if !r.takeClaimToken(now) {
+		return mesh.RoomMessage{}, errors.Wrap(errNoLedger, "too many claims")
+	}
+	m.SentAt = now.Sub(r.box.startedAt).Microseconds()
+
+	return r.asked.exchange(ctx, to.Box, func(id uint64) {
+		m.ID = id
+		r.send(mesh.RoomRequest, m, to.Address)
+	})
+}
+
+// takeClaimToken reports whether this box may send a claim within its part of maxHallClaims.
+func (r *rooms) takeClaimToken(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rate := maxHallClaims / float64(1+r.box.hallPeers.Load())
+	r.claimTokens = min(max(minClaimBurst, rate), r.claimTokens+rate*now.Sub(r.claimTokensAt).Seconds())
+	r.claimTokensAt = now
+	if r.claimTokens < 1 {
+		return false
+	}
+	r.claimTokens--
+
+	return true
+}
+
+// decide decides on a claim of the process, or names the holder of the ledger if it is another box.
+// The answer is neither granted nor refused if this box cannot decide. reported says that the work
+// that this box knows of contains the request.
+func (r *rooms) decide(process string, m mesh.RoomMessage, reported bool, now time.Time) mesh.RoomMessage {
+	out := mesh.RoomMessage{ID: m.ID}
+	if !r.holdsLedger(m.Service, m.Hall) {
+		if other, ok := r.box.grants.current.Load().roomHolder(m.Service, m.Hall); ok && other.Box != r.box.settings.Box {
+			out.Holder = &other
+		}
+
+		return out
+	}
+	if !r.box.fleet.SharesRoom(m.Service) || r.box.grants.handoverRemaining(roomPlaceholder(m.Service, m.Hall), handoverDelay, now) > 0 {
+		return out
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.reportsAsOf) > maxRoomViewAge {
+		return out
+	}
+	d := r.ledger(m.Service, now).Decide(ledgerClaim(process, m, reported), room.View{Server: r.serverRoom, LiveShare: r.liveShare}, now)
+	out.Granted, out.Full = d.Granted, d.Full
+	r.box.metrics.roomAnswered(m.Service, d)
+
+	return out
+}
+
+// ledger returns the ledger of the service. The caller holds mu.
+func (r *rooms) ledger(service string, now time.Time) *room.Ledger {
+	l, ok := r.ledgers[service]
+	if !ok {
+		l = room.NewLedger()
+		l.SetReported(r.reportedAt, now)
+		r.ledgers[service] = l
+		event.Log(r.box.logger, event.RoomLedgerHeld, zap.String("service", service))
+	}
+
+	return l
+}
+
+// ledgerClaim converts a message to a claim of the process.
+func ledgerClaim(process string, m mesh.RoomMessage, reported bool) room.Claim {
+	c := room.Claim{
+		Process: process, ID: m.ID, SentAt: m.SentAt, Reported: reported,
+		Limits: room.Limits{Memory: float64(m.MemoryLimit), Slots: float64(m.SlotLimit)},
+	}
+	for i, s := range m.Stages {
+		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers)}
+		if m.First && i == 0 {
+			need.Slots = 1
+		}
+		c.Stages = append(c.Stages, room.Stage{ShortID: s.ShortID, Need: need})
+	}
+
+	return c
+}
+
+// serverRoom returns what this box knows of a server.
+func (r *rooms) serverRoom(shortID uint32) (room.Server, bool) {
+	known, ok := r.box.fleet.Room(shortID)
+
+	return room.Server{Capacity: roomUse(known.Capacity), InFlight: roomUse(known.InFlight)}, ok
+}
+
+func roomUse(l fleet.Load) room.Use { return room.Use{Memory: l.TokenLayers, Slots: l.FirstStage} }
+
+// setReports sets which claims are contained in the reports that the fleet knows of, and the share
+// of the boxes of the hall whose reports they are. A nil map keeps the claims set before. It drops
+// the ledgers that this box no longer holds.
+func (r *rooms) setReports(reportedAt map[string]int64, liveShare float64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reportedAt != nil {
+		r.reportedAt = reportedAt
+	}
+	r.liveShare, r.reportsAsOf = liveShare, now
+	for service, l := range r.ledgers {
+		if !r.holdsLedger(service, r.box.settings.Hall) {
+			delete(r.ledgers, service)
+			event.Log(r.box.logger, event.RoomLedgerDropped, zap.String("service", service))
+
+			continue
+		}
+		l.SetReported(r.reportedAt, now)
+	}
+}
+
+// release ends an unused claim.
+func (r *rooms) release(a claimedRoom) {
+	if a.holder.Box == r.box.settings.Box {
+		// Room that this box claims from itself is not counted in the ledger.
+		return
+	}
+	r.send(mesh.RoomRelease, mesh.RoomMessage{ID: a.claim.ID, Service: a.claim.Service, Hall: a.claim.Hall}, a.holder.Address)
+}
+
+// receive handles a message about room, and reports whether the message was one.
+func (r *rooms) receive(m mesh.ReceivedMessage) bool {
+	if m.Kind != mesh.RoomRequest && m.Kind != mesh.RoomResponse && m.Kind != mesh.RoomRelease {
+		return false
+	}
+	r.box.metrics.meshReceived(m.Size)
+	if m.Room == nil {
+		return true
+	}
+	switch m.Kind {
+	case mesh.RoomRequest:
+		r.send(mesh.RoomResponse, r.decide(m.Boot, *m.Room, false, clock.Now()), m.Address)
+	case mesh.RoomResponse:
+		r.asked.deliver(m.Room.ID, *m.Room)
+	case mesh.RoomRelease:
+		r.releaseClaim(m.Boot, *m.Room)
+	default:
+	}
+
+	return true
+}
+
+// releaseClaim ends a claim of another box in the ledger.
+func (r *rooms) releaseClaim(process string, m mesh.RoomMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l, ok := r.ledgers[m.Service]; ok {
+		l.Release(process, m.ID)
+	}
+}
+
+func (r *rooms) send(kind mesh.Kind, m mesh.RoomMessage, to string) {
+	r.box.sendDirect(mesh.Message{Kind: kind, Room: &m}, to)
+}
--- a/box/work.go
+++ b/box/work.go
@@ -181,13 +181,14 @@
 	others, silent := c.reportingPeersWork(now)
 	c.aggregatedWork = sumWork(own, others)
 	c.aggregatedWork.budgetBoxes += silent
-	best := c.aggregatedWork
+	best, reportedAt := c.aggregatedWork, c.reportedAt(now)
 	for _, o := range c.peers {
 		v := o.hallDigest
 		if !o.inHall(c.settings.Hall) || now.Sub(v.asOf) > digestTTL || v.live < best.live || (v.live == best.live && !v.asOf.After(best.asOf)) {
 			continue
 		}
-		best, others = v, v.sub(c.sentWork(o.digestEcho))
+		// A digest does not say which reports it contains.
+		best, others, reportedAt = v, v.sub(c.sentWork(o.digestEcho)), nil
 	}
 	c.hallWork = best
 	// Boxes that are no longer heard may still be using the retry budget.
@@ -200,6 +201,30 @@
 	c.box.handler.SetHallPeers(others.live)
 	c.box.fleet.SetPeerCounts(others.live, c.liveBoxes()-1)
 	c.box.hallPeers.Store(int64(others.live))
+	c.box.rooms.setReports(reportedAt, c.hallShare(now), now)
+}
+
+// reportedAt returns, by boot ID of the boxes that report to this one, when the last report was
+// sent that is contained in their work.
+func (c *control) reportedAt(now time.Time) map[string]int64 {
+	out := make(map[string]int64)
+	for _, o := range c.peers {
+		if o.inHall(c.settings.Hall) && o.isReporting(now) && o.completeReportAt > 0 {
+			out[o.bootID] = o.completeReportAt
+		}
+	}
+
+	return out
+}
+
+// hallShare returns the share of the boxes of the hall that are heard, of those that were heard
+// within roomShareMemory.
+func (c *control) hallShare(now time.Time) float64 {
+	if c.hallWork.live >= c.recentHallBoxes || now.Sub(c.recentHallBoxesAt) > roomShareMemory {
+		c.recentHallBoxes, c.recentHallBoxesAt = c.hallWork.live, now
+	}
+
+	return float64(c.hallWork.live) / float64(max(1, c.recentHallBoxes))
 }
 
 // setHallPeerWork passes the work of the other boxes of a hall to the fleet and the retry budget.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -149,6 +149,10 @@
 	return Accelerator{}, false
 }
 
+// LimitsRoom reports whether the model states how many requests its servers take, in slots and in
+// memory.
+func (m *Model) LimitsRoom() bool { return m != nil && m.Slots > 0 && m.KVBytesPerToken > 0 }
+
 // TokenLayerCapacity returns the KV cache capacity of an accelerator that holds
 // loadedLayers layers, as the product of tokens and layers.
 func (m *Model) TokenLayerCapacity(a Accelerator, loadedLayers int) float64 {
--- a/event/event.go
+++ b/event/event.go
@@ -84,6 +84,10 @@
 	TrialRefused          ID = 420
 	EndedAgain            ID = 421
 	QuarantineLifted      ID = 422
+	RoomRefused           ID = 440
+	RoomUnanswered        ID = 441
+	RoomLedgerHeld        ID = 442
+	RoomLedgerDropped     ID = 443
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -87,7 +87,7 @@
 	if needRoom && now.Before(m.rejectingUntil) {
 		return candidate{}, false
 	}
-	if needRoom && !m.hasRoom(q, m.load()) {
+	if needRoom && (!m.hasRoom(q, m.load()) || m.foundFull(q, now)) {
 		return candidate{}, false
 	}
 	used, capacity := m.load().TokenLayers, m.capacity()
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -136,6 +136,8 @@
 type Reservation struct {
 	fleet *Fleet
 	loads []reservedLoad
+	// tightHalls are the halls of servers that are nearly full; see TightHalls.
+	tightHalls []slatebridge.HallID
 }
 
 // reservedLoad is the part of a Reservation at one server.
@@ -150,7 +152,10 @@
 		f.recordHallHops(p, m.model, q.Tokens)
 	}
 
-	return f.reserveLoads(p.loads(q.Tokens))
+	r := f.reserveLoads(p.loads(q.Tokens))
+	r.tightHalls = f.tightHalls(r.loads, q.Limits)
+
+	return r
 }
 
 func (f *Fleet) reserveLoads(loads map[slatebridge.ServerID]Load) *Reservation {
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -10,10 +10,13 @@
 	Slots float64
 }
 
+// MemoryShare returns the share of the memory that may be used.
+func (l Limits) MemoryShare() float64 { return cmp.Or(l.Memory, maxPlannedFill) }
+
 // hasRoom reports whether the server has room for one more request of the given size within the
 // limits.
 func (m *member) hasRoom(q Query, used Load) bool {
-	if used.TokenLayers+q.Tokens*float64(m.Layers.Len()) > cmp.Or(q.Limits.Memory, maxPlannedFill)*m.capacity() {
+	if used.TokenLayers+q.Tokens*float64(m.Layers.Len()) > q.Limits.MemoryShare()*m.capacity() {
 		return false
 	}
 	if m.Layers.From > 0 || m.Slots <= 0 || q.Limits.Slots <= 0 {
--- /dev/null
+++ b/fleet/shared_room.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+const (
+	// maxStaleShare bounds the share of a server's capacity that the other boxes of the hall are
+	// assumed to have taken since their last reports.
+	maxStaleShare = 0.15
+	// fullNoteTTL is how long a server that the ledger of its hall found full is passed over. The
+	// next reports arrive within about this time.
+	fullNoteTTL = 250 * time.Millisecond
+)
+
+// fullNote records that a server had no room for requests with the memory limit or a lower one.
+type fullNote struct {
+	until       time.Time
+	memoryShare float64
+}
+
+// foundFull reports whether the ledger of the hall has recently found the server full.
+func (m *member) foundFull(q Query, now time.Time) bool {
+	return now.Before(m.full.until) && q.Limits.MemoryShare() <= m.full.memoryShare
+}
+
+// RecordFull records that the servers have no room for requests with the limits. Requests that may
+// not fill them further pass them over for a short time.
+func (f *Fleet) RecordFull(ids []slatebridge.ServerID, l Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for _, id := range ids {
+		m, ok := f.members[id]
+		if !ok {
+			continue
+		}
+		if share := l.MemoryShare(); !now.Before(m.full.until) || share >= m.full.memoryShare {
+			m.full = fullNote{until: now.Add(fullNoteTTL), memoryShare: share}
+		}
+	}
+}
+
+// SharesRoom reports whether the boxes of the hall share the room at the servers of the service by
+// a ledger: the sizes of requests and servers are known, and there is more than one box.
+func (f *Fleet) SharesRoom(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hallPeers == 0 || f.cat == nil {
+		return false
+	}
+	s := f.cat.Service(service)
+
+	return s != nil && s.Model.LimitsRoom()
+}
+
+// TightHalls returns the halls of the reserved servers that may be filled beyond the limits of the
+// request if the other boxes of this hall have sent them about as much as this one since their last
+// reports. It is empty if room is not shared; see SharesRoom.
+func (r *Reservation) TightHalls() []slatebridge.HallID {
+	if r == nil {
+		return nil
+	}
+
+	return r.tightHalls
+}
+
+// tightHalls returns the halls of the nearly full servers among the reserved ones. The loads of the
+// members contain the reservation. The caller holds mu.
+func (f *Fleet) tightHalls(loads []reservedLoad, l Limits) []slatebridge.HallID {
+	if f.hallPeers == 0 {
+		return nil
+	}
+	var halls []slatebridge.HallID
+	for _, r := range loads {
+		if r.member.tight(r.load.FirstStage > 0, l, f) && !slices.Contains(halls, r.member.Hall) {
+			halls = append(halls, r.member.Hall)
+		}
+	}
+
+	return halls
+}
+
+// tight reports whether the server is nearly full.
+func (m *member) tight(first bool, l Limits, f *Fleet) bool {
+	if !m.model.LimitsRoom() {
+		return false
+	}
+	used, capacity, slots := m.load(), m.capacity(), 0.0
+	if first && l.Slots > 0 {
+		slots = float64(m.Slots)
+	}
+	maxStale := Load{TokenLayers: maxStaleShare * capacity, FirstStage: maxStaleShare * slots}
+	limit := Load{TokenLayers: l.MemoryShare() * capacity, FirstStage: l.Slots * slots}
+	if !used.Add(maxStale).exceeds(limit, slots) {
+		return false
+	}
+	stale := m.decayedRecentLoad(f.now()).scaled(float64(f.hallPeers))
+	stale.TokenLayers, stale.FirstStage = min(stale.TokenLayers, maxStale.TokenLayers), min(stale.FirstStage, maxStale.FirstStage)
+
+	return used.Add(stale).exceeds(limit, slots)
+}
+
+// exceeds reports whether the load exceeds the limit in memory, or in slots if there are any.
+func (l Load) exceeds(limit Load, slots float64) bool {
+	return l.TokenLayers > limit.TokenLayers || (slots > 0 && l.FirstStage > limit.FirstStage)
+}
+
+// Room is the capacity of a server and the work in flight there that this box knows of. Capacity
+// has no Requests, and no FirstStage if the slots are not limited.
+type Room struct {
+	Capacity Load
+	InFlight Load
+}
+
+// Room returns the room of the server with a short ID, or false if it is unknown.
+func (f *Fleet) Room(shortID uint32) (Room, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.index.byShortID[shortID] {
+		if m.model.LimitsRoom() {
+			return Room{Capacity: Load{TokenLayers: m.capacity(), FirstStage: float64(m.Slots)}, InFlight: m.load()}, true
+		}
+	}
+
+	return Room{}, false
+}
--- /dev/null
+++ b/forward/claim_room.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+)
+
+// RoomClaim asks for room at the servers of a path.
+type RoomClaim struct {
+	Service string
+	Path    fleet.Path
+	// Tokens is the number of tokens for which the request reserves memory.
+	Tokens float64
+	Limits fleet.Limits
+	// Halls are those with nearly full servers, whose ledgers are asked.
+	Halls []slatebridge.HallID
+}
+
+// RoomFunc claims room from the ledgers of halls. It returns the servers without room, and none if
+// the claim was granted. It fails if no ledger decides.
+type RoomFunc func(ctx context.Context, c RoomClaim) (full []slatebridge.ServerID, err error)
+
+// maxRoomSearches is the number of paths that are claimed for one attempt of a request. Each claim
+// takes the time of a message and its answer.
+const maxRoomSearches = 3
+
+// Outcomes of claims of room in metrics.
+const (
+	roomGranted    = "granted"
+	roomRefused    = "refused"
+	roomUnanswered = "unanswered"
+)
+
+// findPathWithRoom finds a path like Fleet.FindPathFrom, and claims room for the request if servers
+// of the path are nearly full. If the ledger of a hall refuses it, other paths are searched. While
+// no ledger decides, the view of this box does.
+//
+// Load pattern: servers are nearly full, and the boxes of the hall choose the same ones by reports
+// that are as old as several requests.
+func (h *Handler) findPathWithRoom(ctx context.Context, requestID string, q fleet.Query, firsts []slatebridge.ServerID) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
+	for range maxRoomSearches {
+		path, reservation, shortage := h.fleet.FindPathFrom(q, firsts)
+		if path == nil || h.claimRoom(ctx, requestID, q, path, reservation) {
+			return path, reservation, shortage
+		}
+		reservation.Release()
+	}
+
+	return nil, nil, fleet.NoCapacity
+}
+
+// claimRoom reports whether the path may be used. Servers that the ledger finds full are recorded,
+// so that the next search passes them over.
+func (h *Handler) claimRoom(ctx context.Context, requestID string, q fleet.Query, path fleet.Path, r *fleet.Reservation) bool {
+	halls := r.TightHalls()
+	if len(halls) == 0 || h.requestRoom == nil {
+		return true
+	}
+	full, err := h.requestRoom(ctx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls})
+	switch {
+	case err != nil:
+		h.metrics.roomClaimed(roomUnanswered)
+		event.Log(h.logger, event.RoomUnanswered, zap.String("request", requestID), zap.Stringer("path", path), event.Error(err))
+
+		return true
+	case len(full) == 0:
+		h.metrics.roomClaimed(roomGranted)
+
+		return true
+	}
+	h.metrics.roomClaimed(roomRefused)
+	event.Log(h.logger, event.RoomRefused, zap.String("request", requestID), zap.Stringer("path", path), zap.Any("full", full))
+	h.fleet.RecordFull(full, q.Limits)
+
+	return false
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -143,6 +143,7 @@
 	requestTrial  TrialFunc
 	requestGrant  GrantFunc
 	requestRetry  RetryGrantFunc
+	requestRoom   RoomFunc
 	onServerLimit func(id slatebridge.ServerID, limit allowance.Observation)
 	unanswered    unansweredAttempts
 	// lastInvalidLimit is the last rate limit of a server that could not be parsed.
@@ -182,8 +183,10 @@
 	RequestGrant  GrantFunc
 	RequestRetry  RetryGrantFunc
 	OnServerLimit func(id slatebridge.ServerID, limit allowance.Observation)
-	Logger        *zap.Logger
-	Metrics       *Metrics
+	// RequestRoom claims room at nearly full servers; nil if boxes do not share room.
+	RequestRoom RoomFunc
+	Logger      *zap.Logger
+	Metrics     *Metrics
 }
 
 // New returns a Handler.
@@ -194,7 +197,7 @@
 		budget: retry.New(c.Bounds.Retry, retry.WithStartTime(clock.Now()), retry.WithRounding(c.Random())), monitor: newMonitor(),
 		activity: activity{started: make(chan struct{}, 1)}, onSuspect: c.OnSuspect, onServerRestart: c.OnServerRestart, onServerLeaving: c.OnServerLeaving,
 		startedAt: clock.Now(), latencies: newLatencyStats(), livenessQueue: make(chan slatebridge.ServerID, livenessQueueSize),
-		ledger: c.Ledger, requestTrial: c.RequestTrial, requestGrant: c.RequestGrant, requestRetry: c.RequestRetry, onServerLimit: c.OnServerLimit,
+		ledger: c.Ledger, requestTrial: c.RequestTrial, requestGrant: c.RequestGrant, requestRetry: c.RequestRetry, requestRoom: c.RequestRoom, onServerLimit: c.OnServerLimit,
 	}
 	h.bounds.Store(&c.Bounds)
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -22,6 +22,7 @@
 	longestPause  prometheus.Histogram
 	notices       *prometheus.CounterVec
 	grants        *prometheus.CounterVec
+	roomClaims    *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -58,7 +59,10 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_grants_total", Help: "Requests for grants for rate-limited backend servers, by outcome (taken, refused, unanswered, given back).",
 	}, []string{"what"})
-	reg.MustRegister(m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	m.roomClaims = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_room_claims_total", Help: "Claims of room at nearly full backend servers, by outcome (granted, refused, unanswered).",
+	}, []string{"what"})
+	reg.MustRegister(m.roomClaims, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -106,5 +110,8 @@
 	m.streamMoves.WithLabelValues(how).Inc()
 }
 
+// roomClaimed counts a claim of room by its outcome.
+func (m *Metrics) roomClaimed(outcome string) { m.roomClaims.WithLabelValues(outcome).Inc() }
+
 // grantRequested counts a request for a grant by its outcome.
 func (m *Metrics) grantRequested(outcome string) { m.grants.WithLabelValues(outcome).Inc() }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -133,5 +133,9 @@
 		return err
 	}
 
-	return m.Grant.validate()
+	if err := m.Grant.validate(); err != nil {
+		return err
+	}
+
+	return m.Room.validate()
 }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -40,6 +40,12 @@
 	GrantResponse
 	// GrantRelease carries only a Grant that was not used.
 	GrantRelease
+	// RoomRequest carries only a Room that the sender claims from the receiver.
+	RoomRequest
+	// RoomResponse carries only a Room: the answer to a RoomRequest.
+	RoomResponse
+	// RoomRelease carries only a Room that was claimed and not used.
+	RoomRelease
 )
 
 // Message is sent from one box to another. Fields that do not belong to its kind are empty.
@@ -101,6 +107,8 @@
 	Limits []LimitObservation `cbor:"31,keyasint,omitempty"`
 	// Grant is the content of a GrantRequest, GrantResponse or GrantRelease.
 	Grant *GrantMessage `cbor:"32,keyasint,omitempty"`
+	// Room is the content of a RoomRequest, RoomResponse or RoomRelease.
+	Room *RoomMessage `cbor:"33,keyasint,omitempty"`
 	// SlowServers are the servers that have reported that they are much slower than usual, each
 	// with its slowdown factor compared to normal.
 	SlowServers map[slatebridge.ServerID]float64 `cbor:"19,keyasint,omitempty"`
--- /dev/null
+++ b/mesh/room.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"math"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/relay"
+)
+
+// RoomMessage is the content of a claim of room at the servers of a hall, of its answer, or of the
+// release of an unused claim.
+type RoomMessage struct {
+	// ID is chosen by the claiming box.
+	ID      uint64             `cbor:"1,keyasint"`
+	Service string             `cbor:"2,keyasint,omitempty"`
+	Hall    slatebridge.HallID `cbor:"3,keyasint,omitempty"`
+	// SentAt is when the claim was made, like Message.SentAt.
+	SentAt int64 `cbor:"4,keyasint,omitempty"`
+	// Stages are the servers of the path in the hall. First says that the first of them is the
+	// first server of the path.
+	Stages []RoomStage `cbor:"5,keyasint,omitempty"`
+	First  bool        `cbor:"6,keyasint,omitempty"`
+	// Tokens is the number of tokens for which the request reserves memory.
+	Tokens uint32 `cbor:"7,keyasint,omitempty"`
+	// MemoryLimit and SlotLimit are the shares of the capacity that may be in use with the request.
+	MemoryLimit float32 `cbor:"8,keyasint,omitempty"`
+	SlotLimit   float32 `cbor:"9,keyasint,omitempty"`
+	// Granted, or the servers without room in Full, is the decision. If there is neither, the
+	// answering box cannot decide.
+	Granted bool     `cbor:"10,keyasint,omitempty"`
+	Full    []uint32 `cbor:"11,keyasint,omitempty"`
+	// Holder is the box to ask instead of the one that answers.
+	Holder *relay.Candidate `cbor:"12,keyasint,omitempty"`
+}
+
+// RoomStage is one server of a claim.
+type RoomStage struct {
+	_       struct{} `cbor:",toarray"`
+	ShortID uint32
+	Layers  uint16
+}
+
+// maxRoomStages is the number of servers that a claim may name; paths have at most half as many.
+const maxRoomStages = 64
+
+func (r *RoomMessage) validate() error {
+	switch {
+	case r == nil:
+		return nil
+	case len(r.Stages) > maxRoomStages, len(r.Full) > maxRoomStages, r.SentAt < 0:
+		return errors.New("mesh: message has a claim of room with too many servers or a negative time")
+	case !validShare(r.MemoryLimit), !validShare(r.SlotLimit):
+		return errors.New("mesh: message has a claim of room with an invalid limit")
+	}
+
+	return nil
+}
+
+// validShare reports whether the limit is a share of a capacity, or zero.
+func validShare(x float32) bool { return !math.IsNaN(float64(x)) && x >= 0 && x <= 1 }
