--- a/box/exchanges.go
+++ b/box/exchanges.go
@@ -35,7 +35,7 @@
 	return &exchanges[T]{
 		timeout: timeout, waiting: make(map[uint64]chan T),
 		// After a restart the box must not accept answers to requests of its previous process.
-		lastID: rand.Uint64(), skippedUntil: make(map[slatebridge.BoxID]time.Time),
+		lastID: uint64(rand.Uint32()), skippedUntil: make(map[slatebridge.BoxID]time.Time),
 	}
 }
 
@@ -108,7 +108,11 @@
 // sendDirect sends a message that belongs to no round of gossip. Its boot ID and its zero timestamp
 // make boxes of versions that do not know its kind drop it as outdated.
 func (b *Box) sendDirect(m mesh.Message, to string) {
-	m.Box, m.Hall, m.Boot, m.Address = b.settings.Box, b.settings.Hall, b.bootID, b.settings.Listen.Mesh
+	m.Box, m.Hall = b.settings.Box, b.settings.Hall
+	if m.Kind != mesh.RoomResponse {
+		// The receiver of an answer knows the sender.
+		m.Boot, m.Address = b.bootID, b.settings.Listen.Mesh
+	}
 	d, err := m.Encode()
 	if err == nil {
 		err = b.socket.Send(d, []mesh.Target{{Address: to}})
--- a/box/room.go
+++ b/box/room.go
@@ -1,8 +1,10 @@
 package box
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,11 +30,13 @@
 	// are applied once per tick.
 	maxRoomViewAge = 4 * tickInterval
 	// maxHallClaims is the number of claims a second that the boxes of a hall send together. It
-	// bounds the bytes that the holder of the ledger sends and receives for them to about 18 KB a
+	// bounds the bytes that the holder of the ledger sends and receives for them to about 20 KB a
 	// second.
-	maxHallClaims = 60
+	maxHallClaims = 90
 	// minClaimBurst is the number of claims that a box may send at once.
 	minClaimBurst = 4
+	// maxFullServers is the number of full servers that an answer names.
+	maxFullServers = 32
 	// roomShareMemory is how long a lost box of the hall counts as using its part of the room.
 	roomShareMemory = 5 * time.Second
 )
@@ -105,27 +109,13 @@
 				r.release(a)
 			}
 
-			return serversByShortID(c.Path, a.message.Full), nil
+			return r.box.fleet.ResolveShortIDs(a.message.Full), nil
 		}
 	}
 
 	return nil, undecided
 }
 
-// serversByShortID returns the servers of the path with one of the short IDs.
-func serversByShortID(p fleet.Path, shortIDs []uint32) []slatebridge.ServerID {
-	var out []slatebridge.ServerID
-	for _, s := range p {
-		for _, n := range shortIDs {
-			if fleet.ShortID(s.Server.ID) == n {
-				out = append(out, s.Server.ID)
-			}
-		}
-	}
-
-	return out
-}
-
 // claimedRoom is the answer to a claim and the box that gave it.
 type claimedRoom struct {
 	holder  relay.Candidate
@@ -163,7 +153,7 @@
 func newRoomClaim(c forward.RoomClaim, hall slatebridge.HallID) mesh.RoomMessage {
 	m := mesh.RoomMessage{
 		Service: c.Service, Hall: hall, First: c.Path[0].Server.Hall == hall, Tokens: wireCount(math.Ceil(c.Tokens)),
-		MemoryLimit: float32(c.Limits.MemoryShare()), SlotLimit: float32(c.Limits.Slots),
+		MemoryLimit: mesh.EncodeShare(c.Limits.MemoryShare()), SlotLimit: mesh.EncodeShare(c.Limits.Slots),
 	}
 	for _, s := range c.Path {
 		if s.Server.Hall == hall {
@@ -183,7 +173,7 @@
 	if !r.takeClaimToken(now) {
 		return mesh.RoomMessage{}, errors.Wrap(errNoLedger, "too many claims")
 	}
-	m.SentAt = now.Sub(r.box.startedAt).Microseconds()
+	m.SentAt, m.Hall = now.Sub(r.box.startedAt).Microseconds(), r.wireHall(m.Hall)
 
 	return r.asked.exchange(ctx, to.Box, func(id uint64) {
 		m.ID = id
@@ -191,6 +181,15 @@
 	})
 }
 
+// wireHall returns the hall as messages of this box name it.
+func (r *rooms) wireHall(hall slatebridge.HallID) slatebridge.HallID {
+	if hall == r.box.settings.Hall {
+		return ""
+	}
+
+	return hall
+}
+
 // takeClaimToken reports whether this box may send a claim within its part of maxHallClaims.
 func (r *rooms) takeClaimToken(now time.Time) bool {
 	r.mu.Lock()
@@ -226,13 +225,34 @@
 	if now.Sub(r.reportsAsOf) > maxRoomViewAge {
 		return out
 	}
-	d := r.ledger(m.Service, now).Decide(ledgerClaim(process, m, reported), room.View{Server: r.serverRoom, LiveShare: r.liveShare}, now)
-	out.Granted, out.Full = d.Granted, d.Full
+	l, claim, view := r.ledger(m.Service, now), ledgerClaim(process, m, reported), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
+	d := l.Decide(claim, view, now)
 	r.box.metrics.roomAnswered(m.Service, d)
+	if out.Granted, out.Full = d.Granted, d.Full; len(d.Full) > 0 {
+		out.Full = r.otherFull(l, m, d.Full, claim.Limits, view)
+	}
 
 	return out
 }
 
+// otherFull adds other servers of the hall to those that were found full, if they have no room for
+// the request either, so that the box claims none of them next.
+func (r *rooms) otherFull(l *room.Ledger, m mesh.RoomMessage, full []uint32, limits room.Limits, view room.View) []uint32 {
+	var others []room.Stage
+	for _, s := range r.box.fleet.LocalServers(m.Service) {
+		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers.Len())}
+		if s.Layers.From == 0 {
+			need.Slots = 1
+		}
+		if id := fleet.ShortID(s.ID); !slices.Contains(full, id) {
+			others = append(others, room.Stage{ShortID: id, Need: need})
+		}
+	}
+	full = append(full, l.Full(others, limits, view)...)
+
+	return full[:min(len(full), maxFullServers)]
+}
+
 // ledger returns the ledger of the service. The caller holds mu.
 func (r *rooms) ledger(service string, now time.Time) *room.Ledger {
 	l, ok := r.ledgers[service]
@@ -250,7 +270,7 @@
 func ledgerClaim(process string, m mesh.RoomMessage, reported bool) room.Claim {
 	c := room.Claim{
 		Process: process, ID: m.ID, SentAt: m.SentAt, Reported: reported,
-		Limits: room.Limits{Memory: float64(m.MemoryLimit), Slots: float64(m.SlotLimit)},
+		Limits: room.Limits{Memory: mesh.DecodeShare(m.MemoryLimit), Slots: mesh.DecodeShare(m.SlotLimit)},
 	}
 	for i, s := range m.Stages {
 		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers)}
@@ -299,7 +319,7 @@
 		// Room that this box claims from itself is not counted in the ledger.
 		return
 	}
-	r.send(mesh.RoomRelease, mesh.RoomMessage{ID: a.claim.ID, Service: a.claim.Service, Hall: a.claim.Hall}, a.holder.Address)
+	r.send(mesh.RoomRelease, mesh.RoomMessage{ID: a.claim.ID, Service: a.claim.Service, Hall: r.wireHall(a.claim.Hall)}, a.holder.Address)
 }
 
 // receive handles a message about room, and reports whether the message was one.
@@ -311,6 +331,7 @@
 	if m.Room == nil {
 		return true
 	}
+	m.Room.Hall = cmp.Or(m.Room.Hall, m.Hall)
 	switch m.Kind {
 	case mesh.RoomRequest:
 		r.send(mesh.RoomResponse, r.decide(m.Boot, *m.Room, false, clock.Now()), m.Address)
--- a/fleet/shared_room.go
+++ b/fleet/shared_room.go
@@ -10,7 +10,7 @@
 const (
 	// maxStaleShare bounds the share of a server's capacity that the other boxes of the hall are
 	// assumed to have taken since their last reports.
-	maxStaleShare = 0.15
+	maxStaleShare = 0.25
 	// fullNoteTTL is how long a server that the ledger of its hall found full is passed over. The
 	// next reports arrive within about this time.
 	fullNoteTTL = 250 * time.Millisecond
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -27,7 +27,7 @@
 
 // maxRoomSearches is the number of paths that are claimed for one attempt of a request. Each claim
 // takes the time of a message and its answer.
-const maxRoomSearches = 3
+const maxRoomSearches = 2
 
 // Outcomes of claims of room in metrics.
 const (
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -112,7 +112,7 @@
 	// SlowServers are the servers that have reported that they are much slower than usual, each
 	// with its slowdown factor compared to normal.
 	SlowServers map[slatebridge.ServerID]float64 `cbor:"19,keyasint,omitempty"`
-	Term        elect.Term                       `cbor:"20,keyasint"`
+	Term        elect.Term                       `cbor:"20,keyasint,omitzero"`
 	// LeaderAge is how long ago the leader of Term was last heard from, by the sender or by a box
 	// that the sender has heard from, in microseconds; -1 if never.
 	LeaderAge int64 `cbor:"21,keyasint,omitempty"`
--- a/mesh/room.go
+++ b/mesh/room.go
@@ -13,9 +13,10 @@
 // release of an unused claim.
 type RoomMessage struct {
 	// ID is chosen by the claiming box.
-	ID      uint64             `cbor:"1,keyasint"`
-	Service string             `cbor:"2,keyasint,omitempty"`
-	Hall    slatebridge.HallID `cbor:"3,keyasint,omitempty"`
+	ID      uint64 `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint,omitempty"`
+	// Hall is empty for the hall of the sender.
+	Hall slatebridge.HallID `cbor:"3,keyasint,omitempty"`
 	// SentAt is when the claim was made, like Message.SentAt.
 	SentAt int64 `cbor:"4,keyasint,omitempty"`
 	// Stages are the servers of the path in the hall. First says that the first of them is the
@@ -24,11 +25,12 @@
 	First  bool        `cbor:"6,keyasint,omitempty"`
 	// Tokens is the number of tokens for which the request reserves memory.
 	Tokens uint32 `cbor:"7,keyasint,omitempty"`
-	// MemoryLimit and SlotLimit are the shares of the capacity that may be in use with the request.
-	MemoryLimit float32 `cbor:"8,keyasint,omitempty"`
-	SlotLimit   float32 `cbor:"9,keyasint,omitempty"`
-	// Granted, or the servers without room in Full, is the decision. If there is neither, the
-	// answering box cannot decide.
+	// MemoryLimit and SlotLimit are the shares of the capacity that may be in use with the request,
+	// per mille.
+	MemoryLimit uint16 `cbor:"8,keyasint,omitempty"`
+	SlotLimit   uint16 `cbor:"9,keyasint,omitempty"`
+	// Granted, or the servers without room in Full, is the decision. Full may name servers of the
+	// hall that were not claimed. If there is neither, the answering box cannot decide.
 	Granted bool     `cbor:"10,keyasint,omitempty"`
 	Full    []uint32 `cbor:"11,keyasint,omitempty"`
 	// Holder is the box to ask instead of the one that answers.
@@ -51,12 +53,18 @@
 		return nil
 	case len(r.Stages) > maxRoomStages, len(r.Full) > maxRoomStages, r.SentAt < 0:
 		return errors.New("mesh: message has a claim of room with too many servers or a negative time")
-	case !validShare(r.MemoryLimit), !validShare(r.SlotLimit):
-		return errors.New("mesh: message has a claim of room with an invalid limit")
+	case r.MemoryLimit > perMille, r.SlotLimit > perMille:
+		return errors.New("mesh: message has a claim of room with a limit above the whole capacity")
 	}
 
 	return nil
 }
 
-// validShare reports whether the limit is a share of a capacity, or zero.
-func validShare(x float32) bool { return !math.IsNaN(float64(x)) && x >= 0 && x <= 1 }
+// perMille is the limit in a message that stands for the whole capacity.
+const perMille = 1000
+
+// EncodeShare converts a share of a capacity for a message.
+func EncodeShare(x float64) uint16 { return uint16(math.Round(min(max(0, x), 1) * perMille)) }
+
+// DecodeShare is the inverse of EncodeShare.
+func DecodeShare(n uint16) float64 { return float64(n) / perMille }
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -104,6 +104,8 @@
 // It is not safe for concurrent use.
 type Ledger struct {
 	claims map[claimKey]grantedClaim
+	// oldest is a time before which no claim was granted.
+	oldest time.Time
 	// pending is the sum of the claims by server.
 	pending map[uint32]pendingUse
 	// reportedAt is, by process, until when its claims are contained in reports; see SetReported.
@@ -127,12 +129,7 @@
 	}
 	l.expire(now)
 	reported := c.Reported || l.reported(c.Process, c.SentAt)
-	var full []uint32
-	for _, s := range c.Stages {
-		if !l.hasRoom(s, reported, c.Limits, v) {
-			full = append(full, s.ShortID)
-		}
-	}
+	full := l.full(c.Stages, reported, c.Limits, v)
 	switch {
 	case len(full) > 0:
 		return Decision{Full: full}
@@ -141,6 +138,9 @@
 	case len(l.claims) >= MaxClaims:
 		return Decision{}
 	}
+	if len(l.claims) == 0 {
+		l.oldest = now
+	}
 	l.claims[key] = grantedClaim{sentAt: c.SentAt, grantedAt: now, stages: slices.Clone(c.Stages)}
 	for _, s := range c.Stages {
 		p := l.pending[s.ShortID]
@@ -150,6 +150,20 @@
 	return Decision{Granted: true}
 }
 
+// Full returns the servers without room for the stages.
+func (l *Ledger) Full(stages []Stage, limits Limits, v View) []uint32 { return l.full(stages, false, limits, v) }
+
+func (l *Ledger) full(stages []Stage, reported bool, limits Limits, v View) []uint32 {
+	var full []uint32
+	for _, s := range stages {
+		if !l.hasRoom(s, reported, limits, v) {
+			full = append(full, s.ShortID)
+		}
+	}
+
+	return full
+}
+
 // hasRoom reports whether the server of the stage has room for it.
 func (l *Ledger) hasRoom(s Stage, reported bool, limits Limits, v View) bool {
 	server, ok := v.Server(s.ShortID)
@@ -190,9 +204,15 @@
 
 // expire removes the claims older than ClaimTTL.
 func (l *Ledger) expire(now time.Time) {
+	if now.Sub(l.oldest) < ClaimTTL {
+		return
+	}
+	l.oldest = now
 	for key, c := range l.claims {
 		if now.Sub(c.grantedAt) >= ClaimTTL {
 			l.remove(key)
+		} else if c.grantedAt.Before(l.oldest) {
+			l.oldest = c.grantedAt
 		}
 	}
 }
