--- /dev/null
+++ b/box/room_test.go
@@ -0,0 +1,314 @@
+package box
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/internal/standin/memnet"
+	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/relay"
+)
+
+// roomServer has memory for 1,000 tokens, of which 920 may be reserved.
+var roomServer = catalog.Server{ID: "a1", Service: "llm", Hall: "a", Accelerator: "big", Slots: 100, Layers: slatebridge.LayerRange{To: 4}}
+
+// setRoomModel gives the box the model and the only server of these tests.
+func setRoomModel(b *Box) {
+	m := &catalog.Model{Layers: 4, LayerMB: 1000, KVBytesPerToken: 1e6, Slots: 100, Accelerators: []catalog.Accelerator{{Name: "big", MemoryMB: 5000}}}
+	b.fleet.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: m}}, nil, false))
+	b.fleet.Set(roomServer)
+}
+
+// reserveAndClaim reserves room for a request of the tokens at the server, as requests do, and
+// claims it. It reports whether the claim was granted; the error says that nobody decided.
+func reserveAndClaim(ctx context.Context, t *testing.T, b *Box, tokens float64) (bool, error) {
+	t.Helper()
+	path, reservation, _ := b.fleet.FindPath(fleet.Query{Service: "llm", Tokens: tokens})
+	if path == nil {
+		t.Fatal("no path")
+	}
+	full, err := b.rooms.claim(ctx, forward.RoomClaim{Service: "llm", Path: path, Tokens: tokens, Halls: []slatebridge.HallID{"a"}})
+	if err != nil || len(full) > 0 {
+		reservation.Release()
+	}
+
+	return err == nil && len(full) == 0, err
+}
+
+// startRoomBoxes starts boxes in hall a and waits until they decide on claims. It returns the box
+// that holds the ledger and the other boxes.
+func startRoomBoxes(t *testing.T, network *memnet.Network) (holder *Box, others []*Box) {
+	t.Helper()
+	const n = 5
+	boxes := startBoxesInHalls(t, network, map[slatebridge.HallID]int{"a": 1}, n, Bounds{MaxStaleness: 2 * time.Second, MaxRevocationDelay: 5 * time.Second, RetryWindow: time.Second})
+	for _, b := range boxes {
+		setRoomModel(b)
+	}
+	// Tests begin and end between two rounds of gossip.
+	time.Sleep(6*time.Second + tickInterval/2)
+	i := slices.IndexFunc(boxes, holdsRoomLedger)
+	if i < 0 {
+		t.Fatal("no box holds the ledger")
+	}
+
+	return boxes[i], slices.Delete(slices.Clone(boxes), i, i+1)
+}
+
+func holdsRoomLedger(b *Box) bool { return b.rooms.holdsLedger("llm", "a") }
+
+func wantClaim(t *testing.T, b *Box, tokens float64, granted bool) {
+	t.Helper()
+	if got, err := reserveAndClaim(t.Context(), t, b, tokens); got != granted || err != nil {
+		t.Errorf("claim of %s: granted %t, %v; want %t", b.settings.Box, got, err, granted)
+	}
+}
+
+func wantUndecided(t *testing.T, b *Box, within time.Duration) {
+	t.Helper()
+	began := time.Now()
+	if granted, err := reserveAndClaim(t.Context(), t, b, 1); granted || err == nil || time.Since(began) > within {
+		t.Errorf("claim of %s: granted %t, %v, after %s", b.settings.Box, granted, err, time.Since(began))
+	}
+}
+
+// TestSharedLedger checks that boxes which have not heard of each other's requests do not fill a
+// server beyond its limit together, and that the room is there again once the requests have ended.
+func TestSharedLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, others := startRoomBoxes(t, memnet.New())
+		wantClaim(t, others[0], 400, true)
+		wantClaim(t, others[1], 300, true)
+		wantClaim(t, holder, 100, true)
+		wantClaim(t, others[3], 200, false)
+		wantClaim(t, others[2], 120, true)
+		wantClaim(t, holder, 1, false)
+		time.Sleep(time.Second)
+		if n := holder.rooms.ledgers["llm"].Len(); n != 0 {
+			t.Errorf("%d claims count beside the reports that contain them", n)
+		}
+		if r, _ := holder.fleet.Room(fleet.ShortID("a1")); r.InFlight.TokenLayers != 920*4 {
+			t.Errorf("%.0f reserved", r.InFlight.TokenLayers)
+		}
+	})
+}
+
+// TestLedgerHolderLost checks that requests hardly wait for a holder that has died, and that its
+// successor decides by the reports once it has waited for them.
+func TestLedgerHolderLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		holder, others := startRoomBoxes(t, network)
+		wantClaim(t, others[0], 500, true)
+		wantClaim(t, holder, 300, true)
+		host, _, _ := net.SplitHostPort(holder.settings.Listen.Mesh)
+		network.Freeze(host)
+		defer network.Thaw(host)
+		wantUndecided(t, others[0], roomTimeout)
+		wantUndecided(t, others[0], 0)
+		next := -1
+		for range 20 {
+			time.Sleep(tickInterval)
+			if next = slices.IndexFunc(others, holdsRoomLedger); next >= 0 {
+				break
+			}
+		}
+		if next < 0 {
+			t.Fatal("no other box holds the ledger")
+		}
+		wantUndecided(t, others[next], 0)
+		time.Sleep(roomShareMemory + handoverDelay)
+		wantClaim(t, others[1], 400, true)
+		wantClaim(t, others[2], 50, false)
+	})
+}
+
+// newRoomHolder returns the rooms of a box that holds the ledger of the service, with current
+// reports.
+func newRoomHolder(t *testing.T) (*control, *rooms) {
+	t.Helper()
+	c := newTestControl(t)
+	setRoomModel(c.box)
+	c.box.fleet.SetPeerCounts(3, 3)
+	v := newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}})
+	c.box.grants.setAllocators(v)
+	c.box.grants.setAllocators(newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}}))
+	c.box.rooms.setReports(nil, 1, clock.Now())
+
+	return c, c.box.rooms
+}
+
+// roomRequest returns the claim of a request of the tokens, with an ID.
+func roomRequest(id uint64, tokens uint32) mesh.RoomMessage {
+	return mesh.RoomMessage{
+		ID: id, Service: "llm", Hall: "a", SentAt: int64(id), Tokens: tokens, First: true, MemoryLimit: 920, SlotLimit: 1000,
+		Stages: []mesh.RoomStage{{ShortID: fleet.ShortID("a1"), Layers: 4}},
+	}
+}
+
+var (
+	roomGranted   = mesh.RoomMessage{Granted: true}
+	roomRefused   = mesh.RoomMessage{Full: []uint32{fleet.ShortID("a1")}}
+	roomUndecided = mesh.RoomMessage{}
+)
+
+func wantRoomAnswer(t *testing.T, want, got mesh.RoomMessage) {
+	t.Helper()
+	want.ID = got.ID
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestDecideOnClaims(t *testing.T) {
+	t.Run("doubled claims count once", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 500), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 500), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(2, 420), false, clock.Now()))
+		wantRoomAnswer(t, roomRefused, r.decide("p", roomRequest(3, 1), false, clock.Now()))
+	})
+	t.Run("released claims leave their room", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 920), false, clock.Now()))
+		for range 2 {
+			r.receive(mesh.ReceivedMessage{Message: mesh.Message{Kind: mesh.RoomRelease, Boot: "p", Hall: "a", Room: &mesh.RoomMessage{ID: 1, Service: "llm"}}})
+		}
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(2, 920), false, clock.Now()))
+	})
+	t.Run("a box that is lost leaves its room", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			_, r := newRoomHolder(t)
+			wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 920), false, clock.Now()))
+			time.Sleep(2 * time.Second)
+			r.setReports(nil, 1, clock.Now())
+			wantRoomAnswer(t, roomGranted, r.decide("q", roomRequest(1, 920), false, clock.Now()))
+		})
+	})
+	t.Run("boxes that are not heard keep their part", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		r.setReports(nil, 0.5, clock.Now())
+		wantRoomAnswer(t, roomRefused, r.decide("p", roomRequest(1, 500), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(2, 450), false, clock.Now()))
+	})
+	t.Run("unknown services are not decided on", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		m := roomRequest(1, 1)
+		m.Service = "till"
+		wantRoomAnswer(t, roomUndecided, r.decide("p", m, false, clock.Now()))
+		if len(r.ledgers) != 0 {
+			t.Errorf("%d ledgers", len(r.ledgers))
+		}
+	})
+	t.Run("another box of the hall holds the ledger", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 1), false, clock.Now()))
+		c.box.grants.setAllocators(newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-2"}}))
+		wantRoomAnswer(t, mesh.RoomMessage{Holder: &relay.Candidate{Box: "box-2", Address: "box-2:1"}}, r.decide("p", roomRequest(2, 1), false, clock.Now()))
+		r.setReports(nil, 1, clock.Now())
+		if len(r.ledgers) != 0 {
+			t.Error("the ledger of another box is kept")
+		}
+	})
+	t.Run("no box of the hall is heard", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		c.box.grants.setAllocators(newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": nil, "b": {"b1"}}))
+		if _, err := r.claimInHall(t.Context(), forward.RoomClaim{Service: "llm", Path: fleet.Path{{Server: roomServer}}}, "a"); !errors.Is(err, errNoLedger) {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// TestLedgerHandover checks that a new holder, and one whose machine was suspended, decides only
+// once it has the reports of the requests that another box may have granted.
+func TestLedgerHandover(t *testing.T) {
+	t.Run("a new holder", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		now := clock.Now()
+		before, after := newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-2"}}), newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}})
+		after.asOf = now
+		c.box.grants.setAllocators(before)
+		c.box.grants.setAllocators(after)
+		wantRoomAnswer(t, roomUndecided, r.decide("p", roomRequest(1, 1), false, now.Add(handoverDelay-time.Millisecond)))
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 1), false, now.Add(handoverDelay)))
+	})
+	t.Run("a holder that has noticed its suspension", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		now := clock.Now()
+		resumed := newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}})
+		resumed.asOf, resumed.resumedAt = now, now
+		c.box.grants.setAllocators(resumed)
+		wantRoomAnswer(t, roomUndecided, r.decide("p", roomRequest(1, 1), false, now))
+		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 1), false, now.Add(handoverDelay)))
+	})
+	t.Run("a holder whose reports are old", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		wantRoomAnswer(t, roomUndecided, r.decide("p", roomRequest(1, 1), false, clock.Now().Add(maxRoomViewAge+time.Second)))
+	})
+}
+
+// TestLateRoomAnswers checks that answers which come late, twice or unasked are dropped.
+func TestLateRoomAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newExchanges[mesh.RoomMessage](roomTimeout)
+		var id uint64
+		if _, err := x.exchange(t.Context(), "box-2", func(n uint64) { id = n }); !errors.Is(err, errUnanswered) {
+			t.Errorf("%v", err)
+		}
+		x.deliver(id, roomGranted)
+		x.deliver(id, roomGranted)
+		if len(x.waiting) != 0 || !x.isSkipped("box-2") {
+			t.Errorf("%d waiting, skipped %t", len(x.waiting), x.isSkipped("box-2"))
+		}
+		time.Sleep(skipDuration)
+		if x.isSkipped("box-2") {
+			t.Error("the box is never asked again")
+		}
+	})
+}
+
+// TestClaimRate checks that the boxes of a hall together send at most maxHallClaims a second.
+func TestClaimRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const boxes = 20
+		r := newTestControl(t).box.rooms
+		r.box.hallPeers.Store(boxes - 1)
+		sent := 0
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if r.takeClaimToken(clock.Now()) {
+				sent++
+			}
+		}
+		if want := 10 * maxHallClaims / boxes; sent < want || sent > want+minClaimBurst+1 {
+			t.Errorf("%d claims in 10 s, want about %d", sent, want)
+		}
+	})
+}
+
+// TestHallShare checks that lost boxes of the hall count for roomShareMemory.
+func TestHallShare(t *testing.T) {
+	c := newTestControl(t)
+	now := clock.Now()
+	for _, v := range []struct {
+		after time.Duration
+		live  int
+		want  float64
+	}{{0, 4, 1}, {time.Second, 3, 0.75}, {roomShareMemory, 3, 0.75}, {roomShareMemory + time.Second, 3, 1}, {roomShareMemory + 2*time.Second, 6, 1}} {
+		c.hallWork.live = v.live
+		if got := c.hallShare(now.Add(v.after)); got != v.want {
+			t.Errorf("share %.2f after %s, want %.2f", got, v.after, v.want)
+		}
+	}
+}
--- a/box/work.go
+++ b/box/work.go
@@ -204,13 +204,17 @@
 	c.box.rooms.setReports(reportedAt, c.hallShare(now), now)
 }
 
-// reportedAt returns, by boot ID of the boxes that report to this one, when the last report was
-// sent that is contained in their work.
+// reportClockMargin is how far the timestamps of a box may run ahead of its clock, in microseconds,
+// because each message has one of its own.
+const reportClockMargin = 1000
+
+// reportedAt returns, by boot ID of the boxes that report to this one, the time before which
+// their claims of room are contained in their work.
 func (c *control) reportedAt(now time.Time) map[string]int64 {
 	out := make(map[string]int64)
 	for _, o := range c.peers {
 		if o.inHall(c.settings.Hall) && o.isReporting(now) && o.completeReportAt > 0 {
-			out[o.bootID] = o.completeReportAt
+			out[o.bootID] = o.completeReportAt - reportClockMargin
 		}
 	}
 
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -108,7 +108,7 @@
 	oldest time.Time
 	// pending is the sum of the claims by server.
 	pending map[uint32]pendingUse
-	// reportedAt is, by process, until when its claims are contained in reports; see SetReported.
+	// reportedAt is, by process, the time before which its claims are contained in reports; see SetReported.
 	reportedAt map[string]int64
 }
 
@@ -184,8 +184,8 @@
 // Release ends a claim whose request was not sent.
 func (l *Ledger) Release(process string, id uint64) { l.remove(claimKey{process, id}) }
 
-// SetReported sets, by process, the time on the clock of the process up to which its claims are
-// contained in the reported work, and removes the claims before it.
+// SetReported sets, by process, the time on the clock of the process before which its claims are
+// contained in the reported work, and removes these claims.
 func (l *Ledger) SetReported(reportedAt map[string]int64, now time.Time) {
 	l.reportedAt = reportedAt
 	for key, c := range l.claims {
@@ -199,7 +199,7 @@
 func (l *Ledger) reported(process string, sentAt int64) bool {
 	at, ok := l.reportedAt[process]
 
-	return ok && sentAt <= at
+	return ok && sentAt < at
 }
 
 // expire removes the claims older than ClaimTTL.
--- a/room/ledger_test.go
+++ b/room/ledger_test.go
@@ -104,9 +104,9 @@
 	}
 	t.Run("a report contains it", func(t *testing.T) {
 		l := full(t)
-		l.SetReported(map[string]int64{"a": 6}, start)
-		wantFull(t, l.Decide(claim("b", 2, 1), oneServer(Use{}), start), 1)
 		l.SetReported(map[string]int64{"a": 7}, start)
+		wantFull(t, l.Decide(claim("b", 2, 1), oneServer(Use{}), start), 1)
+		l.SetReported(map[string]int64{"a": 8}, start)
 		wantGranted(t, l.Decide(claim("b", 3, 1), oneServer(Use{}), start))
 	})
 	t.Run("its request was not sent", func(t *testing.T) {
