--- a/explain/cause.go
+++ b/explain/cause.go
@@ -73,7 +73,7 @@
 	}
 	if end.Event != event.RequestAnswered {
 		if c, ok := causeOfRefusal(end); ok {
-			return c
+			return t.withLedgerRefusal(c)
 		}
 	}
 	if c, ok := t.findServerCause(); ok {
@@ -90,6 +90,15 @@
 	return Cause{CauseUnknown, end.Text("why")}
 }
 
+// withLedgerRefusal adds to a lack of capacity that the ledger of a hall refused the last path.
+func (t *RequestTrace) withLedgerRefusal(c Cause) Cause {
+	if refused, ok := t.lastEvent(event.RoomRefused); ok && c.Kind == CauseNoCapacity {
+		c.Evidence += fmt.Sprintf("; room refused by the hall's ledger at %s, the last path was %s", strings.Join(refused.Strings("full"), ", "), refused.Text("path"))
+	}
+
+	return c
+}
+
 // causeOfRefusal returns the cause if the result code, and for result.Overloaded the text of the
 // refusal, determine it.
 func causeOfRefusal(end LogLine) (Cause, bool) {
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -54,3 +54,27 @@
 		})
 	}
 }
+
+// BenchmarkTightHalls measures what it costs to see that the servers of a path with eight stages
+// have plenty of room. It must not allocate.
+func BenchmarkTightHalls(b *testing.B) {
+	f := New("a", time.Now)
+	m := &catalog.Model{Layers: 80, LayerMB: 1000, KVBytesPerToken: 459000, Slots: 200, Accelerators: []catalog.Accelerator{{Name: "c", MemoryMB: 36000}}}
+	f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: m}}, nil, false))
+	f.SetPeerCounts(20, 60)
+	for i := range 8 {
+		f.Set(catalog.Server{
+			ID: slatebridge.ServerID(fmt.Sprintf("s%04d", i)), Service: "llm", Accelerator: "c", Hall: "a", Slots: 200,
+			Layers: slatebridge.LayerRange{From: 10 * i, To: 10 * (i + 1)},
+		})
+	}
+	path, reservation, _ := f.FindPath(Query{Service: "llm", Tokens: 900})
+	if len(path) != 8 || len(reservation.TightHalls()) > 0 {
+		b.Fatal(path, reservation.TightHalls())
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		f.tightHalls(reservation.loads, Limits{Slots: 1})
+	}
+}
--- /dev/null
+++ b/fleet/shared_room_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+)
+
+// newSharedFleet returns the fleet of a box with peers in its hall. Servers a and b have room for
+// 1,000 tokens each.
+func newSharedFleet(peers int) *Fleet {
+	f := newTestFleet(testServer{"a", "a", 0, 4}, testServer{"b", "b", 4, 8})
+	m := testModel()
+	m.Slots = 10
+	f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: m}}, nil, false))
+	f.SetPeerCounts(peers, peers)
+
+	return f
+}
+
+// setUsed sets the tokens that other boxes have reported at server a.
+func setUsed(f *Fleet, tokens float64) {
+	f.SetPeerGroupLoads("hall a", map[uint32]Load{ShortID("a"): {Requests: 1, TokenLayers: 4 * tokens}})
+}
+
+func TestTightHalls(t *testing.T) {
+	for name, v := range map[string]struct {
+		peers  int
+		used   float64
+		limits Limits
+		want   []slatebridge.HallID
+	}{
+		"plenty of room":                        {20, 100, Limits{}, nil},
+		"other boxes may have filled it":        {20, 860, Limits{}, []slatebridge.HallID{"a"}},
+		"few boxes can't have filled it":        {1, 860, Limits{}, nil},
+		"the only box of the hall":              {0, 900, Limits{}, nil},
+		"a lower limit":                         {20, 560, Limits{Memory: 0.6}, []slatebridge.HallID{"a"}},
+		"stale use is assumed up to a bound":    {1000, 600, Limits{}, nil},
+		"beyond the bound of stale use":         {1000, 700, Limits{}, []slatebridge.HallID{"a"}},
+		"a limit above what others could reach": {1, 600, Limits{Memory: 0.97}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSharedFleet(v.peers)
+				setUsed(f, v.used)
+				_, r, shortage := f.FindPath(Query{Service: "llm", Tokens: 10, Limits: v.limits})
+				if shortage != NoShortage {
+					t.Fatal(shortage)
+				}
+				if diff := cmp.Diff(v.want, r.TightHalls()); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// TestRecordFull checks that a server without room is passed over for a short time by requests that
+// may not fill it further.
+func TestRecordFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSharedFleet(20)
+		urgent, usual, lower := Limits{Memory: 0.97}, Limits{Memory: 0.9}, Limits{Memory: 0.8}
+		f.RecordFull([]slatebridge.ServerID{"a", "unknown"}, usual)
+		f.RecordFull([]slatebridge.ServerID{"a"}, lower)
+		const path = "a[0,4)>b[4,8)"
+		wantPath(t, f, Query{Tokens: 10, Limits: urgent}, path)
+		wantPath(t, f, Query{Tokens: 10, Limits: usual}, "none: "+NoCapacity.String())
+		wantPath(t, f, Query{Tokens: 10, Limits: lower}, "none: "+NoCapacity.String())
+		time.Sleep(fullNoteTTL)
+		wantPath(t, f, Query{Tokens: 10, Limits: lower}, path)
+	})
+}
+
+func TestSharesRoom(t *testing.T) {
+	for name, v := range map[string]struct {
+		f       *Fleet
+		service string
+		want    bool
+	}{
+		"several boxes":         {newSharedFleet(1), "llm", true},
+		"the only box":          {newSharedFleet(0), "llm", false},
+		"an unknown service":    {newSharedFleet(1), "till", false},
+		"a model without slots": {newTestFleet(), "llm", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if v.f.SharesRoom(v.service) != v.want {
+				t.Errorf("want %t", v.want)
+			}
+		})
+	}
+}
--- a/forward/claim_room_test.go
+++ b/forward/claim_room_test.go
@@ -134,7 +134,7 @@
 	refuse := func(_ context.Context, c RoomClaim) ([]slatebridge.ServerID, error) {
 		t.Errorf("room claimed for %s", c.Path)
 
-		return []slatebridge.ServerID{c.Path[0].Server.ID}, nil
+		return nil, errors.New("unexpected claim")
 	}
 	// paths returns the paths of requests of different sizes until no room is left.
 	paths := func(h *Handler) []string {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -3,6 +3,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"net"
@@ -133,9 +134,5 @@
 		return err
 	}
 
-	if err := m.Grant.validate(); err != nil {
-		return err
-	}
-
-	return m.Room.validate()
+	return cmp.Or(m.Grant.validate(), m.Room.validate())
 }
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -151,7 +151,9 @@
 }
 
 // Full returns the servers without room for the stages.
-func (l *Ledger) Full(stages []Stage, limits Limits, v View) []uint32 { return l.full(stages, false, limits, v) }
+func (l *Ledger) Full(stages []Stage, limits Limits, v View) []uint32 {
+	return l.full(stages, false, limits, v)
+}
 
 func (l *Ledger) full(stages []Stage, reported bool, limits Limits, v View) []uint32 {
 	var full []uint32
