Priority of a request: the account's decides first, then the route's

Cause: the account's priority replaced the route's.

Ruled out: the route's priority alone, which would not give way to the account's.

Change: requests before a service are ordered by the account's priority and then by the route's, and numbered from 0.

Run: go test ./catalog ./forward.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -87,7 +87,7 @@
 type Account struct {
 	Name    string
 	APIKeys []string
-	// Priority overrides the route's priority if HasPriority is set; 0 is the most
+	// Priority decides before the route's priority if HasPriority is set; 0 is the most
 	// urgent.
 	Priority    int
 	HasPriority bool
@@ -194,8 +194,8 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Account
 	byService map[string]*Service
-	// prioritized has the services before which there are requests of more than one priority.
-	prioritized map[string]bool
+	// priorities has the priorities of the requests before each service, the most urgent first.
+	priorities map[string][]priorityPair
 }
 
 // New returns a Catalog that indexes the given routes, services and accounts.
@@ -204,7 +204,7 @@
 		Version: version, Limits: limits, Services: services, RequireAPIKey: requireAPIKey,
 		byHost:    make(map[string][]*Route),
 		byKey:     make(map[string]*Account),
-		byService: make(map[string]*Service, len(services)), prioritized: prioritizedServices(routes, accounts),
+		byService: make(map[string]*Service, len(services)), priorities: prioritiesByService(routes, accounts),
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
--- a/catalog/priority.go
+++ b/catalog/priority.go
@@ -1,44 +1,81 @@
 package catalog
 
-// Priority returns the priority of a request on the route, 0 for the most urgent: that of the client
-// account if it has one, else that of the route. The account is nil for an anonymous request.
-func Priority(r *Route, a *Account) int {
+import (
+	"cmp"
+	"slices"
+)
+
+// priorityPair is the priority of a client account and that of a route, 0 for the most urgent.
+type priorityPair struct {
+	account, route int
+}
+
+// newPriorityPair returns the priorities of a request. The route's counts for both if the account,
+// which is nil for an anonymous request, has none.
+func newPriorityPair(r *Route, a *Account) priorityPair {
 	if a != nil && a.HasPriority {
-		return a.Priority
+		return priorityPair{account: a.Priority, route: r.Priority}
 	}
 
-	return r.Priority
+	return priorityPair{account: r.Priority, route: r.Priority}
+}
+
+func comparePriorities(a, b priorityPair) int {
+	return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.route, b.route))
+}
+
+// Priority returns the priority of a request to the service among all that the configuration has
+// before it: 0 for the most urgent, and one more for each less urgent one. The client account's
+// priority decides first, then the route's. The account is nil for an anonymous request.
+func (c *Catalog) Priority(service string, r *Route, a *Account) int {
+	i, _ := slices.BinarySearchFunc(c.priorities[service], newPriorityPair(r, a), comparePriorities)
+
+	return i
 }
 
 // Prioritized reports whether the configuration has requests of more than one priority before the
 // service.
-func (c *Catalog) Prioritized(service string) bool { return c.prioritized[service] }
-
-// prioritizedServices returns the services before which the routes and accounts have more than one
-// priority. Any account may use any route.
-func prioritizedServices(routes []Route, accounts []Account) map[string]bool {
-	first := make(map[string]int)
-	out := make(map[string]bool)
-	note := func(service string, priority int) {
-		if p, ok := first[service]; !ok {
-			first[service] = priority
-		} else if p != priority {
-			out[service] = true
+func (c *Catalog) Prioritized(service string) bool { return len(c.priorities[service]) > 1 }
+
+// prioritiesByService returns the priorities of the requests before each service, the most urgent
+// first. Any account may use any route.
+func prioritiesByService(routes []Route, accounts []Account) map[string][]priorityPair {
+	distinct := make(map[int]*Account)
+	for i := range accounts {
+		if accounts[i].HasPriority {
+			distinct[accounts[i].Priority] = &accounts[i]
 		}
 	}
+	out := make(map[string][]priorityPair)
 	for i := range routes {
-		for _, s := range routes[i].TrafficSplit {
-			note(s.Service, routes[i].Priority)
+		r := &routes[i]
+		pairs := []priorityPair{newPriorityPair(r, nil)}
+		for _, a := range distinct {
+			pairs = append(pairs, newPriorityPair(r, a))
 		}
-	}
-	for i := range accounts {
-		if !accounts[i].HasPriority {
-			continue
+		if allHavePriority(accounts) && !r.AllowAnonymous {
+			pairs = pairs[1:]
 		}
-		for service := range first {
-			note(service, accounts[i].Priority)
+		for _, s := range r.TrafficSplit {
+			out[s.Service] = addPriorities(out[s.Service], pairs)
 		}
 	}
 
 	return out
 }
+
+// allHavePriority reports whether there are accounts and all have a priority of their own.
+func allHavePriority(accounts []Account) bool {
+	return len(accounts) > 0 && !slices.ContainsFunc(accounts, func(a Account) bool { return !a.HasPriority })
+}
+
+// addPriorities adds the missing ones to a sorted list.
+func addPriorities(sorted, pairs []priorityPair) []priorityPair {
+	for _, p := range pairs {
+		if i, found := slices.BinarySearchFunc(sorted, p, comparePriorities); !found {
+			sorted = slices.Insert(sorted, i, p)
+		}
+	}
+
+	return sorted
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -160,7 +160,8 @@
 		c.deadline = c.startedAt.Add(c.Timeout)
 	}
 	c.service = c.route.ChooseService(h.random())
-	c.priority, c.prioritized = catalog.Priority(c.route, c.state.Catalog.Account(c.APIKey)), c.state.Catalog.Prioritized(c.service)
+	c.prioritized = c.state.Catalog.Prioritized(c.service)
+	c.priority = c.state.Catalog.Priority(c.service, c.route, c.state.Catalog.Account(c.APIKey))
 	c.header = endToEndHeaders(r.Header)
 
 	if e := h.readBody(w, r, c); e != nil {
