Room and retries by priority of requests, decided from observed load

Cause: under contention all requests of a service got room first come, first served, whatever their priority, and retries of new requests used up the budget that streams under way need.

--- a/event/event.go
+++ b/event/event.go
@@ -84,6 +84,8 @@
 	TrialRefused          ID = 420
 	EndedAgain            ID = 421
 	QuarantineLifted      ID = 422
+	PriorityLimited       ID = 430
+	UnderservedPreferred  ID = 431
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -36,6 +36,8 @@
 	CauseConfigNotCurrent CauseKind = "the store was unreachable or the configuration not current"
 	// CauseNoCapacity means that no path had free memory or slots.
 	CauseNoCapacity CauseKind = "no capacity"
+	// CauseRoomKept means that the servers had room, but only for more urgent requests.
+	CauseRoomKept CauseKind = "the room was kept for more urgent requests"
 	// CauseLayersUnavailable means that no complete pipeline was available, or that no server took
 	// the request.
 	CauseLayersUnavailable CauseKind = "layers were on no server"
@@ -108,16 +110,24 @@
 	case result.NoPipeline, result.NoServer:
 		return Cause{CauseLayersUnavailable, why}, true
 	case result.Overloaded:
-		if strings.Contains(why, "budget") {
-			return Cause{CauseRetryBudgetExhausted, why}, true
-		}
-
-		return Cause{CauseNoCapacity, why}, true
+		return causeOfOverload(why), true
 	default:
 		return Cause{}, false
 	}
 }
 
+// causeOfOverload returns the cause of a refusal with result.Overloaded by its text.
+func causeOfOverload(why string) Cause {
+	switch {
+	case strings.Contains(why, "budget"):
+		return Cause{CauseRetryBudgetExhausted, why}
+	case strings.Contains(why, "more urgent"):
+		return Cause{CauseRoomKept, why}
+	default:
+		return Cause{CauseNoCapacity, why}
+	}
+}
+
 // findServerCause returns the cause shown by the lines about the request's servers.
 func (t *RequestTrace) findServerCause() (Cause, bool) {
 	// A partition is checked first, as it makes single servers look dead before boxes detect it.
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -67,6 +67,7 @@
 		"a configuration that is too old":         {[]string{refused(3005, "too old")}, CauseConfigNotCurrent},
 		"an unknown key":                          {[]string{refused(1008, "the key is not known")}, CauseRequestRejected},
 		"unavailable layers":                      {[]string{refused(3001, "some layers are on no server")}, CauseLayersUnavailable},
+		"room kept for more urgent requests":      {[]string{refused(2003, "the room left is kept for more urgent requests")}, CauseRoomKept},
 		"no free memory":                          {[]string{refused(2003, "no path has memory left")}, CauseNoCapacity},
 		"an exhausted retry budget":               {[]string{refused(2003, "the budget for retries is used up")}, CauseRetryBudgetExhausted},
 		"a quarantined request":                   {[]string{sent, line(900, "b1", event.AttemptEnded, map[string]any{"request": "r", fieldServer: "s1", "error": "EOF"}), refused(3006, "servers have ended")}, CausePoisonRequest},
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -64,6 +64,9 @@
 // load within about this time.
 const gossipDelay = 750 * time.Millisecond
 
+// PeerLoadStaleness is the age of what a box knows of the load of others.
+const PeerLoadStaleness = gossipDelay
+
 // decayedRecentLoad returns the work that this box recently sent to the server, decayed to now.
 func (m *member) decayedRecentLoad(now time.Time) Load {
 	left := math.Exp(-float64(now.Sub(m.recentAt)) / float64(gossipDelay))
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -326,3 +326,65 @@
 		}
 	})
 }
+
+func TestLimits(t *testing.T) {
+	servers := []testServer{{"a1", "a", 0, 4}, {"a2", "a", 4, 8}}
+	const path = "a1[0,4)>a2[4,8)"
+	// filled returns a fleet whose servers have memory for 1000 tokens, of which some are in use.
+	filled := func(t *testing.T, tokens float64) *Fleet {
+		t.Helper()
+		f := newTestFleet(servers...)
+		wantPath(t, f, Query{Tokens: tokens}, path)
+
+		return f
+	}
+	const full = "none: no capacity left on servers or links"
+	t.Run("a reserve is kept free", func(t *testing.T) {
+		wantPath(t, filled(t, 850), Query{Tokens: 10, Limits: LimitsWithReserve(0.1, 0)}, full)
+		wantPath(t, filled(t, 850), Query{Tokens: 10, Limits: LimitsWithReserve(0, 0)}, path)
+	})
+	t.Run("it does not depend on the size of the request", func(t *testing.T) {
+		for _, tokens := range []float64{1, 100, 200} {
+			wantPath(t, filled(t, 700), Query{Tokens: tokens, Limits: LimitsWithReserve(0.2, 0)}, path)
+			wantPath(t, filled(t, 730), Query{Tokens: tokens, Limits: LimitsWithReserve(0.2, 0)}, full)
+		}
+		wantPath(t, filled(t, 700), Query{Tokens: 230, Limits: LimitsWithReserve(0.2, 0)}, full)
+	})
+	t.Run("a higher limit than the usual one holds for the sum", func(t *testing.T) {
+		wantPath(t, filled(t, 900), Query{Tokens: 50, Limits: Limits{Memory: 0.97}}, path)
+		wantPath(t, filled(t, 900), Query{Tokens: 80, Limits: Limits{Memory: 0.97}}, full)
+	})
+	t.Run("slots bound the first server only", func(t *testing.T) {
+		f := newTestFleet(servers...)
+		for _, s := range f.Servers() {
+			s.Slots = 10
+			f.Set(s)
+		}
+		f.SetPeerGroupLoads("b", LoadsByShortID(map[slatebridge.ServerID]Load{"a1": {FirstStage: 8}, "a2": {FirstStage: 10}}))
+		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.2)}, full)
+		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.1)}, path)
+	})
+	t.Run("a search reserves nothing", func(t *testing.T) {
+		f := newTestFleet(servers...)
+		for range 2 {
+			if q := (Query{Service: "llm", Tokens: 900}); !f.HasPath(q, nil) || f.HasPath(q, []slatebridge.ServerID{"a2"}) {
+				t.Error("there is no path from a1, or one from a2")
+			}
+		}
+	})
+}
+
+func TestRequestCapacity(t *testing.T) {
+	f := newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 4, 8}, testServer{"b1", "b", 0, 4}, testServer{"b2", "b", 2, 4})
+	f.Suspect("b1", time.Now().Add(time.Minute))
+	for _, s := range f.Servers() {
+		s.Slots = 10
+		f.Set(s)
+	}
+	if tokens, slots := f.RequestCapacity("llm"); tokens != 1000 || slots != 10 {
+		t.Errorf("memory for %.0f tokens and %.0f slots, want 1000 and 10", tokens, slots)
+	}
+	if tokens, slots := f.RequestCapacity("other"); tokens != 0 || slots != 0 {
+		t.Errorf("memory for %.0f tokens and %.0f slots at a service without servers", tokens, slots)
+	}
+}
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -1,19 +1,32 @@
 package fleet
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/slatebridge/slatebridge"
+)
 
 // Limits bounds how far requests may fill the servers of a path, as shares of their capacity.
 type Limits struct {
-	// Memory bounds the memory for requests; zero means maxPlannedFill.
+	// Memory bounds the memory for requests; zero means maxPlannedFill. A lower bound than that holds
+	// for the memory in use before the request, so that it refuses large requests no more often than
+	// small ones.
 	Memory float64
 	// Slots bounds the slots of the first server; zero means no bound.
 	Slots float64
 }
 
+// LimitsWithReserve returns the limits for a request that leaves the given shares of the memory and
+// the slots free.
+func LimitsWithReserve(memory, slots float64) Limits {
+	return Limits{Memory: maxPlannedFill - memory, Slots: 1 - slots}
+}
+
 // hasRoom reports whether the server has room for one more request of the given size within the
 // limits.
 func (m *member) hasRoom(q Query, used Load) bool {
-	if used.TokenLayers+q.Tokens*float64(m.Layers.Len()) > cmp.Or(q.Limits.Memory, maxPlannedFill)*m.capacity() {
+	limit, capacity := cmp.Or(q.Limits.Memory, maxPlannedFill), m.capacity()
+	if used.TokenLayers+q.Tokens*float64(m.Layers.Len()) > max(limit, maxPlannedFill)*capacity || used.TokenLayers > limit*capacity {
 		return false
 	}
 	if m.Layers.From > 0 || m.Slots <= 0 || q.Limits.Slots <= 0 {
@@ -22,3 +35,51 @@
 
 	return used.FirstStage+1 <= q.Limits.Slots*float64(m.Slots)
 }
+
+// HasPath reports whether there is a path for the request that starts at one of the given first
+// servers; an empty list allows any. It reserves nothing.
+func (f *Fleet) HasPath(q Query, firsts []slatebridge.ServerID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(firsts) == 0 {
+		return f.search(q, true) != nil
+	}
+	for _, q.FirstServer = range firsts {
+		if f.search(q, true) != nil {
+			return true
+		}
+	}
+
+	return false
+}
+
+// RequestCapacity returns the number of tokens for which all servers of the service together have
+// memory at the layer that has least, and the number of slots of all first servers. Layers that no
+// server has do not count.
+func (f *Fleet) RequestCapacity(service string) (tokens, slots float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var byLayer []float64
+	for _, m := range f.membersOf(service) {
+		if m.model == nil || m.Layers.Len() == 0 || m.Layers.To > m.model.Layers || !m.healthy(now) {
+			continue
+		}
+		if byLayer == nil {
+			byLayer = make([]float64, m.model.Layers)
+		}
+		for layer := m.Layers.From; layer < m.Layers.To; layer++ {
+			byLayer[layer] += m.capacity() / float64(m.Layers.Len())
+		}
+		if m.Layers.From == 0 {
+			slots += float64(m.Slots)
+		}
+	}
+	for _, n := range byLayer {
+		if n > 0 && (tokens == 0 || n < tokens) {
+			tokens = n
+		}
+	}
+
+	return tokens, slots
+}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -11,7 +11,6 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/overload"
-	"github.com/slatebridge/slatebridge/retry"
 )
 
 // handleNoResponse handles an attempt without a valid response. It returns true if the caller has
@@ -105,7 +104,7 @@
 // retry is available without waiting. If it returns false, relayErrorResponse writes the error
 // response.
 func (t *streamRequest) takeRetryNow() bool {
-	t.budgetSettled = t.progress().Decide() == overload.Retry && t.h.takeRetry(t.ctx, t.c.service, retry.Required)
+	t.budgetSettled = t.progress().Decide() == overload.Retry && t.takeRequired()
 
 	return t.budgetSettled
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,7 +39,9 @@
 	// is set, that is, if there are requests of other priorities before the service.
 	priority    int
 	prioritized bool
-	state       State
+	// servicePriority is the state of the decisions by priority for the service; nil unless prioritized.
+	servicePriority *servicePriority
+	state           State
 	// plainAttempts counts the attempts at single servers, including those that were not sent. It
 	// stays zero for a stream over paths.
 	plainAttempts int
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/priority"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -22,6 +23,7 @@
 	longestPause  prometheus.Histogram
 	notices       *prometheus.CounterVec
 	grants        *prometheus.CounterVec
+	priorities    *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -58,7 +60,10 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_grants_total", Help: "Requests for grants for rate-limited backend servers, by outcome (taken, refused, unanswered, given back).",
 	}, []string{"what"})
-	reg.MustRegister(m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	m.priorities = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_priority_requests_total", Help: "Streams of services with requests of several priorities, by priority and what was decided (offered, admitted, refused for the room kept for more urgent ones, preferred because their class or account was admitted rarely).",
+	}, []string{"priority", "what"})
+	reg.MustRegister(m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -108,3 +113,16 @@
 
 // grantRequested counts a request for a grant by its outcome.
 func (m *Metrics) grantRequested(outcome string) { m.grants.WithLabelValues(outcome).Inc() }
+
+// Values of the label "what" of slatebridge_priority_requests_total.
+const (
+	priorityOffered   = "offered"
+	priorityAdmitted  = "admitted"
+	priorityRefused   = "refused"
+	priorityPreferred = "preferred"
+)
+
+// priorityCounter returns the counter of requests by their priority and what was decided about them.
+func (m *Metrics) priorityCounter(class int, what string) prometheus.Counter {
+	return m.priorities.WithLabelValues(strconv.Itoa(priority.ClassIndex(class)), what)
+}
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -23,3 +23,21 @@
 
 	return true
 }
+
+// takeRequired takes the retry for the next attempt. A stream that no server has run leaves a share
+// of the budget to streams under way and to more urgent ones.
+//
+// Load pattern: full servers reject so many requests that the budget runs out, and then servers fail
+// and interrupt streams.
+func (t *streamRequest) takeRequired() bool {
+	c := t.c
+	if c.prioritized && len(t.ranOn) == 0 && c.LastEventID == 0 {
+		now := clock.Now()
+		share := c.servicePriority.tracker.RetryReserve(c.priorityRequest(), now)
+		if !t.h.budget.Leaves(c.service, t.h.state().BoxCount, share, now) {
+			return false
+		}
+	}
+
+	return t.h.takeRetry(t.ctx, c.service, retry.Required)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -18,7 +18,6 @@
 	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/result"
-	"github.com/slatebridge/slatebridge/retry"
 )
 
 const (
@@ -80,6 +79,7 @@
 	if c.LastEventID > 0 {
 		t.lastEventID = c.LastEventID
 	}
+	t.recordOffered()
 	for {
 		plan, e := t.planAttempt()
 		if e != nil {
@@ -209,7 +209,7 @@
 		path, reservation, shortage = t.h.fleet.FindPathFrom(query, firstServers)
 	}
 	if path == nil {
-		return nil, nil, t.h.noPathError(t.c, shortage)
+		return nil, nil, t.h.noRoomError(t.c, query, firstServers, shortage)
 	}
 
 	return path, reservation, nil
@@ -306,6 +306,7 @@
 		return t.handleNoResponse(ctx, path, r)
 	}
 	defer func() { _ = r.resp.Body.Close() }()
+	t.recordAdmitted()
 	t.recordRan(first.ID)
 	t.h.fleet.RecordAcceptance(serverIDs(path)...)
 	if r.resp.StatusCode != http.StatusOK {
@@ -383,7 +384,7 @@
 func (t *streamRequest) awaitRetry() bool {
 	c := t.c
 	for {
-		if t.h.takeRetry(t.ctx, c.service, retry.Required) {
+		if t.takeRequired() {
 			return true
 		}
 		silentFrom := t.lastEventAt
--- a/lab/box.go
+++ b/lab/box.go
@@ -8,6 +8,7 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/observe"
+	"github.com/slatebridge/slatebridge/priority"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/retry"
 )
@@ -24,6 +25,8 @@
 	down            bool
 	// ledger tracks poison requests.
 	ledger *quarantine.Ledger
+	// priorities tracks the requests by class.
+	priorities *priority.Tracker
 	// suspendedUntil is the end of the current suspension.
 	suspendedUntil time.Duration
 }
@@ -48,6 +51,7 @@
 	b.streamDurations = observe.NewDurationHistogram(streamDurationWindow, observe.WithClock(now))
 	b.activeRequests = make(map[*request]bool)
 	b.ledger = quarantine.New()
+	b.priorities = priority.NewTracker(now())
 	b.down = false
 }
 
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -51,6 +51,9 @@
 	// IgnoreServerNotices makes boxes ignore the cooldown, leaving and rate-limit notices of
 	// servers, as a baseline.
 	IgnoreServerNotices bool `toml:"deaf"`
+	// Prioritized gives the classes the priorities of their ranks. Without it, the rank of a class
+	// changes no decision.
+	Prioritized bool `toml:"priorities"`
 	// Faults are the [[trouble]] tables, in any order.
 	Faults []Fault `toml:"trouble"`
 }
@@ -292,6 +295,21 @@
 	return m
 }
 
+// routes returns a route for each class if the scenario is Prioritized.
+func (sc *Scenario) routes() []catalog.Route {
+	if !sc.Prioritized {
+		return nil
+	}
+	var routes []catalog.Route
+	for _, k := range sc.RequestClasses {
+		routes = append(routes, catalog.Route{
+			Name: k.Name, Kind: catalog.Stream, Priority: k.PriorityRank, TrafficSplit: []catalog.WeightedService{{Service: service, Weight: 1}},
+		})
+	}
+
+	return routes
+}
+
 // initialPlacement returns the servers with the layers that they are assigned at the start.
 func (sc *Scenario) initialPlacement(m *catalog.Model) []place.Server {
 	var servers []place.Server
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -93,7 +93,7 @@
 	m := sc.model()
 	sim := &simulation{
 		scenario: sc, rand: rand.New(rand.NewPCG(seed, seed)), halls: sc.halls(),
-		catalog: catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: service, Model: m}}, nil, false),
+		catalog: catalog.New(1, catalog.Limits{}, sc.routes(), []catalog.Service{{Name: service, Model: m}}, nil, false),
 		cluster: newCluster(m, sc.initialPlacement(m)), allocator: allowance.NewAllocator(), result: newResult(sc, seed), sharedChanges: make(changeSet),
 	}
 	for _, hall := range sim.halls {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -188,6 +188,17 @@
 	return true
 }
 
+// Leaves reports whether one more retry would leave the given share of what required retries may
+// use, as far as this box knows. A caller that takes a retry only then leaves that share to others.
+func (b *Budget) Leaves(service string, boxes int, share float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := b.totalUsage(b.currentWindow(b.sent, service, now).sum(b.bounds.Window), service, boxes, now)
+	limit := b.limit(used, Required)
+
+	return limit-float64(used.Retries+1) >= share*limit
+}
+
 // totalUsage returns what all boxes have used. A box whose usage is unknown counts as having used
 // its equal part. The caller holds mu.
 func (b *Budget) totalUsage(own Usage, service string, boxes int, now time.Time) Usage {
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -113,6 +113,32 @@
 	})
 }
 
+func TestLeaves(t *testing.T) {
+	// takeLeaving takes retries as long as they leave the share, and returns their number.
+	takeLeaving := func(b *Budget, share float64) int {
+		n := 0
+		for b.Leaves("s", 1, share, start) && b.Take("s", 1, start) {
+			n++
+		}
+
+		return n
+	}
+	t.Run("a share of zero leaves nothing", func(t *testing.T) {
+		wantRetries(t, takeLeaving(New(bounds), 0), 70)
+	})
+	t.Run("others get what is left", func(t *testing.T) {
+		b := New(bounds)
+		wantRetries(t, takeLeaving(b, 0.5), 35)
+		wantRetries(t, takeLeaving(b, 0.2), 21)
+		wantRetries(t, takeAll(b, 1, start), 14)
+	})
+	t.Run("retries of other boxes count", func(t *testing.T) {
+		b := New(bounds)
+		b.SetPeerGroup("hall b", 0, map[string]Usage{"s": {Retries: 30}}, start)
+		wantRetries(t, takeLeaving(b, 0.5), 5)
+	})
+}
+
 func TestSum(t *testing.T) {
 	b := New(bounds)
 	b.RecordRequest("s", start)
