--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -146,6 +146,45 @@
 	})
 }
 
+func TestRetriesByPriority(t *testing.T) {
+	const requests, required = 100, 70
+	// wantRetry fails the test unless the stream may be sent again when other boxes have used the
+	// given number of the required retries that the budget permits.
+	wantRetry := func(t *testing.T, used int, want bool, stream func(f *roomFixture) *streamRequest) {
+		t.Helper()
+		f := newRoomFixture(0)
+		f.handler.SetBounds(Bounds{Retry: retry.Bounds{Ratio: 1, Window: 10 * time.Second}})
+		f.offer(0, 20)
+		f.offer(1, 20)
+		for range requests {
+			f.handler.budget.RecordRequest("llm", time.Now())
+		}
+		f.handler.budget.SetPeerGroup("a", 0, map[string]retry.Usage{"llm": {Retries: used}}, time.Now())
+		if got := stream(f).takeRequired(); got != want {
+			t.Errorf("with %d of %d retries used: retried %t, want %t", used, required, got, want)
+		}
+	}
+	urgent := func(f *roomFixture) *streamRequest { return f.stream(0, 50) }
+	deferrable := func(f *roomFixture) *streamRequest { return f.stream(1, 50) }
+	running := func(f *roomFixture) *streamRequest {
+		s := f.stream(1, 50)
+		s.recordRan("other")
+
+		return s
+	}
+	t.Run("all are retried while there are many", func(t *testing.T) {
+		wantRetry(t, 10, true, deferrable)
+	})
+	t.Run("then urgent ones only", func(t *testing.T) {
+		wantRetry(t, 45, false, deferrable)
+		wantRetry(t, 45, true, urgent)
+	})
+	t.Run("the rest is for streams under way", func(t *testing.T) {
+		wantRetry(t, 60, false, urgent)
+		wantRetry(t, 60, true, running)
+	})
+}
+
 // BenchmarkRoomByPriority measures what the decisions by priority cost a request while there is
 // room.
 func BenchmarkRoomByPriority(b *testing.B) {
--- a/priority/priority.go
+++ b/priority/priority.go
@@ -29,9 +29,10 @@
 	// contendedShare is the share of the offered tokens of a class of which less must be admitted for
 	// its accounts to compete; requests being sent are not admitted yet.
 	contendedShare = 0.9
-	// maxRetryReserve is the share of the retry budget that the least urgent new requests leave to
-	// all others.
-	maxRetryReserve = 0.5
+	// streamRetryReserve is the share of the retry budget that all new requests leave to streams under
+	// way, and urgentRetryReserve the share that they leave in addition if all others are more urgent.
+	streamRetryReserve = 0.2
+	urgentRetryReserve = 0.3
 )
 
 // Request is what decisions need to know of a new request.
@@ -133,8 +134,8 @@
 	}
 }
 
-// RetryReserve returns the share of the retry budget that a new request leaves to more urgent ones
-// and to streams under way. Even the most urgent class leaves something to the latter.
+// RetryReserve returns the share of the retry budget that a new request leaves to streams under way
+// and to more urgent requests. The latter part grows with their share of recent requests.
 func (t *Tracker) RetryReserve(r Request, now time.Time) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,11 +145,11 @@
 		class = 0
 	}
 	var urgent int64
-	for i := range class + 1 {
+	for i := range class {
 		urgent += t.classes[i].window.sum.offered
 	}
 
-	return maxRetryReserve * float64(urgent) / float64(max(1, total.offered))
+	return streamRetryReserve + urgentRetryReserve*float64(urgent)/float64(max(1, total.offered))
 }
 
 // slotAt returns the number of the slot since the tracker began.
--- a/priority/priority_test.go
+++ b/priority/priority_test.go
@@ -149,7 +149,7 @@
 }
 
 func TestRetryReserve(t *testing.T) {
-	for class, want := range []float64{maxRetryReserve / 3, maxRetryReserve * 2 / 3, maxRetryReserve} {
+	for class, want := range []float64{streamRetryReserve, streamRetryReserve + urgentRetryReserve/3, streamRetryReserve + urgentRetryReserve*2/3} {
 		if got := newTracker().RetryReserve(Request{Class: class}, now); math.Abs(got-want) > 1e-6 {
 			t.Errorf("class %d leaves %.3f of the retries, want %.3f", class, got, want)
 		}
@@ -210,20 +210,20 @@
 func TestNoClassStarves(t *testing.T) {
 	const (
 		step, steps, warmup = 10 * time.Millisecond, 3000, 500
-		capacity, duration  = 200, 100
+		capacity, duration  = 60, 100
 		tolerance           = 0.15
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		rates := rapid.SliceOfN(rapid.Float64Range(0.1, 2), 2, 4).Draw(t, "requests per step")
 		tracker := NewTracker(start)
-		var ends [steps + duration]int
+		var ends [steps + 2*duration]int
 		var offered, admitted [Classes]float64
 		used := 0
 		for n := range steps {
 			used -= ends[n]
-			for class, rate := range rates {
-				if random.Float64() >= rate/2 {
+			for _, class := range random.Perm(len(rates)) {
+				if random.Float64() >= rates[class]/2 {
 					continue
 				}
 				at, r := start.Add(time.Duration(n)*step), Request{Class: class}
@@ -233,7 +233,7 @@
 				if ok {
 					tracker.RecordAdmitted(r, 1, at)
 					used++
-					ends[n+duration]++
+					ends[n+1+random.IntN(2*duration)]++
 				}
 				if n >= warmup {
 					offered[class]++
