--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -57,9 +57,9 @@
 	return s
 }
 
-// offer records streams of the priority and lets the servers accept them.
-func (f *roomFixture) offer(priority, n int) {
-	for range n {
+// offer records 20 streams of the priority and lets the servers accept them.
+func (f *roomFixture) offer(priority int) {
+	for range 20 {
 		f.stream(priority, 50).recordAdmitted()
 	}
 }
@@ -100,8 +100,8 @@
 	nearlyFull := func(t *testing.T, urgentPriority int) *roomFixture {
 		t.Helper()
 		f := newRoomFixture(urgentPriority)
-		f.offer(0, 20)
-		f.offer(1, 20)
+		f.offer(0)
+		f.offer(1)
 		f.fill(t, 860)
 
 		return f
@@ -154,8 +154,8 @@
 		t.Helper()
 		f := newRoomFixture(0)
 		f.handler.SetBounds(Bounds{Retry: retry.Bounds{Ratio: 1, Window: 10 * time.Second}})
-		f.offer(0, 20)
-		f.offer(1, 20)
+		f.offer(0)
+		f.offer(1)
 		for range requests {
 			f.handler.budget.RecordRequest("llm", time.Now())
 		}
