A service is prioritized only if requests of several priorities can reach it

Its configuration has routes of priority 0 and one account of priority 1, and needs an API key, so that all requests have priority 1; the service counted as prioritized all the same, and its slots were bounded.

Ruled out: a change to the test.

Change: the priority of a route counts only if requests without an account's priority may use it.

Run: go test ./catalog ./platform ./box ./follow; the test six times; linter.

Conclusion: configurations of one priority are served as before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -204,7 +204,7 @@
 		Version: version, Limits: limits, Services: services, RequireAPIKey: requireAPIKey,
 		byHost:    make(map[string][]*Route),
 		byKey:     make(map[string]*Account),
-		byService: make(map[string]*Service, len(services)), prioritized: prioritizedServices(routes, accounts),
+		byService: make(map[string]*Service, len(services)), prioritized: prioritizedServices(routes, accounts, requireAPIKey),
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
