Priorities: an account's burst doesn't lift its own class to the floor; tests of failures

Cause: an account that sends much more than the others of its class makes the class underserved, which then got the room of the most urgent ones, mostly for that account.

Change: the fair share of the account is looked at before the floor of its class; tests of what is left free after a server is lost, a pause, a start, with fewer boxes.

--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -146,6 +148,51 @@
 	})
 }
 
+// TestReserveAfterFailures checks what requests leave free after a server is lost, and after this box
+// stood still or lost its state.
+func TestReserveAfterFailures(t *testing.T) {
+	// reserveOf returns the share of the memory that a request of the lower priority leaves free.
+	reserveOf := func(f *roomFixture, s *streamRequest) float64 {
+		return fleet.LimitsWithReserve(0, 0).Memory - f.handler.roomLimits(s.c, false).Memory
+	}
+	// inFixture runs f with two servers and two streams offered.
+	inFixture := func(t *testing.T, run func(t *testing.T, f *roomFixture, s *streamRequest)) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			f := newRoomFixture(0)
+			second, _ := f.handler.fleet.Server("s")
+			second.ID = "s2"
+			f.handler.fleet.Set(second)
+			f.stream(0, 50)
+			run(t, f, f.stream(1, 50))
+		})
+	}
+	t.Run("a lost server raises the reserve", func(t *testing.T) {
+		inFixture(t, func(t *testing.T, f *roomFixture, s *streamRequest) {
+			before := reserveOf(f, s)
+			f.handler.fleet.Suspect("s2", time.Now().Add(time.Minute))
+			time.Sleep(supplyInterval)
+			if after := reserveOf(f, s); before <= 0 || math.Abs(after-2*before) > 1e-6 {
+				t.Errorf("the reserve is %.4f with two servers and %.4f with one", before, after)
+			}
+		})
+	})
+	t.Run("what was before a pause does not count", func(t *testing.T) {
+		inFixture(t, func(t *testing.T, f *roomFixture, s *streamRequest) {
+			time.Sleep(time.Minute)
+			if got := reserveOf(f, s); got != 0 {
+				t.Errorf("the reserve is %.4f, want 0", got)
+			}
+		})
+	})
+	t.Run("a box that has just started leaves nothing", func(t *testing.T) {
+		f := newRoomFixture(0)
+		if got := reserveOf(f, f.stream(1, 50)); got != 0 {
+			t.Errorf("the reserve is %.4f, want 0", got)
+		}
+	})
+}
+
 func TestRetriesByPriority(t *testing.T) {
 	const requests, required = 100, 70
 	// wantRetry fails the test unless the stream may be sent again when other boxes have used the
--- a/priority/priority.go
+++ b/priority/priority.go
@@ -117,17 +117,16 @@
 	class, slot := r.class(), t.slotAt(now)
 	total := t.total(slot)
 	usage := &t.classes[class]
+	contended := usage.contended()
 	switch {
-	case underserved(usage.window.sum, total):
-		return Reserve{Reason: Underserved}
-	case !usage.contended():
-		return t.expected(class, s, now)
-	case usage.exceedsFairShare(r.Account, slot):
+	case contended && usage.exceedsFairShare(r.Account, slot):
+		// This comes first, since otherwise an account could make its class underserved, and so get
+		// the room of more urgent ones.
 		out := t.expected(class+1, s, now)
 		out.Reason = LargeAccount
 
 		return out
-	case underserved(usage.account(r.Account, slot), usage.window.sum):
+	case underserved(usage.window.sum, total), contended && underserved(usage.account(r.Account, slot), usage.window.sum):
 		return Reserve{Reason: Underserved}
 	default:
 		return t.expected(class, s, now)
--- a/priority/priority_test.go
+++ b/priority/priority_test.go
@@ -65,6 +65,13 @@
 			wantReserve(t, newTracker().Reserve(Request{Class: class}, s, now), Reserve{Memory: want, Slots: want})
 		}
 	})
+	t.Run("the reserve falls with the number of boxes", func(t *testing.T) {
+		s := supply
+		s.Tokens, s.Slots, s.Boxes = 10_000, 100, 10
+		all := newTracker().Reserve(Request{Class: 2}, s, now)
+		s.Boxes = 5
+		wantReserve(t, newTracker().Reserve(Request{Class: 2}, s, now), Reserve{Memory: all.Memory / 2, Slots: all.Slots / 2})
+	})
 	t.Run("old arrivals do not count", func(t *testing.T) {
 		wantReserve(t, newTracker().Reserve(Request{Class: 2}, supply, now.Add(recentSlots*slotLength)), Reserve{})
 	})
@@ -106,6 +113,16 @@
 	}{
 		"its burst costs the account itself": {"large", burst, LargeAccount},
 		"and no other account":               {"a", burst, Ordinary},
+		"even if its class is underserved for it": {"large", func(tracker *Tracker) {
+			offer(tracker, Request{Class: 0}, 100, 100, later)
+			offer(tracker, Request{Class: 1, Account: "large"}, 200, 20, later)
+			offer(tracker, Request{Class: 1, Account: "a"}, 10, 2, later)
+		}, LargeAccount},
+		"the others of such a class get room": {"a", func(tracker *Tracker) {
+			offer(tracker, Request{Class: 0}, 100, 100, later)
+			offer(tracker, Request{Class: 1, Account: "large"}, 200, 20, later)
+			offer(tracker, Request{Class: 1, Account: "a"}, 10, 2, later)
+		}, Underserved},
 		"an account alone has no share to exceed": {"large", func(tracker *Tracker) {
 			offer(tracker, Request{Class: 1, Account: "large"}, 100, 50, later)
 		}, Ordinary},
