--- a/catalog/priority.go
+++ b/catalog/priority.go
@@ -39,23 +39,24 @@
 
 // prioritiesByService returns the priorities of the requests before each service, the most urgent
 // first. Any account may use any route.
-func prioritiesByService(routes []Route, accounts []Account) map[string][]priorityPair {
+func prioritiesByService(routes []Route, accounts []Account, requireAPIKey bool) map[string][]priorityPair {
 	distinct := make(map[int]*Account)
 	for i := range accounts {
 		if accounts[i].HasPriority {
 			distinct[accounts[i].Priority] = &accounts[i]
 		}
 	}
+	needsAccount := requireAPIKey && allHavePriority(accounts)
 	out := make(map[string][]priorityPair)
 	for i := range routes {
 		r := &routes[i]
-		pairs := []priorityPair{newPriorityPair(r, nil)}
+		var pairs []priorityPair
+		if !needsAccount || r.AllowAnonymous {
+			pairs = append(pairs, newPriorityPair(r, nil))
+		}
 		for _, a := range distinct {
 			pairs = append(pairs, newPriorityPair(r, a))
 		}
-		if allHavePriority(accounts) && !r.AllowAnonymous {
-			pairs = pairs[1:]
-		}
 		for _, s := range r.TrafficSplit {
 			out[s.Service] = addPriorities(out[s.Service], pairs)
 		}
