--- a/box/room.go
+++ b/box/room.go
@@ -92,9 +92,9 @@
 	return ok && hall == r.box.settings.Hall && c.Box == r.box.settings.Box
 }
 
-// claim claims room for a request in each of the halls. It returns the servers without room. It
-// fails if no server was found full and the ledger of some hall did not decide.
-func (r *rooms) claim(ctx context.Context, c forward.RoomClaim) ([]slatebridge.ServerID, error) {
+// claim claims room for a request in each of the halls. It fails if no server was found full and
+// the ledger of some hall did not decide.
+func (r *rooms) claim(ctx context.Context, c forward.RoomClaim) (forward.RoomAnswer, error) {
 	var granted []claimedRoom
 	var undecided error
 	for _, hall := range c.Halls {
@@ -109,11 +109,11 @@
 				r.release(a)
 			}
 
-			return r.box.fleet.ResolveShortIDs(a.message.Full), nil
+			return forward.RoomAnswer{Full: r.box.fleet.ResolveShortIDs(a.message.Full), OnlySlots: a.message.OnlySlots}, nil
 		}
 	}
 
-	return nil, undecided
+	return forward.RoomAnswer{}, undecided
 }
 
 // claimedRoom is the answer to a claim and the box that gave it.
@@ -151,9 +151,10 @@
 
 // newRoomClaim returns the part of the claim that concerns servers of the hall.
 func newRoomClaim(c forward.RoomClaim, hall slatebridge.HallID) mesh.RoomMessage {
+	memory, _ := c.Limits.MemoryShares()
 	m := mesh.RoomMessage{
 		Service: c.Service, Hall: hall, First: c.Path[0].Server.Hall == hall, Tokens: wireCount(math.Ceil(c.Tokens)),
-		MemoryLimit: mesh.EncodeShare(c.Limits.MemoryShare()), SlotLimit: mesh.EncodeShare(c.Limits.Slots),
+		MemoryLimit: mesh.EncodeShare(memory), SlotLimit: mesh.EncodeShare(c.Limits.Slots),
 	}
 	for _, s := range c.Path {
 		if s.Server.Hall == hall {
@@ -228,29 +229,31 @@
 	l, claim, view := r.ledger(m.Service, now), ledgerClaim(process, m, reported), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
 	d := l.Decide(claim, view, now)
 	r.box.metrics.roomAnswered(m.Service, d)
-	if out.Granted, out.Full = d.Granted, d.Full; len(d.Full) > 0 {
-		out.Full = r.otherFull(l, m, d.Full, claim.Limits, view)
+	if out.Granted, out.Full, out.OnlySlots = d.Granted, d.Full, d.OnlySlots; len(d.Full) > 0 {
+		out.Full = append(out.Full, l.Full(r.otherStages(m), claim.Limits, d.OnlySlots, view)...)
+		out.Full = out.Full[:min(len(out.Full), maxFullServers)]
 	}
 
 	return out
 }
 
-// otherFull adds other servers of the hall to those that were found full, if they have no room for
-// the request either, so that the box claims none of them next.
-func (r *rooms) otherFull(l *room.Ledger, m mesh.RoomMessage, full []uint32, limits room.Limits, view room.View) []uint32 {
-	var others []room.Stage
+// otherStages returns what the request would need at the other servers of the hall. A refusal names
+// those that are full too, so that the box does not claim them next.
+func (r *rooms) otherStages(m mesh.RoomMessage) []room.Stage {
+	var out []room.Stage
 	for _, s := range r.box.fleet.LocalServers(m.Service) {
+		id := fleet.ShortID(s.ID)
+		if slices.ContainsFunc(m.Stages, func(v mesh.RoomStage) bool { return v.ShortID == id }) {
+			continue
+		}
 		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers.Len())}
 		if s.Layers.From == 0 {
 			need.Slots = 1
 		}
-		if id := fleet.ShortID(s.ID); !slices.Contains(full, id) {
-			others = append(others, room.Stage{ShortID: id, Need: need})
-		}
+		out = append(out, room.Stage{ShortID: id, Need: need})
 	}
-	full = append(full, l.Full(others, limits, view)...)
 
-	return full[:min(len(full), maxFullServers)]
+	return out
 }
 
 // ledger returns the ledger of the service. The caller holds mu.
@@ -268,9 +271,10 @@
 
 // ledgerClaim converts a message to a claim of the process.
 func ledgerClaim(process string, m mesh.RoomMessage, reported bool) room.Claim {
+	before, with := fleet.Limits{Memory: mesh.DecodeShare(m.MemoryLimit)}.MemoryShares()
 	c := room.Claim{
 		Process: process, ID: m.ID, SentAt: m.SentAt, Reported: reported,
-		Limits: room.Limits{Memory: mesh.DecodeShare(m.MemoryLimit), Slots: mesh.DecodeShare(m.SlotLimit)},
+		Limits: room.Limits{Memory: with, MemoryBefore: before, Slots: mesh.DecodeShare(m.SlotLimit)},
 	}
 	for i, s := range m.Stages {
 		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers)}
--- a/fleet/shared_room.go
+++ b/fleet/shared_room.go
@@ -16,30 +16,41 @@
 	fullNoteTTL = 250 * time.Millisecond
 )
 
-// fullNote records that a server had no room for requests with the memory limit or a lower one.
+// fullNote records that a server had no room for requests with the limits or lower ones.
 type fullNote struct {
-	until       time.Time
+	until time.Time
+	// memoryShare is the share of the memory that was allowed to be in use before the request.
 	memoryShare float64
+	// slotShare is the limit of the slots; zero if they were not limited.
+	slotShare float64
 }
 
 // foundFull reports whether the ledger of the hall has recently found the server full.
 func (m *member) foundFull(q Query, now time.Time) bool {
-	return now.Before(m.full.until) && q.Limits.MemoryShare() <= m.full.memoryShare
+	if !now.Before(m.full.until) {
+		return false
+	}
+	memory, _ := q.Limits.MemoryShares()
+	// Without a limit of their own, requests may wait for a slot.
+	bySlots := m.full.slotShare == 0 || (q.Limits.Slots > 0 && q.Limits.Slots <= m.full.slotShare)
+
+	return memory <= m.full.memoryShare && bySlots
 }
 
-// RecordFull records that the servers have no room for requests with the limits. Requests that may
-// not fill them further pass them over for a short time.
+// RecordFull records that the servers have no memory for requests with the limits, or no slot if the
+// limits bound the slots. Requests that may not fill them further pass them over for a short time.
 func (f *Fleet) RecordFull(ids []slatebridge.ServerID, l Limits) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	share, _ := l.MemoryShares()
 	for _, id := range ids {
 		m, ok := f.members[id]
 		if !ok {
 			continue
 		}
-		if share := l.MemoryShare(); !now.Before(m.full.until) || share >= m.full.memoryShare {
-			m.full = fullNote{until: now.Add(fullNoteTTL), memoryShare: share}
+		if !now.Before(m.full.until) || share >= m.full.memoryShare {
+			m.full = fullNote{until: now.Add(fullNoteTTL), memoryShare: share, slotShare: l.Slots}
 		}
 	}
 }
@@ -76,7 +87,7 @@
 	}
 	var halls []slatebridge.HallID
 	for _, r := range loads {
-		if r.member.tight(r.load.FirstStage > 0, l, f) && !slices.Contains(halls, r.member.Hall) {
+		if r.member.tight(r.load, l, f) && !slices.Contains(halls, r.member.Hall) {
 			halls = append(halls, r.member.Hall)
 		}
 	}
@@ -84,17 +95,18 @@
 	return halls
 }
 
-// tight reports whether the server is nearly full.
-func (m *member) tight(first bool, l Limits, f *Fleet) bool {
+// tight reports whether the server, whose load contains the own one of a request, is nearly full.
+func (m *member) tight(own Load, l Limits, f *Fleet) bool {
 	if !m.model.LimitsRoom() {
 		return false
 	}
 	used, capacity, slots := m.load(), m.capacity(), 0.0
-	if first && l.Slots > 0 {
+	if own.FirstStage > 0 && l.Slots > 0 {
 		slots = float64(m.Slots)
 	}
 	maxStale := Load{TokenLayers: maxStaleShare * capacity, FirstStage: maxStaleShare * slots}
-	limit := Load{TokenLayers: l.MemoryShare() * capacity, FirstStage: l.Slots * slots}
+	before, with := l.MemoryShares()
+	limit := Load{TokenLayers: min(with*capacity, before*capacity+own.TokenLayers), FirstStage: l.Slots * slots}
 	if !used.Add(maxStale).exceeds(limit, slots) {
 		return false
 	}
--- a/mesh/room.go
+++ b/mesh/room.go
@@ -25,14 +25,15 @@
 	First  bool        `cbor:"6,keyasint,omitempty"`
 	// Tokens is the number of tokens for which the request reserves memory.
 	Tokens uint32 `cbor:"7,keyasint,omitempty"`
-	// MemoryLimit and SlotLimit are the shares of the capacity that may be in use with the request,
-	// per mille.
+	// MemoryLimit and SlotLimit are those of fleet.Limits, per mille.
 	MemoryLimit uint16 `cbor:"8,keyasint,omitempty"`
 	SlotLimit   uint16 `cbor:"9,keyasint,omitempty"`
 	// Granted, or the servers without room in Full, is the decision. Full may name servers of the
 	// hall that were not claimed. If there is neither, the answering box cannot decide.
 	Granted bool     `cbor:"10,keyasint,omitempty"`
 	Full    []uint32 `cbor:"11,keyasint,omitempty"`
+	// OnlySlots says that the servers in Full have enough memory, but no slot.
+	OnlySlots bool `cbor:"13,keyasint,omitempty"`
 	// Holder is the box to ask instead of the one that answers.
 	Holder *relay.Candidate `cbor:"12,keyasint,omitempty"`
 }
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -1,6 +1,7 @@
 package room
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -36,11 +37,19 @@
 	InFlight Use
 }
 
-// Limits are the shares of the capacity that may be in use with the claim. Zero Slots stand for no
-// limit.
+// Limits are the shares of the capacity that may be in use with the request.
 type Limits struct {
 	Memory float64
-	Slots  float64
+	// MemoryBefore is the share of the memory that may be in use without the request.
+	MemoryBefore float64
+	// Slots is zero if slots are not limited.
+	Slots float64
+}
+
+func (l Limits) withoutSlots() Limits {
+	l.Slots = 0
+
+	return l
 }
 
 // Stage is what a request needs at one server.
@@ -70,6 +79,8 @@
 	// Full lists the servers without enough room. It is empty, and the claim not granted, if the
 	// ledger cannot tell.
 	Full []uint32
+	// OnlySlots says that the servers in Full have enough memory, but no slot.
+	OnlySlots bool
 }
 
 // View is what a decision is based on besides the ledger.
@@ -129,10 +140,13 @@
 	}
 	l.expire(now)
 	reported := c.Reported || l.reported(c.Process, c.SentAt)
-	full := l.full(c.Stages, reported, c.Limits, v)
+	full, onlySlots := l.full(c.Stages, reported, c.Limits.withoutSlots(), v), false
+	if len(full) == 0 {
+		full, onlySlots = l.full(c.Stages, reported, c.Limits, v), true
+	}
 	switch {
 	case len(full) > 0:
-		return Decision{Full: full}
+		return Decision{Full: full, OnlySlots: onlySlots}
 	case reported:
 		return Decision{Granted: true}
 	case len(l.claims) >= MaxClaims:
@@ -150,8 +164,15 @@
 	return Decision{Granted: true}
 }
 
-// Full returns the servers without room for the stages.
-func (l *Ledger) Full(stages []Stage, limits Limits, v View) []uint32 {
+// Full returns the servers without room for the stages, either those without memory or those
+// without a slot.
+func (l *Ledger) Full(stages []Stage, limits Limits, onlySlots bool, v View) []uint32 {
+	if onlySlots {
+		limits.Memory, limits.MemoryBefore = math.Inf(1), math.Inf(1)
+	} else {
+		limits = limits.withoutSlots()
+	}
+
 	return l.full(stages, false, limits, v)
 }
 
@@ -176,7 +197,8 @@
 	if !reported {
 		used = used.Add(s.Need)
 	}
-	if used.Memory > v.LiveShare*limits.Memory*server.Capacity.Memory {
+	capacity := v.LiveShare * server.Capacity.Memory
+	if used.Memory > limits.Memory*capacity || used.Memory-s.Need.Memory > limits.MemoryBefore*capacity {
 		return false
 	}
 
