Room: cheaper look at servers with plenty of room; test of missing slots

Cause: 205 ns on the way of a request over eight servers. Change: a test without the decay of recent sends comes first. 126 to 138 ns, no allocation (machine busy).

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -95,7 +95,7 @@
 // withLedgerRefusal adds to a lack of capacity that the ledger of a hall refused the last path.
 func (t *RequestTrace) withLedgerRefusal(c Cause) Cause {
 	if refused, ok := t.lastEvent(event.RoomRefused); ok && c.Kind == CauseNoCapacity {
-		c.Evidence += fmt.Sprintf("; room refused by the hall's ledger at %s, the last path was %s", strings.Join(refused.Strings("full"), ", "), refused.Text("path"))
+		c.Evidence += fmt.Sprintf("; room refused by the hall's ledger at %s", strings.Join(refused.Strings("full"), ", "))
 	}
 
 	return c
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// BenchmarkTightHalls measures what it costs to see that the servers of a path with eight stages
-// have plenty of room. It must not allocate.
+// BenchmarkTightHalls measures what it costs to see that room is shared and that the servers of a
+// path with eight stages have plenty of it. It must not allocate.
 func BenchmarkTightHalls(b *testing.B) {
 	f := New("a", time.Now)
 	m := &catalog.Model{Layers: 80, LayerMB: 1000, KVBytesPerToken: 459000, Slots: 200, Accelerators: []catalog.Accelerator{{Name: "c", MemoryMB: 36000}}}
@@ -75,6 +75,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
+		f.SharesRoom("llm")
 		f.tightHalls(reservation.loads, Limits{Slots: 1})
 	}
 }
--- a/fleet/shared_room.go
+++ b/fleet/shared_room.go
@@ -82,12 +82,14 @@
 // tightHalls returns the halls of the nearly full servers among the reserved ones. The loads of the
 // members contain the reservation. The caller holds mu.
 func (f *Fleet) tightHalls(loads []reservedLoad, l Limits) []slatebridge.HallID {
-	if f.hallPeers == 0 {
+	if f.hallPeers == 0 || len(loads) == 0 || !loads[0].member.model.LimitsRoom() {
 		return nil
 	}
+	before, with := l.MemoryShares()
 	var halls []slatebridge.HallID
-	for _, r := range loads {
-		if r.member.tight(r.load, l, f) && !slices.Contains(halls, r.member.Hall) {
+	for i := range loads {
+		r := &loads[i]
+		if r.member.mayBeTight(before, l.Slots) && r.tight(before, with, l.Slots, f) && !slices.Contains(halls, r.member.Hall) {
 			halls = append(halls, r.member.Hall)
 		}
 	}
@@ -95,30 +97,30 @@
 	return halls
 }
 
-// tight reports whether the server, whose load contains the own one of a request, is nearly full.
-func (m *member) tight(own Load, l Limits, f *Fleet) bool {
-	if !m.model.LimitsRoom() {
-		return false
+// mayBeTight reports whether the server is nearly full if the other boxes have taken the most that is
+// assumed. It is cheaper than tight.
+func (m *member) mayBeTight(memory, slots float64) bool {
+	used := m.ownLoad.TokenLayers + m.peerLoad.TokenLayers
+	if used > (memory-maxStaleShare)*m.capacity() {
+		return true
 	}
-	used, capacity, slots := m.load(), m.capacity(), 0.0
-	if own.FirstStage > 0 && l.Slots > 0 {
+
+	return slots > 0 && m.Layers.From == 0 && m.ownLoad.FirstStage+m.peerLoad.FirstStage > (slots-maxStaleShare)*float64(m.Slots)
+}
+
+// tight reports whether the server, whose load contains the reservation, is nearly full. before and
+// with are the shares of the memory that may be in use before the request and with it.
+func (r *reservedLoad) tight(before, with, slotShare float64, f *Fleet) bool {
+	m, capacity, slots := r.member, r.member.capacity(), 0.0
+	if r.load.FirstStage > 0 && slotShare > 0 {
 		slots = float64(m.Slots)
 	}
-	maxStale := Load{TokenLayers: maxStaleShare * capacity, FirstStage: maxStaleShare * slots}
-	before, with := l.MemoryShares()
-	limit := Load{TokenLayers: min(with*capacity, before*capacity+own.TokenLayers), FirstStage: l.Slots * slots}
-	if !used.Add(maxStale).exceeds(limit, slots) {
-		return false
-	}
+	limit := Load{TokenLayers: min(with*capacity, before*capacity+r.load.TokenLayers), FirstStage: slotShare * slots}
 	stale := m.decayedRecentLoad(f.now()).scaled(float64(f.hallPeers))
-	stale.TokenLayers, stale.FirstStage = min(stale.TokenLayers, maxStale.TokenLayers), min(stale.FirstStage, maxStale.FirstStage)
-
-	return used.Add(stale).exceeds(limit, slots)
-}
+	stale.TokenLayers, stale.FirstStage = min(stale.TokenLayers, maxStaleShare*capacity), min(stale.FirstStage, maxStaleShare*slots)
+	used := m.load().Add(stale)
 
-// exceeds reports whether the load exceeds the limit in memory, or in slots if there are any.
-func (l Load) exceeds(limit Load, slots float64) bool {
-	return l.TokenLayers > limit.TokenLayers || (slots > 0 && l.FirstStage > limit.FirstStage)
+	return used.TokenLayers > limit.TokenLayers || (slots > 0 && used.FirstStage > limit.FirstStage)
 }
 
 // Room is the capacity of a server and the work in flight there that this box knows of. Capacity
--- a/fleet/shared_room_test.go
+++ b/fleet/shared_room_test.go
@@ -74,6 +74,10 @@
 		wantPath(t, f, Query{Tokens: 10, Limits: lower}, "none: "+NoCapacity.String())
 		time.Sleep(fullNoteTTL)
 		wantPath(t, f, Query{Tokens: 10, Limits: lower}, path)
+		withSlots := Limits{Memory: 0.9, Slots: 1}
+		f.RecordFull([]slatebridge.ServerID{"a"}, withSlots)
+		wantPath(t, f, Query{Tokens: 10, Limits: withSlots}, "none: "+NoCapacity.String())
+		wantPath(t, f, Query{Tokens: 10, Limits: usual}, path)
 	})
 }
 
