--- a/box/room_test.go
+++ b/box/room_test.go
@@ -95,7 +95,10 @@
 		wantClaim(t, others[2], 120, true)
 		wantClaim(t, holder, 1, false)
 		time.Sleep(time.Second)
-		if n := holder.rooms.ledgers["llm"].Len(); n != 0 {
+		holder.rooms.mu.Lock()
+		n := holder.rooms.ledgers["llm"].Len()
+		holder.rooms.mu.Unlock()
+		if n != 0 {
 			t.Errorf("%d claims count beside the reports that contain them", n)
 		}
 		if r, _ := holder.fleet.Room(fleet.ShortID("a1")); r.InFlight.TokenLayers != 920*4 {
--- a/forward/claim_room_test.go
+++ b/forward/claim_room_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -379,3 +380,43 @@
 		})
 	}
 }
+
+// TestStreamClaimsRoom checks that a stream at a nearly full server claims room within the limits of
+// its priority, and that it is refused like others without room if the ledger has none.
+func TestStreamClaimsRoom(t *testing.T) {
+	for name, v := range map[string]struct {
+		answer RoomAnswer
+		want   string
+	}{
+		"granted": {RoomAnswer{}, ""},
+		"refused": {RoomAnswer{Full: []slatebridge.ServerID{"s"}}, noRoom},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRoomFixture(0)
+				f.handler.fleet.SetPeerCounts(20, 60)
+				f.fill(t, 800)
+				var claims []RoomClaim
+				f.handler.requestRoom = func(_ context.Context, c RoomClaim) (RoomAnswer, error) {
+					claims = append(claims, c)
+
+					return v.answer, nil
+				}
+				s := f.stream(0, 50)
+				s.ctx = t.Context()
+				wantRefusal(t, s, v.want)
+				want := RoomClaim{Service: "llm", Path: fleet.Path{{Server: f.server(), Layers: f.server().Layers}}, Tokens: s.kvTokens(), Limits: fleet.LimitsWithReserve(0, 0), Halls: []slatebridge.HallID{"a"}}
+				if diff := cmp.Diff([]RoomClaim{want}, claims); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// server returns the entry of the only server.
+func (f *roomFixture) server() catalog.Server {
+	s, _ := f.handler.fleet.Server("s")
+
+	return s
+}
