Streams under way before new ones: repairs in order, refused moves tried elsewhere, room kept

Cause: after a loss of servers each stream searched and moved for itself, a refused move became a wait, and new requests took the room of the replacements. Change: package repair decides order, way and log pauses; forward carries it out; fleet knows recent losses.

--- a/event/event.go
+++ b/event/event.go
@@ -84,6 +84,10 @@
 	TrialRefused          ID = 420
 	EndedAgain            ID = 421
 	QuarantineLifted      ID = 422
+	RepairsQueued         ID = 460
+	MoveRefused           ID = 461
+	RestartPreferred      ID = 462
+	RepairRoomKept        ID = 463
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -87,12 +87,13 @@
 	if needRoom && now.Before(m.rejectingUntil) {
 		return candidate{}, false
 	}
-	if needRoom && !m.hasRoom(q, m.load()) {
+	kept := Load{TokenLayers: q.repairRoom.at(m)}
+	if needRoom && !m.hasRoom(q, m.load().Add(kept)) {
 		return candidate{}, false
 	}
 	used, capacity := m.load().TokenLayers, m.capacity()
 	expected := m.expectedLoad(f.hallPeers, now)
-	used = max(used, expected.TokenLayers)
+	used = max(used, expected.TokenLayers) + kept.TokenLayers
 	cost := m.layerCost(used, capacity) * (1 + f.noise(q, now)*(2*f.random()-1))
 	if now.Before(m.slowUntil) {
 		cost *= m.slowness
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// links is the recent traffic of this box between halls.
 	links   map[hallLink]linkUse
 	retired retiredIncarnations
+	// losses holds the servers lost in the last moments.
+	losses map[slatebridge.ServerID]loss
 	// admissions is the admission state that servers announced about themselves.
 	admissions admissions
 	// limitedCount counts the incarnations that have ever announced a limit. While it is zero,
@@ -63,6 +65,7 @@
 		peerLoads:  make(map[string]map[uint32]Load),
 		links:      make(map[hallLink]linkUse),
 		retired:    retiredIncarnations{known: make(map[slatebridge.ServerID]bool)},
+		losses:     make(map[slatebridge.ServerID]loss),
 		admissions: admissions{known: make(map[slatebridge.ServerID]*admission)},
 	}
 	for _, o := range opts {
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -70,6 +70,9 @@
 		return false
 	}
 	isNew := f.now().After(m.suspectUntil)
+	if isNew {
+		f.recordLoss(m)
+	}
 	if until.After(m.suspectUntil) {
 		m.suspectUntil = until
 		f.index.suspects.set(m, true)
@@ -100,6 +103,7 @@
 	defer f.mu.Unlock()
 	if m, ok := f.members[id]; ok {
 		m.suspectUntil, m.confirmedUntil = time.Time{}, time.Time{}
+		delete(f.losses, id)
 		f.index.suspects.set(m, false)
 	}
 }
--- /dev/null
+++ b/fleet/loss.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+// maxLossAge is how long a lost server counts as recently lost. Streams that it served are repaired
+// by then, or their callers are about to give up.
+const maxLossAge = 1500 * time.Millisecond
+
+// loss is a server that was recently lost. The member may have been removed from the fleet, but
+// still has the known load of the streams that passed it.
+type loss struct {
+	member *member
+	at     time.Time
+}
+
+// recordLoss records that a server was lost just now. The caller holds mu.
+func (f *Fleet) recordLoss(m *member) {
+	if m.model == nil || m.Layers.Len() == 0 {
+		return
+	}
+	if _, known := f.losses[m.ID]; !known {
+		f.losses[m.ID] = loss{member: m, at: f.now()}
+	}
+}
+
+// recentLosses returns the losses of servers with streams that are still to be repaired, and drops
+// older ones. The caller holds mu.
+func (f *Fleet) recentLosses() []loss {
+	if len(f.losses) == 0 {
+		return nil
+	}
+	now := f.now()
+	var out []loss
+	for id, l := range f.losses {
+		switch {
+		case now.Sub(l.at) > maxLossAge:
+			delete(f.losses, id)
+		case l.member.load().Requests >= 1:
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b loss) int { return cmp.Compare(a.member.ID, b.member.ID) })
+
+	return out
+}
+
+// RecentLosses returns the servers that were lost in the last moments and whose streams are still to
+// be repaired.
+func (f *Fleet) RecentLosses() []slatebridge.ServerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []slatebridge.ServerID
+	for _, l := range f.recentLosses() {
+		out = append(out, l.member.ID)
+	}
+
+	return out
+}
+
+// maxRepairRoom is the largest share of a server's memory that is kept for streams of lost servers.
+const maxRepairRoom = 0.5
+
+// repairRoom is the memory, in tokens, that streams of recently lost servers need for each layer at
+// each server that can replace the lost ones, by hall.
+type repairRoom map[slatebridge.HallID][]float64
+
+// neededRepairRoom returns the memory that streams of the service need after recent losses; nil if
+// there are none. It shrinks as the streams are repaired. The caller holds mu.
+func (f *Fleet) neededRepairRoom(service string) repairRoom {
+	var room repairRoom
+	for _, l := range f.recentLosses() {
+		if l.member.Service != service {
+			continue
+		}
+		if room == nil {
+			room = make(repairRoom)
+		}
+		f.addLoss(room, l.member)
+	}
+
+	return room
+}
+
+// addLoss adds the memory that the streams of a lost server need.
+func (f *Fleet) addLoss(room repairRoom, lost *member) {
+	perLayer := room[lost.Hall]
+	if perLayer == nil {
+		perLayer = make([]float64, lost.model.Layers)
+		room[lost.Hall] = perLayer
+	}
+	servers := make([]int, len(perLayer))
+	now := f.now()
+	for _, m := range f.membersOf(lost.Service) {
+		if !m.replaces(lost, now) {
+			continue
+		}
+		for layer := max(m.Layers.From, lost.Layers.From); layer < min(m.Layers.To, lost.Layers.To, len(servers)); layer++ {
+			servers[layer]++
+		}
+	}
+	tokens := lost.load().TokenLayers / float64(lost.Layers.Len())
+	for layer, n := range servers {
+		if n > 0 {
+			perLayer[layer] += tokens / float64(n)
+		}
+	}
+}
+
+// replaces reports whether the server may take over streams of the lost one, if it holds their
+// layers.
+func (m *member) replaces(lost *member, now time.Time) bool {
+	return m != lost && m.Hall == lost.Hall && m.available(now)
+}
+
+// replacements returns the available servers of a lost server's hall that hold the layer and are
+// not excluded. The caller holds mu.
+func (f *Fleet) replacements(lost *member, layer int, exclude []slatebridge.ServerID) []*member {
+	now := f.now()
+	var out []*member
+	for _, m := range f.membersOf(lost.Service) {
+		if m.replaces(lost, now) && m.hasLayer(layer) && !slices.Contains(exclude, m.ID) {
+			out = append(out, m)
+		}
+	}
+
+	return out
+}
+
+// at returns the memory to be kept at the server, in tokens times layers.
+func (r repairRoom) at(m *member) float64 {
+	if r == nil {
+		return 0
+	}
+	sum := 0.0
+	perLayer := r[m.Hall]
+	for layer := m.Layers.From; layer < min(m.Layers.To, len(perLayer)); layer++ {
+		sum += perLayer[layer]
+	}
+
+	return min(sum, maxRepairRoom*m.capacity())
+}
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -72,6 +72,8 @@
 	ignoreAdmission bool
 	// delay is the time from now at which the path is needed.
 	delay time.Duration
+	// repairRoom is the memory that the request leaves to streams of lost servers.
+	repairRoom repairRoom
 	// costNoise is the relative amplitude of the random noise on costs; zero means defaultNoise.
 	costNoise float64
 }
@@ -115,7 +117,14 @@
 func (f *Fleet) FindPath(q Query) (Path, *Reservation, Shortage) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if q.Limits.KeepForRepairs {
+		q.repairRoom = f.neededRepairRoom(q.Service)
+	}
 	path := f.search(q, true)
+	if path == nil && q.repairRoom != nil {
+		q.repairRoom = nil
+		path = f.search(q, true)
+	}
 	if path == nil {
 		if f.search(q, false) == nil {
 			return nil, nil, NoLayers
--- a/fleet/repair.go
+++ b/fleet/repair.go
@@ -36,30 +36,6 @@
 	return path, f.reserve(path, q), NoShortage
 }
 
-// FailoverLoad returns how many running requests each possible replacement in the hall of a lost
-// server would have to take over, as the maximum over the lost servers of the path.
-func (f *Fleet) FailoverLoad(p Path, lost []slatebridge.ServerID) float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	maxLoad := 0.0
-	for _, s := range p {
-		m, ok := f.members[s.Server.ID]
-		if !ok || !slices.Contains(lost, m.ID) {
-			continue
-		}
-		n := 0
-		for _, o := range f.membersOf(m.Service) {
-			if o.Hall == m.Hall && o.hasLayer(s.Layers.From) && o.available(now) && !slices.Contains(lost, o.ID) {
-				n++
-			}
-		}
-		maxLoad = max(maxLoad, m.load().Requests/float64(max(1, n)))
-	}
-
-	return maxLoad
-}
-
 // HallCrossings returns the number of hops between halls on the path.
 func (p Path) HallCrossings() int {
 	n := 0
--- a/fleet/retired.go
+++ b/fleet/retired.go
@@ -45,6 +45,7 @@
 	}
 	f.admissions.remove(id)
 	if m, ok := f.members[id]; ok {
+		f.recordLoss(m)
 		f.drop(m)
 	}
 }
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -8,6 +8,12 @@
 	Memory float64
 	// Slots bounds the slots of the first server; zero means no bound.
 	Slots float64
+	// KeepForRepairs leaves the memory that streams of recently lost servers need at the servers
+	// that can replace them, as long as there is another path.
+	//
+	// Load pattern: servers crash while others are nearly full. New requests take the memory of the
+	// replacements before the hundreds of streams that passed the lost servers are moved there.
+	KeepForRepairs bool
 }
 
 // hasRoom reports whether the server has room for one more request of the given size within the
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -125,6 +125,7 @@
 	metrics      *Metrics
 	budget       *retry.Budget
 	monitor      *monitor
+	repairs      repairQueue
 	drain        drainState
 	activity     activity
 	startedAt    time.Time
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -20,6 +20,9 @@
 	latency       *prometheus.HistogramVec
 	firstEvent    prometheus.Histogram
 	longestPause  prometheus.Histogram
+	repairs       *prometheus.CounterVec
+	repairDelay   prometheus.Histogram
+	stalls        prometheus.Counter
 	notices       *prometheus.CounterVec
 	grants        *prometheus.CounterVec
 }
@@ -52,6 +55,17 @@
 			Buckets: []float64{.05, .1, .15, .2, .25, .3, .5, 1, 2},
 		}),
 	}
+	m.repairs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_stream_repairs_total", Help: "Repairs of streams that lost servers of their path, by outcome (moved, refused, restarted, waits, not needed).",
+	}, []string{"outcome"})
+	m.repairDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "slatebridge_stream_repair_queue_seconds", Help: "Time that streams waited for the repairs of streams before them in this box.",
+		Buckets: []float64{.005, .01, .025, .05, .1, .25, .5, 1},
+	})
+	m.stalls = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "slatebridge_stream_stalls_total", Help: "Checks of streams that made no progress. The log has a line only for new findings.",
+	})
+	reg.MustRegister(m.repairs, m.repairDelay, m.stalls)
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_server_notices_total", Help: "Responses with a notice of the backend server about itself, by kind of notice (leaving, rest, limit, unreadable).",
 	}, []string{"what"})
@@ -106,5 +120,21 @@
 	m.streamMoves.WithLabelValues(how).Inc()
 }
 
+// Outcomes of a repair.
+const (
+	repairMoved     = "moved"
+	repairRefused   = "refused"
+	repairRestarted = "restarted"
+	repairWaits     = "waits"
+	repairNotNeeded = "not needed"
+)
+
+func (m *Metrics) repairDone(outcome string) { m.repairs.WithLabelValues(outcome).Inc() }
+
+// repairStarted records how long a stream waited for its repair to start.
+func (m *Metrics) repairStarted(waited time.Duration) { m.repairDelay.Observe(waited.Seconds()) }
+
+func (m *Metrics) streamStalled() { m.stalls.Inc() }
+
 // grantRequested counts a request for a grant by its outcome.
 func (m *Metrics) grantRequested(outcome string) { m.grants.WithLabelValues(outcome).Inc() }
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -25,6 +25,8 @@
 	ranOn   []slatebridge.ServerID
 	maxRuns int
 	limits  silenceLimits
+	// eventsBefore is the number of events that the caller had received before this attempt.
+	eventsBefore int
 	// mustNotReplace is set if the attempt must not be ended in favor of another one.
 	mustNotReplace bool
 	request        *inboundRequest
@@ -35,6 +37,11 @@
 	ledgerAttempt quarantine.Attempt
 	reservation   *fleet.Reservation
 	lastEventAt   time.Time
+	// pauseFrom is when the caller received the last event, of this attempt or an earlier one; zero
+	// if there is none. Unlike lastEventAt, no move or suspension changes it.
+	pauseFrom time.Time
+	// events is the number of events of this attempt.
+	events int
 	// started is set at the first event of this attempt.
 	started bool
 	// meanGap is a moving average of the time between two events, and gapFactor how many times as
@@ -54,6 +61,8 @@
 	checkBackoff time.Duration
 	// nextMoveAt is the earliest time of the next attempt to move the stream off a server.
 	nextMoveAt time.Time
+	// stallLog and waitLog bound how often the stream is logged as stalled and as waiting.
+	stallLog, waitLog logLimiter
 }
 
 const (
@@ -76,6 +85,8 @@
 		a.meanGap += time.Duration(gapWeight * float64(now.Sub(a.lastEventAt)-a.meanGap))
 	}
 	a.lastEventAt, a.started, a.checkBackoff = now, true, initialCheckBackoff
+	a.pauseFrom = now
+	a.events++
 
 	return a.path
 }
@@ -181,9 +192,15 @@
 }
 
 // switchPath records that the attempt continues on another path, and its identity in the quarantine
-// ledger there.
+// ledger there. If the attempt has ended, only the reservation is released.
 func (a *streamAttempt) switchPath(p fleet.Path, ledgerAttempt quarantine.Attempt, reservation *fleet.Reservation) {
 	a.mu.Lock()
+	if a.ended {
+		a.mu.Unlock()
+		reservation.Release()
+
+		return
+	}
 	previous := a.reservation
 	a.path, a.ledgerAttempt, a.reservation, a.lastEventAt = p, ledgerAttempt, reservation, clock.Now()
 	a.mu.Unlock()
--- /dev/null
+++ b/forward/repair.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/quarantine"
+	"github.com/slatebridge/slatebridge/retry"
+)
+
+// maxMoves bounds how many moves of a stream are tried in one repair if servers refuse them. Each
+// takes a round trip to the first server, and a hall rarely has more servers with the same layers.
+const maxMoves = 3
+
+// MoveRefusedError says that the first server of a stream refused to move it, as a server of the new
+// path has no room or does not hold its layers. The stream continues on its path.
+type MoveRefusedError struct {
+	// FaultAddress is the address of the server at fault; empty if it is not stated.
+	FaultAddress string
+	// Err is what the first server stated.
+	Err error
+}
+
+// Error returns what the first server stated.
+func (e *MoveRefusedError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *MoveRefusedError) Unwrap() error { return e.Err }
+
+// leaveServers continues a stream without the failed servers of its path.
+func (h *Handler) leaveServers(ctx context.Context, a *streamAttempt, path fleet.Path, started bool, failed []slatebridge.ServerID) {
+	if started && !slices.Contains(failed, path[0].Server.ID) {
+		h.replaceServers(ctx, a, path, failed)
+
+		return
+	}
+	h.restartElsewhere(ctx, a, path, failed)
+}
+
+// replaceServers moves a stream off some of the servers of its path, other than the first. Instead,
+// it restarts the stream elsewhere if that is expected to be faster, if the move fails, or if there
+// is no other path or only one with more hops between halls. A path with more hops is used if no
+// restart is possible. Without any path, the stream waits. If the quarantine restricts the request
+// (trialState), the attempt is ended and nothing is moved.
+func (h *Handler) replaceServers(ctx context.Context, a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) {
+	if _, trialOnly := h.trialState(a.request); trialOnly {
+		// Moving it would crash the replacement; the next attempt is a trial.
+		a.cancel(errStalled)
+
+		return
+	}
+	if h.restartIsFaster(a, path, exclude) && h.restartElsewhere(ctx, a, path, exclude) {
+		return
+	}
+	r := &streamRepair{h: h, a: a, path: path, exclude: slices.Clone(exclude)}
+	if r.move(ctx) {
+		return
+	}
+	if h.restartElsewhere(ctx, a, path, r.exclude) {
+		r.reservation.Release()
+
+		return
+	}
+	if r.next != nil {
+		if r.send(ctx) == nil {
+			return
+		}
+		r.reservation.Release()
+		r.shortage = fleet.NoCapacity
+	}
+	h.logWaiting(a, r.exclude, r.shortage)
+}
+
+// restartIsFaster reports whether the stream should be restarted rather than moved; see
+// repair.Takeover.
+func (h *Handler) restartIsFaster(a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) bool {
+	t := h.fleet.Takeover(path, exclude, a.kvTokens)
+	if !repairedInOrder(a.request.route) {
+		t = t.WithoutSpeeds()
+	}
+	share := t.MoveShare(clock.Until(a.pauseEnds()))
+	if h.random() <= share {
+		return false
+	}
+	event.Log(h.logger, event.RestartPreferred, zap.String("request", a.requestID), zap.Float64("streams", t.Streams),
+		zap.Duration("move_ms", t.MoveQueue), zap.Duration("restart_ms", t.RestartQueue), zap.Float64("move_share", share))
+
+	return true
+}
+
+// logWaiting logs that a stream stays on its path although servers of it have failed.
+func (h *Handler) logWaiting(a *streamAttempt, exclude []slatebridge.ServerID, shortage fleet.Shortage) {
+	h.metrics.repairDone(repairWaits)
+	if !a.waitLog.due(shortage.String()) {
+		return
+	}
+	event.Log(h.logger, event.StreamWaits, zap.String("request", a.requestID), zap.Any("without", exclude),
+		zap.Stringer("repair", shortage), zap.Int("servers", len(a.ranOn)), zap.Int("most_servers", a.maxRuns), zap.Bool("last_attempt", a.mustNotReplace))
+}
+
+// streamRepair is the repair of one stream.
+type streamRepair struct {
+	h    *Handler
+	a    *streamAttempt
+	path fleet.Path
+	// exclude lists the servers that the stream has to leave, and those that refused it meanwhile.
+	exclude []slatebridge.ServerID
+	// next and reservation are a path that was found but not used yet: it has more hops between
+	// halls, or the response to the move there was lost. Without one, shortage says why.
+	next        fleet.Path
+	reservation *fleet.Reservation
+	shortage    fleet.Shortage
+}
+
+// move moves the stream to other servers, and reports whether it succeeded. If a server of the new
+// path refuses, another path without it is tried at once.
+//
+// Load pattern: the servers that replace a lost one are nearly full. What a box knows of their
+// memory is older than the moves of other boxes, so that some refuse while others have room.
+func (r *streamRepair) move(ctx context.Context) bool {
+	for range maxMoves {
+		r.next, r.reservation, r.shortage = r.h.fleet.Repair(r.h.repairQuery(r.a, r.exclude), r.path)
+		// If the new path has more hops between halls, all tokens of the stream must be transferred
+		// over slow links. After a crash many streams do so at once and stall for longer than their
+		// callers wait. A restart within one hall takes a tenth of a second.
+		if r.next == nil || r.next.HallCrossings() > r.path.HallCrossings() {
+			return false
+		}
+		if err := r.send(ctx); err == nil {
+			return true
+		} else if !r.excludeRefusing(err) {
+			return false
+		}
+	}
+	r.shortage = fleet.NoCapacity
+
+	return false
+}
+
+// excludeRefusing excludes the server that refused the stream, and reports whether another path may
+// be tried.
+func (r *streamRepair) excludeRefusing(err error) bool {
+	var refused *MoveRefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	faulty := r.refusingServers(refused.FaultAddress)
+	r.reservation.Release()
+	r.next, r.reservation = nil, nil
+	if len(faulty) == 0 {
+		return false
+	}
+	if len(faulty) == 1 {
+		r.h.fleet.RecordRejection(faulty[0])
+	}
+	r.exclude = append(r.exclude, faulty...)
+	event.Log(r.h.logger, event.MoveRefused, zap.String("request", r.a.requestID), zap.Any("refused_by", faulty), event.Error(err))
+	r.h.metrics.repairDone(repairRefused)
+
+	return true
+}
+
+// refusingServers returns the server of the next path with the address, unless it is the first. If
+// none is stated, any server that is new to the stream may have refused it.
+func (r *streamRepair) refusingServers(address string) []slatebridge.ServerID {
+	var out []slatebridge.ServerID
+	for _, s := range r.next[1:] {
+		if s.Server.Address == address || (address == "" && !slices.Contains(r.path, s)) {
+			out = append(out, s.Server.ID)
+		}
+	}
+
+	return out
+}
+
+// send moves the stream to the next path. If it succeeds, the reservation becomes that of the
+// stream. If the response was lost, the stream may have been moved, and the same move can be sent
+// again.
+func (r *streamRepair) send(ctx context.Context) error {
+	h, a := r.h, r.a
+	err := h.sendMove(ctx, r.path[0].Server, a.requestID, r.next)
+	event.Log(h.logger, event.StreamMoved, zap.String("request", a.requestID), zap.Stringer("from", r.path),
+		zap.Stringer("to", r.next), event.Error(err))
+	if err != nil {
+		return err
+	}
+	_, previous := a.current()
+	h.unanswered.add(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: previous, servers: serverIDs(r.path), endedAt: clock.Now(), requestDone: a.request.done})
+	_, streak := h.ledger.Verdict(a.request.fingerprint(), clock.Now())
+	a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, r.reservation)
+	h.metrics.streamMoved("moved")
+	h.metrics.repairDone(repairMoved)
+
+	return nil
+}
+
+// restartElsewhere ends the attempt if there is a path for another one and a retry for it in the
+// budget, and reports whether it did. Otherwise it is better to wait: the server may recover or be
+// wrongly suspected.
+func (h *Handler) restartElsewhere(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID) bool {
+	if !a.replaceable() {
+		return false
+	}
+	exclude := failed
+	if len(exclude) == 0 {
+		for _, s := range path {
+			exclude = append(exclude, s.Server.ID)
+		}
+	}
+	next, reservation, _ := h.fleet.FindPathFrom(h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
+	if next == nil {
+		return false
+	}
+	urgency := retry.Optional
+	if slices.Contains(failed, path[0].Server.ID) {
+		// The stream cannot continue where it is.
+		urgency = retry.Required
+	}
+	if !h.takeRetry(ctx, a.service, urgency) || !a.setNextPath(next, reservation) {
+		reservation.Release()
+
+		return false
+	}
+	h.metrics.repairDone(repairRestarted)
+	a.cancel(errStalled)
+
+	return true
+}
+
+// sendMove asks the first server of a stream to continue it over another path.
+func (h *Handler) sendMove(ctx context.Context, first catalog.Server, id string, next fleet.Path) error {
+	if h.fleet.Eligibility(first.ID) == fleet.IneligibleCoolingDown {
+		return errors.Wrap(ErrServerNotAccepting, "move")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	n, err := h.serverClient.MoveStream(ctx, first, id, next)
+	h.applyNotice(first.ID, n, exchangeTimes{read: clock.Now()})
+
+	return err
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -286,7 +286,7 @@
 		requestID: t.c.ID, service: t.c.service, path: path, reservation: plan.reservation, kvTokens: t.kvTokens(), cancel: cancel,
 		ranOn: append(slices.Clone(t.ranOn), path[0].Server.ID), maxRuns: t.c.route.MaxServers, jitter: t.h.jitter(),
 		limits: silenceLimitsFor(t.c.route), meanGap: t.h.medianGap(t.c.service), gapFactor: t.h.gapFactor(t.c.service),
-		mustNotReplace: t.progress().MustNotReplace(), request: t.c, ledgerAttempt: plan.ledgerAttempt,
+		eventsBefore: t.eventCount, pauseFrom: t.lastEventAt, mustNotReplace: t.progress().MustNotReplace(), request: t.c, ledgerAttempt: plan.ledgerAttempt,
 	})
 	defer func() { t.nextPath, t.nextReservation = t.h.monitor.remove(a) }()
 	var end attemptEnd
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -3,11 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
+	"fmt"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -15,8 +14,6 @@
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
-	"github.com/slatebridge/slatebridge/quarantine"
-	"github.com/slatebridge/slatebridge/retry"
 )
 
 const (
@@ -55,10 +52,6 @@
 	// initialCheckBackoff is the pause between the first two checks of a stream; it doubles with
 	// each check.
 	initialCheckBackoff = 150 * time.Millisecond
-	// maxFailoverLoad is about how many streams move to one server at the same time. If there are
-	// more, the rest, chosen at random, are restarted elsewhere if possible. The prefill of each
-	// moved stream stalls all other streams of the server for 1 to 3 ms.
-	maxFailoverLoad = 25
 	// leavingMoveDelay is the time from when this box learned that a server is leaving until the
 	// streams still on it are moved. A leaving server serves for two seconds or more, and most
 	// streams end by then.
@@ -138,6 +131,17 @@
 	suspendedTotal time.Duration
 	retiredCount   int64
 	ticks          int
+	// lossCount is the number of recently lost servers as of the last check.
+	lossCount int
+}
+
+// logLosses logs when new requests begin to leave room for the streams of more lost servers.
+func (w *watcher) logLosses() {
+	lost := w.h.fleet.RecentLosses()
+	if len(lost) > w.lossCount {
+		event.Log(w.h.logger, event.RepairRoomKept, zap.Any("without", lost))
+	}
+	w.lossCount = len(lost)
 }
 
 // adjustInterval sets the interval according to the current activity, and reports whether it
@@ -170,6 +174,7 @@
 		w.retiredCount = n
 		h.moveOffEnded(ctx)
 	}
+	w.logLosses()
 	attempts := h.monitor.all()
 	if len(attempts) == 0 {
 		return
@@ -235,18 +240,24 @@
 func (h *Handler) checkStalled(ctx context.Context, a *streamAttempt) {
 	path, started, silent := a.state()
 	failed := h.failedInPath(ctx, a, path)
-	event.Log(h.logger, event.StreamStalled, zap.String("request", a.requestID), zap.Duration("silent_ms", silent),
-		zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", failed))
+	h.metrics.streamStalled()
+	if a.stallLog.due(fmt.Sprint(path, failed)) {
+		event.Log(h.logger, event.StreamStalled, zap.String("request", a.requestID), zap.Duration("silent_ms", silent),
+			zap.Bool("started", started), zap.Stringer("path", path), zap.Any("dead", failed))
+	}
 	h.recoverStream(ctx, a, path, started, silent, failed)
 }
 
 // recoverStream continues a stream without the failed servers of its path, if there are any, or
-// restarts it elsewhere if it has been silent for too long.
+// restarts it elsewhere if it has been silent for too long. With failed servers, the stream is
+// queued for repair if its route has streams repaired in order.
 func (h *Handler) recoverStream(ctx context.Context, a *streamAttempt, path fleet.Path, started bool, silent time.Duration, failed []slatebridge.ServerID) {
 	switch {
-	case len(failed) > 0 && started && !slices.Contains(failed, path[0].Server.ID):
-		h.replaceServers(ctx, a, path, failed)
-	case len(failed) > 0 || silent >= abandonSilence:
+	case len(failed) > 0 && repairedInOrder(a.request.route):
+		h.queueRepair(ctx, a, path, failed)
+	case len(failed) > 0:
+		h.leaveServers(ctx, a, path, started, failed)
+	case silent >= abandonSilence:
 		h.restartElsewhere(ctx, a, path, failed)
 	case !started && silent >= a.limits.slow:
 		// A slow server also prefills the prompts queued before this one; elsewhere the stream can
@@ -256,110 +267,3 @@
 		}
 	}
 }
-
-// replaceServers moves a stream off some of the servers of its path, other than the first. Instead,
-// it restarts the stream elsewhere if many streams would move to the same replacements, if the move
-// fails, or if there is no other path or only one with more hops between halls. A path with more
-// hops is used if no restart is possible. Without any path, the stream waits. If the quarantine
-// restricts the request (trialState), the attempt is ended and nothing is moved.
-func (h *Handler) replaceServers(ctx context.Context, a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) {
-	if _, trialOnly := h.trialState(a.request); trialOnly {
-		// Moving it would crash the replacement; the next attempt is a trial.
-		a.cancel(errStalled)
-
-		return
-	}
-	// Many streams moving at once would queue at the replacement servers, so most of them are
-	// restarted, spread over all servers.
-	load := h.fleet.FailoverLoad(path, exclude)
-	if load*h.random() > maxFailoverLoad && h.restartElsewhere(ctx, a, path, exclude) {
-		return
-	}
-	next, reservation, shortage := h.fleet.Repair(h.repairQuery(a, exclude), path)
-	// If the new path has more hops between halls, all tokens of the stream must be transferred
-	// over slow links. After a crash many streams do so at once and stall for longer than their
-	// callers wait. A restart within one hall takes a tenth of a second.
-	crosses := next != nil && next.HallCrossings() > path.HallCrossings()
-	if next != nil && !crosses && h.moveStream(ctx, a, path, next, reservation) {
-		return
-	}
-	if h.restartElsewhere(ctx, a, path, exclude) {
-		if crosses {
-			reservation.Release()
-		}
-
-		return
-	}
-	if crosses {
-		h.moveStream(ctx, a, path, next, reservation)
-
-		return
-	}
-	event.Log(h.logger, event.StreamWaits, zap.String("request", a.requestID), zap.Any("without", exclude),
-		zap.Stringer("repair", shortage), zap.Int("servers", len(a.ranOn)), zap.Int("most_servers", a.maxRuns), zap.Bool("last_attempt", a.mustNotReplace))
-}
-
-// restartElsewhere ends the attempt if there is a path for another one and a retry for it in the
-// budget, and reports whether it did. Otherwise it is better to wait: the server may recover or be
-// wrongly suspected.
-func (h *Handler) restartElsewhere(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID) bool {
-	if !a.replaceable() {
-		return false
-	}
-	exclude := failed
-	if len(exclude) == 0 {
-		for _, s := range path {
-			exclude = append(exclude, s.Server.ID)
-		}
-	}
-	next, reservation, _ := h.fleet.FindPathFrom(h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
-	if next == nil {
-		return false
-	}
-	urgency := retry.Optional
-	if slices.Contains(failed, path[0].Server.ID) {
-		// The stream cannot continue where it is.
-		urgency = retry.Required
-	}
-	if !h.takeRetry(ctx, a.service, urgency) || !a.setNextPath(next, reservation) {
-		reservation.Release()
-
-		return false
-	}
-	a.cancel(errStalled)
-
-	return true
-}
-
-// sendMove asks the first server of a stream to continue it over another path.
-func (h *Handler) sendMove(ctx context.Context, first catalog.Server, id string, next fleet.Path) error {
-	if h.fleet.Eligibility(first.ID) == fleet.IneligibleCoolingDown {
-		return errors.Wrap(ErrServerNotAccepting, "move")
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	n, err := h.serverClient.MoveStream(ctx, first, id, next)
-	h.applyNotice(first.ID, n, exchangeTimes{read: clock.Now()})
-
-	return err
-}
-
-// moveStream moves a stream to another path with the same first server, and reports whether it
-// succeeded. The reservation is that of the new path.
-func (h *Handler) moveStream(ctx context.Context, a *streamAttempt, path, next fleet.Path, reservation *fleet.Reservation) bool {
-	err := h.sendMove(ctx, path[0].Server, a.requestID, next)
-	event.Log(h.logger, event.StreamMoved, zap.String("request", a.requestID), zap.Stringer("from", path),
-		zap.Stringer("to", next), event.Error(err))
-	if err != nil {
-		reservation.Release()
-
-		return false
-	}
-	_, previous := a.current()
-	h.unanswered.add(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: previous, servers: serverIDs(path), endedAt: clock.Now(), requestDone: a.request.done})
-	_, streak := h.ledger.Verdict(a.request.fingerprint(), clock.Now())
-	a.switchPath(next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, reservation)
-	h.metrics.streamMoved("moved")
-
-	return true
-}
--- /dev/null
+++ b/repair/queue.go
@@ -0,0 +1,104 @@
+package repair
+
+import (
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+const (
+	// maxConcurrent bounds the repairs of one box at a time. The first ones reach the replacements
+	// before the rest, and boxes with many streams do not fill the replacements' queues at once.
+	maxConcurrent = 8
+	// maxConcurrentPerServer bounds those of streams with the same first server, which is asked to
+	// move them. If it does not respond, its streams do not hold up those of others.
+	maxConcurrentPerServer = 4
+)
+
+// Queue holds the streams of a box that wait for their repair and those under repair, by a key K
+// for each stream. The zero value is empty. It is not safe for concurrent use.
+type Queue[K comparable] struct {
+	waiting []waitingStream[K]
+	// running maps the streams under repair to their first servers.
+	running map[K]slatebridge.ServerID
+}
+
+// waitingStream is a stream that waits for its repair.
+type waitingStream[K comparable] struct {
+	key    K
+	first  slatebridge.ServerID
+	stream Stream
+}
+
+// Add queues a stream, whose first server is first. If the stream is waiting already, it waits once
+// with the new values. If it is under repair, it waits until that repair has ended.
+func (q *Queue[K]) Add(key K, first slatebridge.ServerID, s Stream) {
+	added := waitingStream[K]{key, first, s}
+	for i, w := range q.waiting {
+		if w.key == key {
+			q.waiting[i] = added
+
+			return
+		}
+	}
+	q.waiting = append(q.waiting, added)
+}
+
+// Next removes the first stream, by Compare, whose repair may start now, and counts it as under
+// repair until Done. It returns false if there is none.
+func (q *Queue[K]) Next(now time.Time) (K, bool) {
+	var none K
+	if len(q.running) >= maxConcurrent {
+		return none, false
+	}
+	best := -1
+	for i, w := range q.waiting {
+		if q.mayStart(w) && (best < 0 || Compare(w.stream, q.waiting[best].stream, now) < 0) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return none, false
+	}
+	next := q.waiting[best]
+	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+	if q.running == nil {
+		q.running = make(map[K]slatebridge.ServerID, maxConcurrent)
+	}
+	q.running[next.key] = next.first
+
+	return next.key, true
+}
+
+// mayStart reports whether the stream is not under repair, and fewer streams of its first server
+// are than allowed.
+func (q *Queue[K]) mayStart(w waitingStream[K]) bool {
+	if _, running := q.running[w.key]; running {
+		return false
+	}
+	n := 0
+	for _, first := range q.running {
+		if first == w.first {
+			n++
+		}
+	}
+
+	return n < maxConcurrentPerServer
+}
+
+// Done records that the repair of a stream has ended.
+func (q *Queue[K]) Done(key K) { delete(q.running, key) }
+
+// Clear drops the waiting streams. Repairs that have started go on.
+func (q *Queue[K]) Clear() { q.waiting = nil }
+
+// Waiting returns the number of waiting streams, and of those the number that cannot be in time.
+func (q *Queue[K]) Waiting(now time.Time) (total, late int) {
+	for _, w := range q.waiting {
+		if !w.stream.InTime(now) {
+			late++
+		}
+	}
+
+	return len(q.waiting), late
+}
