Order of repairs keeps as many streams in time as possible; share of moves by prefill time; tests

Change: the streams that can be in time are chosen by priority, and within one priority as many as possible. Run: tests of repair and fleet.

--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -52,7 +52,9 @@
 		// Servers of other halls take over.
 		speed = f.prefillSpeed([]*member{m})
 	}
-	t.MoveQueue = max(t.MoveQueue, prefillTime(m.load().TokenLayers, speed))
+	queue := prefillTime(m.load().TokenLayers, speed)
+	t.MoveQueue = max(t.MoveQueue, queue)
+	t.Turn = max(t.Turn, queue/time.Duration(max(1, m.ownLoad.Requests)))
 	t.MovePrefill += prefillTime(tokens*float64(stage.Len()), speed/n)
 }
 
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -84,7 +84,8 @@
 // repair.Takeover.
 func (h *Handler) restartIsFaster(a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) bool {
 	t := h.fleet.Takeover(path, exclude, a.kvTokens)
-	if !repairedInOrder(a.request.route) {
+	lost := h.fleet.RecentLosses()
+	if !repairedInOrder(a.request.route) || !slices.ContainsFunc(exclude, func(id slatebridge.ServerID) bool { return slices.Contains(lost, id) }) {
 		t = t.WithoutSpeeds()
 	}
 	share := t.MoveShare(clock.Until(a.pauseEnds()))
@@ -127,7 +128,11 @@
 // Load pattern: the servers that replace a lost one are nearly full. What a box knows of their
 // memory is older than the moves of other boxes, so that some refuse while others have room.
 func (r *streamRepair) move(ctx context.Context) bool {
-	for range maxMoves {
+	moves := 1
+	if repairedInOrder(r.a.request.route) {
+		moves = maxMoves
+	}
+	for range moves {
 		r.next, r.reservation, r.shortage = r.h.fleet.Repair(r.h.repairQuery(r.a, r.exclude), r.path)
 		// If the new path has more hops between halls, all tokens of the stream must be transferred
 		// over slow links. After a crash many streams do so at once and stall for longer than their
@@ -135,27 +140,33 @@
 		if r.next == nil || r.next.HallCrossings() > r.path.HallCrossings() {
 			return false
 		}
-		if err := r.send(ctx); err == nil {
+		err := r.send(ctx)
+		if err == nil {
 			return true
-		} else if !r.excludeRefusing(err) {
+		}
+		if !r.excludeRefusing(err) {
 			return false
 		}
 	}
-	r.shortage = fleet.NoCapacity
 
 	return false
 }
 
 // excludeRefusing excludes the server that refused the stream, and reports whether another path may
-// be tried.
+// be tried. If it is not known whether the stream was moved, the path is kept for a repetition of
+// the same move.
 func (r *streamRepair) excludeRefusing(err error) bool {
 	var refused *MoveRefusedError
-	if !errors.As(err, &refused) {
+	isRefused := errors.As(err, &refused)
+	if !isRefused && repairedInOrder(r.a.request.route) {
 		return false
 	}
-	faulty := r.refusingServers(refused.FaultAddress)
+	var faulty []slatebridge.ServerID
+	if isRefused {
+		faulty = r.refusingServers(refused.FaultAddress)
+	}
 	r.reservation.Release()
-	r.next, r.reservation = nil, nil
+	r.next, r.reservation, r.shortage = nil, nil, fleet.NoCapacity
 	if len(faulty) == 0 {
 		return false
 	}
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -99,27 +99,27 @@
 	return true
 }
 
-// endGather returns the number of streams gathered, and of those the number that cannot be in time.
-func (q *repairQueue) endGather(now time.Time) (total, late int) {
+// endGather returns the number of waiting streams, and how many of them are expected to be in time.
+func (q *repairQueue) endGather(now time.Time) (total, inTime int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.gathering = false
 
-	return q.queue.Waiting(now)
+	return q.queue.Sort(now)
 }
 
 // queueRepair queues a stream that lost servers of its path, and starts its repair when it is its
 // turn.
 func (h *Handler) queueRepair(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID) {
 	s := a.repairStream()
-	s.Prefill = h.fleet.Takeover(path, failed, a.kvTokens).MovePrefill
+	s.Turn = h.fleet.Takeover(path, failed, a.kvTokens).Turn
 	h.repairs.add(a, path[0].Server.ID, s, failed, clock.Now())
 	if !h.repairs.beginGather() {
 		return
 	}
 	time.Sleep(repairGatherTime)
-	if total, late := h.repairs.endGather(clock.Now()); total > 1 {
-		event.Log(h.logger, event.RepairsQueued, zap.Int("streams", total), zap.Int("late", late))
+	if total, inTime := h.repairs.endGather(clock.Now()); total > 1 {
+		event.Log(h.logger, event.RepairsQueued, zap.Int("streams", total), zap.Int("late", total-inTime))
 	}
 	h.startRepairs(ctx)
 }
--- a/repair/order.go
+++ b/repair/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -14,60 +15,116 @@
 	// its caller is expected to give up.
 	PauseEnds    time.Time
 	CallerLeaves time.Time
-	// Prefill is the expected time in which the replacements prefill the stream's tokens.
-	Prefill time.Duration
+	// Turn is the expected time that its repair takes of the replacements, together with those of
+	// other boxes' streams that come between it and the next one of this box.
+	Turn time.Duration
 	// RemainingTokens is the expected number of tokens still to be generated.
 	RemainingTokens int
 }
 
-// prospect is what a repair that starts now can achieve.
-type prospect int
+// Order returns the streams, as indexes, in the order in which they are repaired, and how many of
+// them are expected to be in time. These come first: the more urgent before the less urgent, unless
+// one would then be late, and else by their deadlines. The others follow: first those whose callers
+// still wait, then more urgent ones, then those whose callers leave earlier. Where that is equal,
+// streams with fewer tokens to generate come first, as they free their memory first.
+//
+// Of the streams that cannot all be in time, more urgent ones are chosen before less urgent ones,
+// and within one priority as many as possible.
+//
+// Load pattern: several servers crash at once. Of the hundreds of streams that passed them, not all
+// can be repaired within the acceptable pause, as a few replacements prefill the tokens of all.
+// Ordered by deadline alone, the first streams are just too late, and each makes the next one late.
+func Order(streams []Stream, now time.Time) (order []int, inTime int) {
+	p := plan{streams: streams, now: now}
+	byPriority := indexes(len(streams))
+	slices.SortStableFunc(byPriority, p.comparePriorities)
+	for _, i := range byPriority {
+		p.add(i)
+	}
+	slices.SortStableFunc(p.late, p.compareLate)
 
-const (
-	// inTime means that the pause stays acceptable.
-	inTime prospect = iota
-	// beforeCallerLeaves means that the pause is too long, but the caller still waits.
-	beforeCallerLeaves
-	// tooLate means that the caller is expected to give up before the repair is done.
-	tooLate
-)
+	urgentFirst := slices.Clone(p.inTime)
+	slices.SortStableFunc(urgentFirst, p.comparePriorities)
+	if p.firstMissed(urgentFirst) < 0 {
+		p.inTime = urgentFirst
+	}
 
-// prospectAt returns what a repair that starts now can achieve, and the deadline for that.
-func (s Stream) prospectAt(now time.Time) (prospect, time.Time) {
-	done := now.Add(s.Prefill)
-	switch {
-	case !done.After(s.PauseEnds):
-		return inTime, s.PauseEnds
-	case !done.After(s.CallerLeaves):
-		return beforeCallerLeaves, s.CallerLeaves
-	default:
-		return tooLate, s.CallerLeaves
+	return append(p.inTime, p.late...), len(p.inTime)
+}
+
+// plan is an order that is being made.
+type plan struct {
+	streams []Stream
+	now     time.Time
+	// inTime lists the streams that are expected to be in time, by deadline, and late the others.
+	inTime, late []int
+}
+
+// add adds a stream to those that are in time. If they cannot all be, the one with the longest turn
+// among the least urgent ones is left out. Streams are added by priority and deadline.
+func (p *plan) add(i int) {
+	at, _ := slices.BinarySearchFunc(p.inTime, i, p.compareDeadlines)
+	p.inTime = slices.Insert(p.inTime, at, i)
+	missed := p.firstMissed(p.inTime)
+	if missed < 0 {
+		return
 	}
+	out := at
+	for k, j := range p.inTime[:missed+1] {
+		if p.streams[j].Priority == p.streams[i].Priority && p.streams[j].Turn > p.streams[p.inTime[out]].Turn {
+			out = k
+		}
+	}
+	p.late = append(p.late, p.inTime[out])
+	p.inTime = slices.Delete(p.inTime, out, out+1)
 }
 
-// InTime reports whether a repair that starts now keeps the pause of the stream acceptable.
-func (s Stream) InTime(now time.Time) bool {
-	p, _ := s.prospectAt(now)
+// firstMissed returns the position of the first stream that misses its deadline in the given order;
+// -1 if there is none.
+func (p *plan) firstMissed(order []int) int {
+	done := p.now
+	for k, i := range order {
+		if done = done.Add(p.streams[i].Turn); done.After(p.streams[i].PauseEnds) {
+			return k
+		}
+	}
 
-	return p == inTime
+	return -1
 }
 
-// Compare orders streams for repair; the result is negative if a goes before b. Streams that can be
-// in time go before those that cannot, then more urgent ones before less urgent ones, then those
-// with the nearer deadline, then those with fewer tokens to generate, which free their memory
-// first.
-//
-// Load pattern: several servers crash at once. Of the hundreds of streams that passed them, not all
-// can be repaired within the acceptable pause, as a few replacements prefill the tokens of all. In
-// an arbitrary order, streams that are late in any case delay those that could still be in time.
-func Compare(a, b Stream, now time.Time) int {
-	prospectA, deadlineA := a.prospectAt(now)
-	prospectB, deadlineB := b.prospectAt(now)
+func (p *plan) compareDeadlines(a, b int) int {
+	return cmp.Or(p.streams[a].PauseEnds.Compare(p.streams[b].PauseEnds), cmp.Compare(p.streams[a].RemainingTokens, p.streams[b].RemainingTokens))
+}
+
+func (p *plan) comparePriorities(a, b int) int {
+	return cmp.Or(cmp.Compare(p.streams[a].Priority, p.streams[b].Priority), p.compareDeadlines(a, b))
+}
+
+func (p *plan) compareLate(a, b int) int {
+	s, o := p.streams[a], p.streams[b]
 
 	return cmp.Or(
-		cmp.Compare(prospectA, prospectB),
-		cmp.Compare(a.Priority, b.Priority),
-		deadlineA.Compare(deadlineB),
-		cmp.Compare(a.RemainingTokens, b.RemainingTokens),
+		cmp.Compare(p.lost(s), p.lost(o)),
+		cmp.Compare(s.Priority, o.Priority),
+		s.CallerLeaves.Compare(o.CallerLeaves),
+		cmp.Compare(s.RemainingTokens, o.RemainingTokens),
 	)
 }
+
+// lost returns 1 if the caller of the stream is expected to have given up, else 0.
+func (p *plan) lost(s Stream) int {
+	if s.CallerLeaves.Before(p.now) {
+		return 1
+	}
+
+	return 0
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+
+	return out
+}
--- /dev/null
+++ b/repair/order_test.go
@@ -0,0 +1,229 @@
+package repair
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+const (
+	allowedPause = 250 * time.Millisecond
+	// replacements is the number of servers that take over in the replayed load.
+	replacements = 4
+)
+
+// lostAt is when the servers of the tests are lost.
+var lostAt = time.Unix(1000, 0)
+
+// stream returns a stream whose acceptable pause ends after the time.
+func stream(priority int, pauseLeft time.Duration, remaining int) Stream {
+	return Stream{Priority: priority, PauseEnds: lostAt.Add(pauseLeft), CallerLeaves: lostAt.Add(pauseLeft + time.Second), Turn: 10 * time.Millisecond, RemainingTokens: remaining}
+}
+
+// startAll starts the streams of the queue one after the other, each after the one before is done,
+// and returns their order.
+func startAll[K comparable](q *Queue[K], now time.Time) []K {
+	var order []K
+	for {
+		key, ok := q.Next(now)
+		if !ok {
+			return order
+		}
+		order = append(order, key)
+		q.Done(key)
+	}
+}
+
+func wantOrder(t *testing.T, q *Queue[string], want ...string) {
+	t.Helper()
+	if diff := cmp.Diff(want, startAll(q, lostAt)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	for name, v := range map[string]struct{ first, second Stream }{
+		"in time before late, whatever the priority":     {stream(2, 100*time.Millisecond, 50), stream(0, 5*time.Millisecond, 50)},
+		"urgent before less urgent":                      {stream(0, 100*time.Millisecond, 50), stream(1, 20*time.Millisecond, 50)},
+		"nearer deadline first":                          {stream(0, 20*time.Millisecond, 50), stream(0, 100*time.Millisecond, 5)},
+		"fewer tokens left first":                        {stream(0, 20*time.Millisecond, 5), stream(0, 20*time.Millisecond, 50)},
+		"caller still there before caller probably gone": {stream(2, -time.Millisecond, 50), stream(0, -2*time.Second, 50)},
+		"among late ones, the caller who leaves first":   {stream(0, -500*time.Millisecond, 50), stream(0, -100*time.Millisecond, 5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := &Queue[string]{}
+			q.Add("second", "s", v.second)
+			q.Add("first", "s", v.first)
+			wantOrder(t, q, "first", "second")
+		})
+	}
+}
+
+func TestQueue(t *testing.T) {
+	fill := func(n int, first func(i int) slatebridge.ServerID) *Queue[int] {
+		q := &Queue[int]{}
+		for i := range n {
+			q.Add(i, first(i), stream(0, time.Second, i))
+		}
+
+		return q
+	}
+	running := func(q *Queue[int]) int {
+		n := 0
+		for {
+			if _, ok := q.Next(lostAt); !ok {
+				return n
+			}
+			n++
+		}
+	}
+	t.Run("bounds the repairs at a time", func(t *testing.T) {
+		q := fill(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
+		if n := running(q); n != maxConcurrent {
+			t.Errorf("%d streams under repair, want %d", n, maxConcurrent)
+		}
+	})
+	t.Run("streams of a silent first server do not hold up others", func(t *testing.T) {
+		q := fill(50, func(i int) slatebridge.ServerID {
+			if i < 40 {
+				return "silent"
+			}
+
+			return "other"
+		})
+		running(q)
+		started := make(map[slatebridge.ServerID]int)
+		for _, first := range q.running {
+			started[first]++
+		}
+		if diff := cmp.Diff(map[slatebridge.ServerID]int{"silent": maxConcurrentPerServer, "other": maxConcurrentPerServer}, started); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("a stream under repair that loses another server waits for its end", func(t *testing.T) {
+		q := fill(1, func(int) slatebridge.ServerID { return "s" })
+		running(q)
+		q.Add(0, "s", stream(0, time.Second, 0))
+		if n := running(q); n != 0 {
+			t.Error("the stream is repaired twice at a time")
+		}
+		q.Done(0)
+		if n := running(q); n != 1 {
+			t.Error("the second repair does not start")
+		}
+	})
+	t.Run("a stream that is added twice waits once, with the new values", func(t *testing.T) {
+		q := &Queue[string]{}
+		q.Add("a", "s", stream(1, time.Second, 0))
+		q.Add("b", "s", stream(0, time.Second, 0))
+		q.Add("a", "s", stream(0, time.Millisecond*500, 0))
+		wantOrder(t, q, "a", "b")
+	})
+	t.Run("cleared streams are not repaired", func(t *testing.T) {
+		q := fill(20, func(int) slatebridge.ServerID { return "s" })
+		n := running(q)
+		q.Clear()
+		for i := range n {
+			q.Done(i)
+		}
+		if n := running(q); n != 0 {
+			t.Errorf("%d streams are repaired", n)
+		}
+	})
+}
+
+// lostStream is a stream of the replayed load.
+type lostStream struct {
+	box    int
+	stream Stream
+	// prefill is the time that a replacement takes for its tokens.
+	prefill time.Duration
+}
+
+// lostStreams returns the streams of many boxes that lose a stage at the same moment. They were
+// silent for different times when that is found, and differ in priority and size.
+func lostStreams(seed uint64, boxes, perBox, priorities int) []lostStream {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	out := make([]lostStream, 0, boxes*perBox)
+	for box := range boxes {
+		for range perBox {
+			s := stream(rng.IntN(priorities), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
+			prefill := time.Duration(2+rng.IntN(6)) * time.Millisecond
+			s.Turn = prefill * time.Duration(boxes) / replacements
+			out = append(out, lostStream{box, s, prefill})
+		}
+	}
+
+	return out
+}
+
+// replayMoves has the replacements prefill the streams of all boxes, each box in its own order, and
+// returns how many streams of each priority continue in time.
+func replayMoves(streams []lostStream, boxes int, order func(ofBox []lostStream) []lostStream) map[int]int {
+	queues := make([][]lostStream, boxes)
+	for _, s := range streams {
+		queues[s.box] = append(queues[s.box], s)
+	}
+	for box, q := range queues {
+		queues[box] = order(q)
+	}
+	busy := make([]time.Duration, replacements)
+	inTime := make(map[int]int)
+	for turn := 0; ; turn++ {
+		moved := false
+		for _, q := range queues {
+			if turn >= len(q) {
+				continue
+			}
+			moved = true
+			i := slices.Index(busy, slices.Min(busy))
+			busy[i] += q[turn].prefill
+			if s := q[turn].stream; !lostAt.Add(busy[i]).After(s.PauseEnds) {
+				inTime[s.Priority]++
+			}
+		}
+		if !moved {
+			return inTime
+		}
+	}
+}
+
+// TestOrderUnderLoad replays a loss of servers: 20 boxes with 12 streams each, whose tokens four
+// replacements prefill. It checks that more streams are in time than in the order in which they are
+// found, and of the most urgent ones clearly more.
+func TestOrderUnderLoad(t *testing.T) {
+	const boxes, perBox = 20, 12
+	ordered := func(ofBox []lostStream) []lostStream {
+		q := &Queue[int]{}
+		for i, s := range ofBox {
+			q.Add(i, "s", s.stream)
+		}
+		out := make([]lostStream, 0, len(ofBox))
+		for _, i := range startAll(q, lostAt) {
+			out = append(out, ofBox[i])
+		}
+
+		return out
+	}
+	asFound := func(ofBox []lostStream) []lostStream { return ofBox }
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			streams := lostStreams(seed, boxes, perBox, 3)
+			before, after := replayMoves(streams, boxes, asFound), replayMoves(streams, boxes, ordered)
+			if 2*after[0] < 3*before[0] {
+				t.Errorf("most urgent streams in time: %d, in the order found %d", after[0], before[0])
+			}
+			streams = lostStreams(seed, boxes, perBox, 1)
+			before, after = replayMoves(streams, boxes, asFound), replayMoves(streams, boxes, ordered)
+			if after[0] <= before[0] {
+				t.Errorf("streams in time without priorities: %d, in the order found %d", after[0], before[0])
+			}
+		})
+	}
+}
--- a/repair/queue.go
+++ b/repair/queue.go
@@ -1,6 +1,7 @@
 package repair
 
 import (
+	"slices"
 	"time"
 
 	"github.com/slatebridge/slatebridge"
@@ -19,6 +20,8 @@
 // for each stream. The zero value is empty. It is not safe for concurrent use.
 type Queue[K comparable] struct {
 	waiting []waitingStream[K]
+	// ordered is set while waiting is in the order of repair.
+	ordered bool
 	// running maps the streams under repair to their first servers.
 	running map[K]slatebridge.ServerID
 }
@@ -33,35 +36,44 @@
 // Add queues a stream, whose first server is first. If the stream is waiting already, it waits once
 // with the new values. If it is under repair, it waits until that repair has ended.
 func (q *Queue[K]) Add(key K, first slatebridge.ServerID, s Stream) {
-	added := waitingStream[K]{key, first, s}
-	for i, w := range q.waiting {
-		if w.key == key {
-			q.waiting[i] = added
+	q.waiting = slices.DeleteFunc(q.waiting, func(w waitingStream[K]) bool { return w.key == key })
+	q.waiting = append(q.waiting, waitingStream[K]{key, first, s})
+	q.ordered = false
+}
 
-			return
-		}
+// Sort puts the waiting streams in order. It returns their number, and how many of them are
+// expected to be in time.
+func (q *Queue[K]) Sort(now time.Time) (total, inTime int) {
+	streams := make([]Stream, 0, len(q.waiting))
+	for _, w := range q.waiting {
+		streams = append(streams, w.stream)
 	}
-	q.waiting = append(q.waiting, added)
+	order, inTime := Order(streams, now)
+	sorted := make([]waitingStream[K], 0, len(order))
+	for _, i := range order {
+		sorted = append(sorted, q.waiting[i])
+	}
+	q.waiting, q.ordered = sorted, true
+
+	return len(sorted), inTime
 }
 
-// Next removes the first stream, by Compare, whose repair may start now, and counts it as under
-// repair until Done. It returns false if there is none.
+// Next removes the first stream whose repair may start now, and counts it as under repair until
+// Done. It returns false if there is none.
 func (q *Queue[K]) Next(now time.Time) (K, bool) {
 	var none K
 	if len(q.running) >= maxConcurrent {
 		return none, false
 	}
-	best := -1
-	for i, w := range q.waiting {
-		if q.mayStart(w) && (best < 0 || Compare(w.stream, q.waiting[best].stream, now) < 0) {
-			best = i
-		}
+	if !q.ordered {
+		q.Sort(now)
 	}
-	if best < 0 {
+	i := slices.IndexFunc(q.waiting, q.mayStart)
+	if i < 0 {
 		return none, false
 	}
-	next := q.waiting[best]
-	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+	next := q.waiting[i]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
 	if q.running == nil {
 		q.running = make(map[K]slatebridge.ServerID, maxConcurrent)
 	}
@@ -91,14 +103,3 @@
 
 // Clear drops the waiting streams. Repairs that have started go on.
 func (q *Queue[K]) Clear() { q.waiting = nil }
-
-// Waiting returns the number of waiting streams, and of those the number that cannot be in time.
-func (q *Queue[K]) Waiting(now time.Time) (total, late int) {
-	for _, w := range q.waiting {
-		if !w.stream.InTime(now) {
-			late++
-		}
-	}
-
-	return len(q.waiting), late
-}
--- a/repair/takeover.go
+++ b/repair/takeover.go
@@ -17,13 +17,17 @@
 	// prefill speed of the servers is not known.
 	RestartQueue   time.Duration
 	RestartPrefill time.Duration
+	// Turn is the expected time that passes at the replacements between two streams of this box.
+	Turn time.Duration
 }
 
 const (
-	// maxStreams bounds the streams that move to one server at the same time. Each prefill stalls
-	// all other streams of the server.
-	maxStreams = 40
-	// maxStreamsUnknownSpeed is the same where the prefill speed is not known.
+	// maxMoveQueue bounds the time in which one server prefills the tokens of all streams that move
+	// to it. New requests there wait for as long, and callers of moved streams leave after twice
+	// that time.
+	maxMoveQueue = 750 * time.Millisecond
+	// maxStreamsUnknownSpeed bounds the streams that move to one server at the same time where the
+	// prefill speed is not known. Each prefill stalls all other streams of the server.
 	maxStreamsUnknownSpeed = 25
 	// meanWait is the part of a queue that one stream waits for in the mean.
 	meanWait = 0.5
@@ -54,7 +58,7 @@
 		}
 	}
 
-	return boundShare(share, t.Streams, maxStreams)
+	return boundShare(share, float64(t.MoveQueue), float64(maxMoveQueue))
 }
 
 // restartTime returns the time until the last restarted stream continues if the share is restarted.
@@ -65,11 +69,11 @@
 // WithoutSpeeds returns the takeover as if the prefill speeds of the servers were not known.
 func (t Takeover) WithoutSpeeds() Takeover { return Takeover{Streams: t.Streams} }
 
-// boundShare bounds a share of streams per server so that at most n move to one server.
-func boundShare(share, streams, n float64) float64 {
+// boundShare bounds a share so that its part of the total is at most limit.
+func boundShare(share, total, limit float64) float64 {
 	share = min(1, max(0, share))
-	if streams*share > n {
-		return n / streams
+	if total*share > limit {
+		return limit / total
 	}
 
 	return share
