--- /dev/null
+++ b/forward/repair_test.go
@@ -0,0 +1,402 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
+	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/quarantine"
+	"github.com/slatebridge/slatebridge/retry"
+)
+
+// repairTest is a box with streams in flight and a fake first server that moves them.
+type repairTest struct {
+	*testing.T
+	h    *Handler
+	logs *observer.ObservedLogs
+	// answer is the response of the first server to a move. moves lists those that it was asked for,
+	// as request and path.
+	answer func(id string, p fleet.Path) error
+	// mu guards the moves, the number of them in progress and the largest number so far.
+	mu               sync.Mutex
+	moves            []string
+	inProgress, most int
+}
+
+// withRepairs runs the test in virtual time with a box before servers "first" [0,4) and the given
+// ones for the layers [4,8). Its routes are repaired in order. Retries are the retry budget.
+func withRepairs(t *testing.T, retries float64, servers []string, test func(rt *repairTest)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		rt := &repairTest{T: t, logs: logs, answer: func(string, fleet.Path) error { return nil }}
+		model := &catalog.Model{
+			Layers: 8, LayerMB: 1000, KVBytesPerToken: 2e6, MeanOutputTokens: 40,
+			Accelerators: []catalog.Accelerator{{Name: "big", MemoryMB: 5000}},
+		}
+		c := catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: model}}, nil, false)
+		f := fleet.New("a", clock.Now, fleet.WithRandom(func() float64 { return 0.5 }))
+		f.SetCatalog(c)
+		set := func(id string, from, to int) {
+			f.Set(catalog.Server{ID: slatebridge.ServerID(id), Service: "llm", Hall: "a", Accelerator: "big", Address: id + ":80", Layers: slatebridge.LayerRange{From: from, To: to}})
+		}
+		set("first", 0, 4)
+		for _, id := range servers {
+			set(id, 4, 8)
+		}
+		rt.h = New(Config{
+			Fleet: f, Logger: zap.New(core), Metrics: NewMetrics(prometheus.NewRegistry()), Ledger: quarantine.New(), OnSuspect: func() {},
+			State:  func() State { return State{Catalog: c, BoxCount: 1, Synced: true} },
+			Random: func() float64 { return 0.5 }, Bounds: Bounds{Retry: retry.Bounds{Extra: retries, Window: 10 * time.Second}},
+			ServerClient: ServerClient{MoveStream: rt.moveStream},
+		})
+		// The budget is open to a box once it has heard from others.
+		time.Sleep(5 * time.Second)
+		test(rt)
+	})
+}
+
+func (rt *repairTest) moveStream(_ context.Context, _ catalog.Server, id string, p fleet.Path) (fleet.Notice, error) {
+	rt.mu.Lock()
+	rt.inProgress++
+	rt.most = max(rt.most, rt.inProgress)
+	rt.moves = append(rt.moves, id+" "+p.String())
+	rt.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	err := rt.answer(id, p)
+	rt.mu.Lock()
+	rt.inProgress--
+	rt.mu.Unlock()
+
+	return fleet.Notice{}, err
+}
+
+// stream adds a stream in flight over the first server and the given one.
+func (rt *repairTest) stream(id, second string, priority int) *streamAttempt {
+	rt.Helper()
+	exclude := make([]slatebridge.ServerID, 0)
+	for _, s := range rt.h.fleet.Servers() {
+		if s.ID != "first" && s.ID != slatebridge.ServerID(second) {
+			exclude = append(exclude, s.ID)
+		}
+	}
+	path, reservation, short := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 10, Exclude: exclude})
+	if path == nil {
+		rt.Fatal(short)
+	}
+	c := &inboundRequest{
+		route:     &catalog.Route{MaxEventInterval: 250 * time.Millisecond, Resumable: true, Kind: catalog.Stream, MaxServers: 2},
+		startedAt: clock.Now(), deadline: clock.Now().Add(20 * time.Second), service: "llm", priority: priority, prioritized: true, done: &atomic.Bool{},
+	}
+	a := rt.h.monitor.add(&streamAttempt{
+		requestID: id, service: "llm", path: path, reservation: reservation, kvTokens: 10, cancel: func(error) {},
+		ranOn: []slatebridge.ServerID{"first"}, maxRuns: 2, limits: silenceLimitsFor(c.route), request: c,
+	})
+	a.recordEvent()
+
+	return a
+}
+
+// lose makes a server suspect and has its streams recovered.
+func (rt *repairTest) lose(id slatebridge.ServerID, streams ...*streamAttempt) {
+	rt.Helper()
+	rt.h.fleet.Suspect(id, clock.Now().Add(suspicionTTL))
+	for _, a := range streams {
+		path, started, silent := a.state()
+		go rt.h.recoverStream(rt.Context(), a, path, started, silent, []slatebridge.ServerID{id})
+	}
+}
+
+// settle waits until all repairs have ended.
+func (rt *repairTest) settle() {
+	time.Sleep(500 * time.Millisecond)
+	synctest.Wait()
+}
+
+func wantMoves(rt *repairTest, want ...string) {
+	rt.Helper()
+	if diff := cmp.Diff(want, rt.moves); diff != "" {
+		rt.Error(diff)
+	}
+}
+
+// wantServer checks on which server the second stage of the stream is, and that no other server of
+// the test has any of its reservations.
+func wantServer(rt *repairTest, a *streamAttempt, want slatebridge.ServerID) {
+	rt.Helper()
+	path, _, _ := a.state()
+	if got := path[1].Server.ID; got != want {
+		rt.Errorf("the stream is on %s, want %s", got, want)
+	}
+	reserved := make(map[slatebridge.ServerID]float64)
+	for id, l := range rt.h.fleet.OwnLoads() {
+		if l.Requests > 0 {
+			reserved[id] = l.Requests
+		}
+	}
+	if diff := cmp.Diff(map[slatebridge.ServerID]float64{"first": 1, want: 1}, reserved); diff != "" {
+		rt.Error(diff)
+	}
+}
+
+func wantEventCount(rt *repairTest, id event.ID, want int) {
+	rt.Helper()
+	n := 0
+	for _, l := range rt.logs.All() {
+		if l.ContextMap()["event"] == int64(id) {
+			n++
+		}
+	}
+	if n != want {
+		rt.Errorf("event %d is logged %d times, want %d", id, n, want)
+	}
+}
+
+// refusedBy returns a response by which the server refuses moves to it.
+func refusedBy(ids ...slatebridge.ServerID) func(string, fleet.Path) error {
+	return func(_ string, p fleet.Path) error {
+		for _, s := range p {
+			if slices.Contains(ids, s.Server.ID) {
+				return &MoveRefusedError{FaultAddress: s.Server.Address, Err: errors.New("no room")}
+			}
+		}
+
+		return nil
+	}
+}
+
+func TestRepairOfOneStream(t *testing.T) {
+	const noRetries, retries = 0, 100
+	t.Run("a server without room is passed over", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = refusedBy("s2")
+			rt.lose("s1", a)
+			rt.settle()
+			wantServer(rt, a, "s3")
+			wantEventCount(rt, event.StreamWaits, 0)
+			if lost := rt.h.fleet.RecentLosses(); lost != nil {
+				rt.Errorf("room is still kept for streams of %v", lost)
+			}
+		})
+	})
+	t.Run("a server without room that is not named is passed over", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = func(_ string, p fleet.Path) error {
+				if p.Contains("s2") {
+					return &MoveRefusedError{Err: errors.New("no room")}
+				}
+
+				return nil
+			}
+			rt.lose("s1", a)
+			rt.settle()
+			wantServer(rt, a, "s3")
+		})
+	})
+	t.Run("all refuse, and there is no retry: the stream waits and keeps its place", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2", "s3", "s4", "s5"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = refusedBy("s2", "s3", "s4", "s5")
+			rt.lose("s1", a)
+			rt.settle()
+			wantServer(rt, a, "s1")
+			wantEventCount(rt, event.MoveRefused, maxMoves)
+			wantEventCount(rt, event.StreamWaits, 1)
+		})
+	})
+	t.Run("all refuse, and there is a retry: the stream is restarted elsewhere", func(t *testing.T) {
+		withRepairs(t, retries, []string{"s1", "s2", "s3", "s4", "s5"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = refusedBy("s2", "s3", "s4")
+			rt.lose("s1", a)
+			rt.settle()
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if !a.nextPath.Contains("s5") || len(rt.moves) > maxMoves {
+				rt.Errorf("next path %s after moves %v", a.nextPath, rt.moves)
+			}
+		})
+	})
+	t.Run("the answer to a move is lost: the same move is repeated", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = func(string, fleet.Path) error {
+				if len(rt.moves) == 1 {
+					return context.DeadlineExceeded
+				}
+
+				return nil
+			}
+			rt.lose("s1", a)
+			rt.settle()
+			wantMoves(rt, rt.moves[0], rt.moves[0])
+			path, _, _ := a.state()
+			wantServer(rt, a, path[1].Server.ID)
+		})
+	})
+	t.Run("all answers are lost: no reservation is left behind", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = func(string, fleet.Path) error { return context.DeadlineExceeded }
+			rt.lose("s1", a)
+			rt.settle()
+			wantServer(rt, a, "s1")
+			wantEventCount(rt, event.StreamWaits, 1)
+		})
+	})
+	t.Run("the stream ends during the move: no reservation is left behind", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.answer = func(string, fleet.Path) error {
+				rt.h.monitor.remove(a)
+
+				return nil
+			}
+			rt.lose("s1", a)
+			rt.settle()
+			for id, l := range rt.h.fleet.OwnLoads() {
+				if l.Requests > 0 {
+					rt.Errorf("%s has %v", id, l)
+				}
+			}
+		})
+	})
+	t.Run("a second server is lost during the repair", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			var second slatebridge.ServerID
+			rt.answer = func(_ string, p fleet.Path) error {
+				if second == "" {
+					second = p[1].Server.ID
+					rt.h.fleet.RetireIncarnation(second)
+					go rt.h.queueRepair(rt.Context(), a, p, []slatebridge.ServerID{second})
+					time.Sleep(50 * time.Millisecond)
+				}
+
+				return nil
+			}
+			rt.lose("s1", a)
+			rt.settle()
+			path, _, _ := a.state()
+			if path.Contains("s1") || path.Contains(second) || len(rt.moves) != 2 {
+				rt.Errorf("the stream is on %s after moves %v", path, rt.moves)
+			}
+		})
+	})
+	t.Run("the server is trusted again before its turn", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
+			a := rt.stream("r", "s1", 0)
+			rt.lose("s1", a)
+			time.Sleep(repairGatherTime / 2)
+			rt.h.fleet.Trust("s1")
+			rt.settle()
+			wantMoves(rt)
+			wantServer(rt, a, "s1")
+		})
+	})
+	t.Run("the box is suspended before its turn", func(t *testing.T) {
+		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
+			rt.h.httpClient = &http.Client{}
+			a := rt.stream("r", "s1", 0)
+			rt.lose("s1", a)
+			time.Sleep(repairGatherTime / 2)
+			rt.h.resumeFromSuspend(clock.Now())
+			rt.settle()
+			wantMoves(rt)
+			rt.lose("s1", a)
+			rt.settle()
+			wantServer(rt, a, "s2")
+		})
+	})
+}
+
+// TestRepairsInOrder replays the loss of a server that many streams of a box pass. It checks that
+// their moves are bounded, and that the most urgent ones come first.
+func TestRepairsInOrder(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
+		const streams, urgent, atOneServer = 30, 5, 4
+		var all []*streamAttempt
+		for i := range streams {
+			priority := 1
+			if i >= streams-urgent {
+				priority = 0
+			}
+			all = append(all, rt.stream(fmt.Sprintf("r%d-%02d", priority, i), "s1", priority))
+		}
+		rt.lose("s1", all...)
+		rt.settle()
+		if len(rt.moves) != streams {
+			rt.Fatalf("%d moves", len(rt.moves))
+		}
+		// Moves in progress at the same time are recorded in any order.
+		for i, m := range rt.moves {
+			if isUrgent := m[:2] == "r0"; (isUrgent && i >= urgent+atOneServer) || (!isUrgent && i < atOneServer) {
+				rt.Errorf("move %d is %s", i, m)
+			}
+		}
+		if rt.most != atOneServer {
+			rt.Errorf("%d moves at the same time at one server", rt.most)
+		}
+		wantEventCount(rt, event.RepairsQueued, 1)
+	})
+}
+
+// TestLimitsWithoutLoss checks that streams under way fill servers no further than others while no
+// server is lost, or if their route is not repaired in order.
+func TestLimitsWithoutLoss(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		a := rt.stream("r", "s1", 0)
+		route := a.request.route
+		limits := func(r *catalog.Route) fleet.Limits {
+			a.request.route = r
+
+			return rt.h.repairQuery(a, nil).Limits
+		}
+		before := limits(route)
+		rt.lose("s1")
+		got := []fleet.Limits{before, limits(&catalog.Route{}), limits(route)}
+		if diff := cmp.Diff([]fleet.Limits{{}, {}, {Memory: runningMemoryShare}}, got); diff != "" {
+			rt.Error(diff)
+		}
+		if diff := cmp.Diff(fleet.Limits{KeepForRepairs: true}, rt.h.roomLimits(&inboundRequest{route: route}, false)); diff != "" {
+			rt.Error(diff)
+		}
+		if diff := cmp.Diff(fleet.Limits{}, rt.h.roomLimits(&inboundRequest{route: &catalog.Route{}}, false)); diff != "" {
+			rt.Error(diff)
+		}
+	})
+}
+
+// TestStallLogIsBounded checks that a stream that is checked again and again with the same finding
+// is logged with doubling pauses.
+func TestStallLogIsBounded(t *testing.T) {
+	withRepairs(t, 0, []string{"s1"}, func(rt *repairTest) {
+		a := rt.stream("r", "s1", 0)
+		rt.h.fleet.Suspect("s1", clock.Now().Add(time.Minute))
+		for range 100 {
+			rt.h.checkStalled(rt.Context(), a)
+			time.Sleep(100 * time.Millisecond)
+		}
+		wantEventCount(rt, event.StreamStalled, 4)
+		wantEventCount(rt, event.StreamWaits, 4)
+	})
+}
