--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -61,6 +61,8 @@
 	checkBackoff time.Duration
 	// nextMoveAt is the earliest time of the next attempt to move the stream off a server.
 	nextMoveAt time.Time
+	// waitsForRepair is set while the stream stays on its path although servers of it have failed.
+	waitsForRepair bool
 	// stallLog and waitLog bound how often the stream is logged as stalled and as waiting.
 	stallLog, waitLog logLimiter
 }
@@ -85,7 +87,7 @@
 		a.meanGap += time.Duration(gapWeight * float64(now.Sub(a.lastEventAt)-a.meanGap))
 	}
 	a.lastEventAt, a.started, a.checkBackoff = now, true, initialCheckBackoff
-	a.pauseFrom = now
+	a.pauseFrom, a.waitsForRepair = now, false
 	a.events++
 
 	return a.path
@@ -202,7 +204,7 @@
 		return
 	}
 	previous := a.reservation
-	a.path, a.ledgerAttempt, a.reservation, a.lastEventAt = p, ledgerAttempt, reservation, clock.Now()
+	a.path, a.ledgerAttempt, a.reservation, a.lastEventAt, a.waitsForRepair = p, ledgerAttempt, reservation, clock.Now(), false
 	a.mu.Unlock()
 	previous.Release()
 }
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -101,6 +101,7 @@
 // logWaiting logs that a stream stays on its path although servers of it have failed.
 func (h *Handler) logWaiting(a *streamAttempt, exclude []slatebridge.ServerID, shortage fleet.Shortage) {
 	h.metrics.repairDone(repairWaits)
+	a.setWaits(repairedInOrder(a.request.route))
 	if !a.waitLog.due(shortage.String()) {
 		return
 	}
@@ -180,17 +181,23 @@
 	return true
 }
 
-// refusingServers returns the server of the next path with the address, unless it is the first. If
-// none is stated, any server that is new to the stream may have refused it.
+// refusingServers returns the server of the next path with the address. If no server of the path has
+// it, any server that is new to the stream may have refused it. The result is empty if the first
+// server refused it, which cannot be replaced.
 func (r *streamRepair) refusingServers(address string) []slatebridge.ServerID {
-	var out []slatebridge.ServerID
-	for _, s := range r.next[1:] {
-		if s.Server.Address == address || (address == "" && !slices.Contains(r.path, s)) {
-			out = append(out, s.Server.ID)
+	var added []slatebridge.ServerID
+	for i, s := range r.next {
+		switch {
+		case s.Server.Address == address && i == 0:
+			return nil
+		case s.Server.Address == address:
+			return []slatebridge.ServerID{s.Server.ID}
+		case !slices.Contains(r.path, s):
+			added = append(added, s.Server.ID)
 		}
 	}
 
-	return out
+	return added
 }
 
 // send moves the stream to the next path. If it succeeds, the reservation becomes that of the
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -65,7 +65,10 @@
 			Fleet: f, Logger: zap.New(core), Metrics: NewMetrics(prometheus.NewRegistry()), Ledger: quarantine.New(), OnSuspect: func() {},
 			State:  func() State { return State{Catalog: c, BoxCount: 1, Synced: true} },
 			Random: func() float64 { return 0.5 }, Bounds: Bounds{Retry: retry.Bounds{Extra: retries, Window: 10 * time.Second}},
-			ServerClient: ServerClient{MoveStream: rt.moveStream},
+			ServerClient: ServerClient{
+				MoveStream: rt.moveStream,
+				Report:     func(context.Context, catalog.Server) (Report, error) { return Report{Slowness: 1}, nil },
+			},
 		})
 		// The budget is open to a box once it has heard from others.
 		time.Sleep(5 * time.Second)
@@ -360,6 +363,61 @@
 	})
 }
 
+// TestWaitingStreamIsRetried checks that a stream that waits for room is moved soon after there is
+// some, and not only at its next regular check.
+func TestWaitingStreamIsRetried(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		rt.h.activity.begin()
+		ctx, cancel := context.WithCancel(rt.Context())
+		defer cancel()
+		go rt.h.WatchStreams(ctx)
+		a := rt.stream("r", "s1", 0)
+		_, full, _ := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 965, Exclude: []slatebridge.ServerID{"s1"}, Limits: fleet.Limits{Memory: 0.99}})
+		rt.lose("s1", a)
+		// Of the regular checks, one is just over and the next one comes after half a second.
+		time.Sleep(560 * time.Millisecond)
+		wantMoves(rt)
+		full.Release()
+		time.Sleep(repairRetryInterval + 2*watchInterval)
+		wantServer(rt, a, "s2")
+	})
+}
+
+// TestWaitingStreams replays replacements without room, at which more streams wait than have room as
+// others end there. It checks that the most urgent ones get it.
+func TestWaitingStreams(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		rt.h.activity.begin()
+		ctx, cancel := context.WithCancel(rt.Context())
+		defer cancel()
+		go rt.h.WatchStreams(ctx)
+		var room atomic.Int64
+		rt.answer = func(_ string, p fleet.Path) error {
+			if room.Add(-1) < 0 {
+				room.Add(1)
+
+				return refusedBy("s2")("", p)
+			}
+
+			return nil
+		}
+		var all []*streamAttempt
+		for i, priority := range []int{1, 0, 1, 0, 1, 1, 0, 1, 0, 1} {
+			all = append(all, rt.stream(fmt.Sprint("r", i), "s1", priority))
+		}
+		rt.lose("s1", all...)
+		time.Sleep(400 * time.Millisecond)
+		room.Store(4)
+		// The server is left alone for up to a second after each rejection.
+		time.Sleep(time.Second + 2*repairRetryInterval)
+		for i, a := range all {
+			if path, _, _ := a.state(); path.Contains("s2") != (a.request.priority == 0) {
+				rt.Errorf("stream %d of priority %d is on %s", i, a.request.priority, path)
+			}
+		}
+	})
+}
+
 // TestLimitsWithoutLoss checks that streams under way fill servers no further than others while no
 // server is lost, or if their route is not repaired in order.
 func TestLimitsWithoutLoss(t *testing.T) {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -131,6 +131,8 @@
 	suspendedTotal time.Duration
 	retiredCount   int64
 	ticks          int
+	// nextRetryAt is the earliest time of the next round of repairs of streams that wait.
+	nextRetryAt time.Time
 	// lossCount is the number of recently lost servers as of the last check.
 	lossCount int
 }
@@ -188,6 +190,7 @@
 	if w.ticks++; w.ticks%leavingMoveTicks == 0 {
 		h.moveOneOffLeaving(ctx, now)
 	}
+	w.retryWaiting(ctx, attempts, now)
 }
 
 // moveOffEnded moves all streams with an ended incarnation on their path. The restarted server has
