--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -53,11 +53,27 @@
 		speed = f.prefillSpeed([]*member{m})
 	}
 	queue := prefillTime(m.load().TokenLayers, speed)
-	t.MoveQueue = max(t.MoveQueue, queue)
+	if queue > t.MoveQueue {
+		t.MoveQueue, t.Overlap = queue, f.overlap(m, stage.From, lost, speed)
+	}
 	t.Turn = max(t.Turn, queue/time.Duration(max(1, m.ownLoad.Requests)))
 	t.MovePrefill += prefillTime(tokens*float64(stage.Len()), speed/n)
 }
 
+// overlap returns the share of restarted streams that pass the replacements of a lost server, whose
+// speed is given, rather than servers of other halls with the layer.
+func (f *Fleet) overlap(lost *member, layer int, exclude []slatebridge.ServerID, speed float64) float64 {
+	now := f.now()
+	var holders []*member
+	for _, m := range f.membersOf(lost.Service) {
+		if m != lost && m.hasLayer(layer) && m.available(now) && !slices.Contains(exclude, m.ID) {
+			holders = append(holders, m)
+		}
+	}
+
+	return min(1, speed/max(speed, f.prefillSpeed(holders)))
+}
+
 // restartTimes returns the time in which all available servers of a lost server's hall prefill the
 // tokens of the streams of all recently lost servers there, and that for one stream.
 func (f *Fleet) restartTimes(lost *member, tokens float64) (all, one time.Duration) {
--- a/repair/takeover.go
+++ b/repair/takeover.go
@@ -17,13 +17,16 @@
 	// prefill speed of the servers is not known.
 	RestartQueue   time.Duration
 	RestartPrefill time.Duration
+	// Overlap is the share of restarted streams, from 0 to 1, that pass the replacements as well,
+	// since these are the only servers with the lost layers, or some of few.
+	Overlap float64
 	// Turn is the expected time that passes at the replacements between two streams of this box.
 	Turn time.Duration
 }
 
 const (
-	// maxMoveQueue bounds the time in which one server prefills the tokens of all streams that move
-	// to it. New requests there wait for as long, and callers of moved streams leave after twice
+	// maxMoveQueue bounds the time in which the replacements prefill the tokens of the streams that
+	// pass them. New requests there wait for as long, and callers of moved streams leave after twice
 	// that time.
 	maxMoveQueue = 750 * time.Millisecond
 	// maxStreamsUnknownSpeed bounds the streams that move to one server at the same time where the
@@ -37,9 +40,9 @@
 // of the lost servers; the others should be restarted on fresh paths if there are retries for them.
 // pauseLeft is the time left of the stream's acceptable pause.
 //
-// Moved and restarted streams are expected to continue after the same time: a larger share makes
-// the queue of the replacements longer, and a smaller one that of all servers. If the last of the
-// moved streams would be late and restarted ones would not, fewer are moved.
+// With the share, moved and restarted streams are expected to continue after the same time: a larger
+// one makes the queue of the replacements longer, and a smaller one that of all servers. If the last
+// of the moved streams would be late and restarted ones would not, fewer are moved.
 //
 // Load pattern: a server crashes whose layers one or two others hold, and hundreds of streams of
 // many boxes move to them. Their prefills wait for each other at these servers for longer than the
@@ -49,21 +52,42 @@
 	if t.RestartPrefill <= 0 || queues <= 0 {
 		return boundShare(1, t.Streams, maxStreamsUnknownSpeed)
 	}
-	gain := float64(t.RestartPrefill-t.MovePrefill) + meanWait*float64(t.RestartQueue)
-	share := gain / (meanWait * float64(queues))
-	if t.MoveQueue > 0 {
-		latest := max(0, float64(pauseLeft)/float64(t.MoveQueue))
-		if latest < share && t.restartTime(1-latest) <= pauseLeft {
-			share = latest
-		}
+	others := 1 - t.Overlap
+	move, restart := meanWait*float64(t.MoveQueue), meanWait*float64(t.RestartQueue)
+	gain := float64(t.RestartPrefill-t.MovePrefill) + restart - t.Overlap*others*move
+	loss := others*others*move + restart
+	share := 1.0
+	if gain < loss {
+		share = max(0, gain/loss)
 	}
+	if inTime := t.shareWithin(pauseLeft); inTime < share && t.restartTime(inTime) <= pauseLeft {
+		share = inTime
+	}
+
+	return min(share, t.shareWithin(maxMoveQueue))
+}
+
+// shareWithin returns the largest share of moved streams for which the queue of the replacements
+// stays within the time. Without other servers for restarted streams, all streams are in that queue.
+func (t Takeover) shareWithin(d time.Duration) float64 {
+	others := (1 - t.Overlap) * float64(t.MoveQueue)
+	if others <= 0 {
+		return 1
+	}
+
+	return min(1, max(0, (float64(d)-t.Overlap*float64(t.MoveQueue))/others))
+}
 
-	return boundShare(share, float64(t.MoveQueue), float64(maxMoveQueue))
+// replacementQueue returns the time in which the replacements prefill the moved streams, if the
+// given share is moved, and the restarted ones that pass them.
+func (t Takeover) replacementQueue(share float64) time.Duration {
+	return time.Duration((share + (1-share)*t.Overlap) * float64(t.MoveQueue))
 }
 
-// restartTime returns the time until the last restarted stream continues if the share is restarted.
+// restartTime returns the time until the last restarted stream continues if the given share is
+// moved.
 func (t Takeover) restartTime(share float64) time.Duration {
-	return t.RestartPrefill + time.Duration(share*float64(t.RestartQueue))
+	return t.RestartPrefill + time.Duration((1-share)*float64(t.RestartQueue)) + time.Duration(t.Overlap*float64(t.replacementQueue(share)))
 }
 
 // WithoutSpeeds returns the takeover as if the prefill speeds of the servers were not known.
