--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -9,8 +9,8 @@
 	"github.com/slatebridge/slatebridge/repair"
 )
 
-// Takeover returns the work that falls on the other servers of the hall because servers of the path
-// were lost, for a stream with the given number of tokens.
+// Takeover returns the work that falls on other servers because servers of the path were lost, for a
+// stream with the given number of tokens.
 func (f *Fleet) Takeover(p Path, lost []slatebridge.ServerID, tokens float64) repair.Takeover {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -74,14 +74,15 @@
 	return min(1, speed/max(speed, f.prefillSpeed(holders)))
 }
 
-// restartTimes returns the time in which all available servers of a lost server's hall prefill the
-// tokens of the streams of all recently lost servers there, and that for one stream.
+// restartTimes returns the time in which all available servers of a lost server's service prefill the
+// tokens of the streams of all recently lost servers, and that for one stream. Restarted streams may
+// begin in any hall.
 func (f *Fleet) restartTimes(lost *member, tokens float64) (all, one time.Duration) {
 	layers := float64(lost.model.Layers)
 	now := f.now()
 	var servers []*member
 	for _, m := range f.membersOf(lost.Service) {
-		if m.replaces(lost, now) && m.Layers.Len() > 0 {
+		if m != lost && m.Layers.Len() > 0 && m.available(now) {
 			servers = append(servers, m)
 		}
 	}
@@ -90,7 +91,7 @@
 	}
 	work, counted := 0.0, false
 	for _, l := range f.recentLosses() {
-		if l.member.Hall == lost.Hall && l.member.Service == lost.Service {
+		if l.member.Service == lost.Service {
 			work += l.member.restartWork()
 			counted = counted || l.member == lost
 		}
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -38,6 +38,7 @@
 	mu               sync.Mutex
 	moves            []string
 	inProgress, most int
+	model            *catalog.Model
 }
 
 // withRepairs runs the test in virtual time with a box before servers "first" [0,4) and the given
@@ -51,6 +52,7 @@
 			Layers: 8, LayerMB: 1000, KVBytesPerToken: 2e6, MeanOutputTokens: 40,
 			Accelerators: []catalog.Accelerator{{Name: "big", MemoryMB: 5000}},
 		}
+		rt.model = model
 		c := catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: model}}, nil, false)
 		f := fleet.New("a", clock.Now, fleet.WithRandom(func() float64 { return 0.5 }))
 		f.SetCatalog(c)
@@ -418,6 +420,63 @@
 	})
 }
 
+// TestRepairOfOtherRoutes checks that streams of routes that state no acceptable pause are not put in
+// order, are not moved again after a refusal, and do not wait for room.
+func TestRepairOfOtherRoutes(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
+		a := rt.stream("r", "s1", 0)
+		a.request.route = &catalog.Route{Resumable: true, Kind: catalog.Stream, MaxServers: 2}
+		rt.answer = refusedBy("s2", "s3")
+		rt.h.fleet.Suspect("s1", clock.Now().Add(suspicionTTL))
+		path, started, silent := a.state()
+		rt.h.recoverStream(rt.Context(), a, path, started, silent, []slatebridge.ServerID{"s1"})
+		if len(rt.moves) != 1 || a.waits() {
+			rt.Errorf("moves %v, waits: %t", rt.moves, a.waits())
+		}
+		wantServer(rt, a, "s1")
+		wantEventCount(rt, event.StreamWaits, 1)
+		wantEventCount(rt, event.RepairsQueued, 0)
+	})
+}
+
+// TestRestartIsFaster checks that streams are restarted rather than moved after a loss if the
+// replacements prefill for long, and that no prefill times count for a server that is not lost.
+func TestRestartIsFaster(t *testing.T) {
+	lost := func(h *Handler) { h.fleet.Suspect("s1", clock.Now().Add(suspicionTTL)) }
+	leaving := func(h *Handler) { h.fleet.ApplyNotice("s1", fleet.Notice{Leaving: true}) }
+	for name, v := range map[string]struct {
+		lose func(h *Handler)
+		// remote is set if servers of another hall have the layers as well.
+		remote, want bool
+	}{
+		"lost, other halls have the layers":          {lost, true, true},
+		"lost, only the replacement has them":        {lost, false, false},
+		"leaving, other halls have the layers":       {leaving, true, false},
+		"not found out, other halls have the layers": {func(*Handler) {}, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+				rt.model.PrefillTokensPerSecond = 1000
+				var a *streamAttempt
+				for i := range 20 {
+					a = rt.stream(fmt.Sprint("r", i), "s1", 0)
+				}
+				if v.remote {
+					for i := range 8 {
+						from := 4 * (i % 2)
+						rt.h.fleet.Set(catalog.Server{ID: slatebridge.ServerID(fmt.Sprint("b", i)), Service: "llm", Hall: "b", Accelerator: "big", Layers: slatebridge.LayerRange{From: from, To: from + 4}})
+					}
+				}
+				v.lose(rt.h)
+				path, _ := a.current()
+				if got := rt.h.restartIsFaster(a, path, []slatebridge.ServerID{"s1"}); got != v.want {
+					rt.Errorf("%t, want %t: %+v", got, v.want, rt.h.fleet.Takeover(path, []slatebridge.ServerID{"s1"}, a.kvTokens))
+				}
+			})
+		})
+	}
+}
+
 // TestLimitsWithoutLoss checks that streams under way fill servers no further than others while no
 // server is lost, or if their route is not repaired in order.
 func TestLimitsWithoutLoss(t *testing.T) {
--- a/repair/takeover.go
+++ b/repair/takeover.go
@@ -12,8 +12,8 @@
 	// lost layers, and MovePrefill the time for this stream alone.
 	MoveQueue   time.Duration
 	MovePrefill time.Duration
-	// RestartQueue is the time in which all servers of the hall prefill the tokens of all streams
-	// through all layers, and RestartPrefill the time for this stream alone. They are zero if the
+	// RestartQueue is the time in which all servers prefill the tokens of all streams through all
+	// layers, and RestartPrefill the time for this stream alone. They are zero if the
 	// prefill speed of the servers is not known.
 	RestartQueue   time.Duration
 	RestartPrefill time.Duration
