--- a/forward/repair.go
+++ b/forward/repair.go
@@ -14,6 +14,7 @@
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/quarantine"
+	"github.com/slatebridge/slatebridge/repair"
 	"github.com/slatebridge/slatebridge/retry"
 )
 
@@ -58,7 +59,10 @@
 
 		return
 	}
-	if h.restartIsFaster(a, path, exclude) && h.restartElsewhere(ctx, a, path, exclude) {
+	if t, share := h.moveShare(a, path, exclude); h.random() > share && h.restartElsewhere(ctx, a, path, exclude) {
+		event.Log(h.logger, event.RestartPreferred, zap.String("request", a.requestID), zap.Float64("streams", t.Streams),
+			zap.Duration("move_ms", t.MoveQueue), zap.Duration("restart_ms", t.RestartQueue), zap.Float64("move_share", share))
+
 		return
 	}
 	r := &streamRepair{h: h, a: a, path: path, exclude: slices.Clone(exclude)}
@@ -80,22 +84,16 @@
 	h.logWaiting(a, r.exclude, r.shortage)
 }
 
-// restartIsFaster reports whether the stream should be restarted rather than moved; see
-// repair.Takeover.
-func (h *Handler) restartIsFaster(a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) bool {
+// moveShare returns the share of the streams of lost servers that should be moved rather than
+// restarted, and the work from which it follows.
+func (h *Handler) moveShare(a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) (repair.Takeover, float64) {
 	t := h.fleet.Takeover(path, exclude, a.kvTokens)
 	lost := h.fleet.RecentLosses()
 	if !repairedInOrder(a.request.route) || !slices.ContainsFunc(exclude, func(id slatebridge.ServerID) bool { return slices.Contains(lost, id) }) {
 		t = t.WithoutSpeeds()
 	}
-	share := t.MoveShare(clock.Until(a.pauseEnds()))
-	if h.random() <= share {
-		return false
-	}
-	event.Log(h.logger, event.RestartPreferred, zap.String("request", a.requestID), zap.Float64("streams", t.Streams),
-		zap.Duration("move_ms", t.MoveQueue), zap.Duration("restart_ms", t.RestartQueue), zap.Float64("move_share", share))
 
-	return true
+	return t, t.MoveShare(clock.Until(a.pauseEnds()))
 }
 
 // logWaiting logs that a stream stays on its path although servers of it have failed.
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -93,12 +93,15 @@
 	return fleet.Notice{}, err
 }
 
-// stream adds a stream in flight over the first server and the given one.
-func (rt *repairTest) stream(id, second string, priority int) *streamAttempt {
+// lostServer is the server that the streams of the tests lose.
+const lostServer slatebridge.ServerID = "s1"
+
+// stream adds a stream in flight over the first server and lostServer.
+func (rt *repairTest) stream(id string, priority int) *streamAttempt {
 	rt.Helper()
 	exclude := make([]slatebridge.ServerID, 0)
 	for _, s := range rt.h.fleet.Servers() {
-		if s.ID != "first" && s.ID != slatebridge.ServerID(second) {
+		if s.ID != "first" && s.ID != lostServer {
 			exclude = append(exclude, s.ID)
 		}
 	}
@@ -119,13 +122,13 @@
 	return a
 }
 
-// lose makes a server suspect and has its streams recovered.
-func (rt *repairTest) lose(id slatebridge.ServerID, streams ...*streamAttempt) {
+// lose makes lostServer suspect and has its streams recovered.
+func (rt *repairTest) lose(streams ...*streamAttempt) {
 	rt.Helper()
-	rt.h.fleet.Suspect(id, clock.Now().Add(suspicionTTL))
+	rt.h.fleet.Suspect(lostServer, clock.Now().Add(suspicionTTL))
 	for _, a := range streams {
 		path, started, silent := a.state()
-		go rt.h.recoverStream(rt.Context(), a, path, started, silent, []slatebridge.ServerID{id})
+		go rt.h.recoverStream(rt.Context(), a, path, started, silent, []slatebridge.ServerID{lostServer})
 	}
 }
 
@@ -191,9 +194,9 @@
 	const noRetries, retries = 0, 100
 	t.Run("a server without room is passed over", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = refusedBy("s2")
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			wantServer(rt, a, "s3")
 			wantEventCount(rt, event.StreamWaits, 0)
@@ -204,7 +207,7 @@
 	})
 	t.Run("a server without room that is not named is passed over", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = func(_ string, p fleet.Path) error {
 				if p.Contains("s2") {
 					return &MoveRefusedError{Err: errors.New("no room")}
@@ -212,27 +215,27 @@
 
 				return nil
 			}
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			wantServer(rt, a, "s3")
 		})
 	})
 	t.Run("all refuse, and there is no retry: the stream waits and keeps its place", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2", "s3", "s4", "s5"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = refusedBy("s2", "s3", "s4", "s5")
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
-			wantServer(rt, a, "s1")
+			wantServer(rt, a, lostServer)
 			wantEventCount(rt, event.MoveRefused, maxMoves)
 			wantEventCount(rt, event.StreamWaits, 1)
 		})
 	})
 	t.Run("all refuse, and there is a retry: the stream is restarted elsewhere", func(t *testing.T) {
 		withRepairs(t, retries, []string{"s1", "s2", "s3", "s4", "s5"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = refusedBy("s2", "s3", "s4")
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			a.mu.Lock()
 			defer a.mu.Unlock()
@@ -243,7 +246,7 @@
 	})
 	t.Run("the answer to a move is lost: the same move is repeated", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = func(string, fleet.Path) error {
 				if len(rt.moves) == 1 {
 					return context.DeadlineExceeded
@@ -251,7 +254,7 @@
 
 				return nil
 			}
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			wantMoves(rt, rt.moves[0], rt.moves[0])
 			path, _, _ := a.state()
@@ -260,23 +263,23 @@
 	})
 	t.Run("all answers are lost: no reservation is left behind", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = func(string, fleet.Path) error { return context.DeadlineExceeded }
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
-			wantServer(rt, a, "s1")
+			wantServer(rt, a, lostServer)
 			wantEventCount(rt, event.StreamWaits, 1)
 		})
 	})
 	t.Run("the stream ends during the move: no reservation is left behind", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			rt.answer = func(string, fleet.Path) error {
 				rt.h.monitor.remove(a)
 
 				return nil
 			}
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			for id, l := range rt.h.fleet.OwnLoads() {
 				if l.Requests > 0 {
@@ -287,7 +290,7 @@
 	})
 	t.Run("a second server is lost during the repair", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
+			a := rt.stream("r", 0)
 			var second slatebridge.ServerID
 			rt.answer = func(_ string, p fleet.Path) error {
 				if second == "" {
@@ -299,35 +302,35 @@
 
 				return nil
 			}
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			path, _, _ := a.state()
-			if path.Contains("s1") || path.Contains(second) || len(rt.moves) != 2 {
+			if path.Contains(lostServer) || path.Contains(second) || len(rt.moves) != 2 {
 				rt.Errorf("the stream is on %s after moves %v", path, rt.moves)
 			}
 		})
 	})
 	t.Run("the server is trusted again before its turn", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
-			a := rt.stream("r", "s1", 0)
-			rt.lose("s1", a)
+			a := rt.stream("r", 0)
+			rt.lose(a)
 			time.Sleep(repairGatherTime / 2)
-			rt.h.fleet.Trust("s1")
+			rt.h.fleet.Trust(lostServer)
 			rt.settle()
 			wantMoves(rt)
-			wantServer(rt, a, "s1")
+			wantServer(rt, a, lostServer)
 		})
 	})
 	t.Run("the box is suspended before its turn", func(t *testing.T) {
 		withRepairs(t, noRetries, []string{"s1", "s2"}, func(rt *repairTest) {
 			rt.h.httpClient = &http.Client{}
-			a := rt.stream("r", "s1", 0)
-			rt.lose("s1", a)
+			a := rt.stream("r", 0)
+			rt.lose(a)
 			time.Sleep(repairGatherTime / 2)
 			rt.h.resumeFromSuspend(clock.Now())
 			rt.settle()
 			wantMoves(rt)
-			rt.lose("s1", a)
+			rt.lose(a)
 			rt.settle()
 			wantServer(rt, a, "s2")
 		})
@@ -345,9 +348,9 @@
 			if i >= streams-urgent {
 				priority = 0
 			}
-			all = append(all, rt.stream(fmt.Sprintf("r%d-%02d", priority, i), "s1", priority))
+			all = append(all, rt.stream(fmt.Sprintf("r%d-%02d", priority, i), priority))
 		}
-		rt.lose("s1", all...)
+		rt.lose(all...)
 		rt.settle()
 		if len(rt.moves) != streams {
 			rt.Fatalf("%d moves", len(rt.moves))
@@ -373,9 +376,9 @@
 		ctx, cancel := context.WithCancel(rt.Context())
 		defer cancel()
 		go rt.h.WatchStreams(ctx)
-		a := rt.stream("r", "s1", 0)
-		_, full, _ := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 965, Exclude: []slatebridge.ServerID{"s1"}, Limits: fleet.Limits{Memory: 0.99}})
-		rt.lose("s1", a)
+		a := rt.stream("r", 0)
+		_, full, _ := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 965, Exclude: []slatebridge.ServerID{lostServer}, Limits: fleet.Limits{Memory: 0.99}})
+		rt.lose(a)
 		// Of the regular checks, one is just over and the next one comes after half a second.
 		time.Sleep(560 * time.Millisecond)
 		wantMoves(rt)
@@ -405,9 +408,9 @@
 		}
 		var all []*streamAttempt
 		for i, priority := range []int{1, 0, 1, 0, 1, 1, 0, 1, 0, 1} {
-			all = append(all, rt.stream(fmt.Sprint("r", i), "s1", priority))
+			all = append(all, rt.stream(fmt.Sprint("r", i), priority))
 		}
-		rt.lose("s1", all...)
+		rt.lose(all...)
 		time.Sleep(400 * time.Millisecond)
 		room.Store(4)
 		// The server is left alone for up to a second after each rejection.
@@ -424,26 +427,26 @@
 // order, are not moved again after a refusal, and do not wait for room.
 func TestRepairOfOtherRoutes(t *testing.T) {
 	withRepairs(t, 0, []string{"s1", "s2", "s3"}, func(rt *repairTest) {
-		a := rt.stream("r", "s1", 0)
+		a := rt.stream("r", 0)
 		a.request.route = &catalog.Route{Resumable: true, Kind: catalog.Stream, MaxServers: 2}
 		rt.answer = refusedBy("s2", "s3")
-		rt.h.fleet.Suspect("s1", clock.Now().Add(suspicionTTL))
+		rt.h.fleet.Suspect(lostServer, clock.Now().Add(suspicionTTL))
 		path, started, silent := a.state()
-		rt.h.recoverStream(rt.Context(), a, path, started, silent, []slatebridge.ServerID{"s1"})
+		rt.h.recoverStream(rt.Context(), a, path, started, silent, []slatebridge.ServerID{lostServer})
 		if len(rt.moves) != 1 || a.waits() {
 			rt.Errorf("moves %v, waits: %t", rt.moves, a.waits())
 		}
-		wantServer(rt, a, "s1")
+		wantServer(rt, a, lostServer)
 		wantEventCount(rt, event.StreamWaits, 1)
 		wantEventCount(rt, event.RepairsQueued, 0)
 	})
 }
 
-// TestRestartIsFaster checks that streams are restarted rather than moved after a loss if the
+// TestMoveShareOfLostServers checks that streams are restarted rather than moved after a loss if the
 // replacements prefill for long, and that no prefill times count for a server that is not lost.
-func TestRestartIsFaster(t *testing.T) {
-	lost := func(h *Handler) { h.fleet.Suspect("s1", clock.Now().Add(suspicionTTL)) }
-	leaving := func(h *Handler) { h.fleet.ApplyNotice("s1", fleet.Notice{Leaving: true}) }
+func TestMoveShareOfLostServers(t *testing.T) {
+	lost := func(h *Handler) { h.fleet.Suspect(lostServer, clock.Now().Add(suspicionTTL)) }
+	leaving := func(h *Handler) { h.fleet.ApplyNotice(lostServer, fleet.Notice{Leaving: true}) }
 	for name, v := range map[string]struct {
 		lose func(h *Handler)
 		// remote is set if servers of another hall have the layers as well.
@@ -459,7 +462,7 @@
 				rt.model.PrefillTokensPerSecond = 1000
 				var a *streamAttempt
 				for i := range 20 {
-					a = rt.stream(fmt.Sprint("r", i), "s1", 0)
+					a = rt.stream(fmt.Sprint("r", i), 0)
 				}
 				if v.remote {
 					for i := range 8 {
@@ -469,8 +472,8 @@
 				}
 				v.lose(rt.h)
 				path, _ := a.current()
-				if got := rt.h.restartIsFaster(a, path, []slatebridge.ServerID{"s1"}); got != v.want {
-					rt.Errorf("%t, want %t: %+v", got, v.want, rt.h.fleet.Takeover(path, []slatebridge.ServerID{"s1"}, a.kvTokens))
+				if takeover, share := rt.h.moveShare(a, path, []slatebridge.ServerID{lostServer}); (share < 1) != v.want {
+					rt.Errorf("share %.2f of %+v", share, takeover)
 				}
 			})
 		})
@@ -481,7 +484,7 @@
 // server is lost, or if their route is not repaired in order.
 func TestLimitsWithoutLoss(t *testing.T) {
 	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
-		a := rt.stream("r", "s1", 0)
+		a := rt.stream("r", 0)
 		route := a.request.route
 		limits := func(r *catalog.Route) fleet.Limits {
 			a.request.route = r
@@ -489,7 +492,7 @@
 			return rt.h.repairQuery(a, nil).Limits
 		}
 		before := limits(route)
-		rt.lose("s1")
+		rt.lose()
 		got := []fleet.Limits{before, limits(&catalog.Route{}), limits(route)}
 		if diff := cmp.Diff([]fleet.Limits{{}, {}, {Memory: runningMemoryShare}}, got); diff != "" {
 			rt.Error(diff)
@@ -507,8 +510,8 @@
 // is logged with doubling pauses.
 func TestStallLogIsBounded(t *testing.T) {
 	withRepairs(t, 0, []string{"s1"}, func(rt *repairTest) {
-		a := rt.stream("r", "s1", 0)
-		rt.h.fleet.Suspect("s1", clock.Now().Add(time.Minute))
+		a := rt.stream("r", 0)
+		rt.h.fleet.Suspect(lostServer, clock.Now().Add(time.Minute))
 		for range 100 {
 			rt.h.checkStalled(rt.Context(), a)
 			time.Sleep(100 * time.Millisecond)
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -10,19 +9,12 @@
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
-	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/repair"
 )
 
-// repairedInOrder reports whether streams of the route are repaired in order: it states which pause
-// is acceptable, and another server may continue its streams.
-func repairedInOrder(r *catalog.Route) bool {
-	return r != nil && r.MaxEventInterval > 0 && r.Resumable
-}
-
 // repairGatherTime is how long the first repair waits for further streams that lost servers at the
 // same moment, so that they can be put in order.
 const repairGatherTime = 2 * time.Millisecond
@@ -169,140 +161,3 @@
 
 	return failed
 }
-
-const (
-	// repairRetryInterval is the pause between two rounds of repairs of streams that wait.
-	repairRetryInterval = 100 * time.Millisecond
-	// maxRetriedRepairs bounds the streams in such a round, and what their searches cost the box.
-	// The others are tried at the regular checks of silent streams.
-	maxRetriedRepairs = 4
-)
-
-// retryWaiting queues the first of the streams that wait for a repair once more.
-//
-// Load pattern: the replacements of lost servers are full, and streams of all boxes wait for room
-// there. With a pause that doubles from check to check, those that have waited longest notice last
-// that a stream has ended, and later ones take its memory.
-func (w *watcher) retryWaiting(ctx context.Context, attempts []*streamAttempt, now time.Time) {
-	if now.Before(w.nextRetryAt) {
-		return
-	}
-	var waiting []*streamAttempt
-	var streams []repair.Stream
-	for _, a := range attempts {
-		if a.waits() {
-			waiting = append(waiting, a)
-			streams = append(streams, a.repairStream())
-		}
-	}
-	if len(waiting) == 0 {
-		return
-	}
-	w.nextRetryAt = now.Add(repairRetryInterval)
-	order, _ := repair.Order(streams, now)
-	for _, i := range order[:min(len(order), maxRetriedRepairs)] {
-		a := waiting[i]
-		path, _, _ := a.state()
-		if failed := w.h.stillFailed(path, nil); len(failed) > 0 {
-			go w.h.queueRepair(ctx, a, path, failed)
-		} else {
-			a.setWaits(false)
-		}
-	}
-}
-
-// setWaits records whether the stream waits for a repair since the last one failed.
-func (a *streamAttempt) setWaits(waits bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.waitsForRepair = waits
-}
-
-// waits reports whether the stream waits for a repair.
-func (a *streamAttempt) waits() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	return a.waitsForRepair && !a.ended && a.nextPath == nil
-}
-
-// repairStream describes the stream for its place in the order of repairs.
-func (a *streamAttempt) repairStream() repair.Stream {
-	a.mu.Lock()
-	events := a.eventsBefore + a.events
-	a.mu.Unlock()
-	c := a.request
-	s := repair.Stream{PauseEnds: a.pauseEnds(), CallerLeaves: a.callerLeaves(), RemainingTokens: max(0, a.expectedTokens()-events)}
-	if c.prioritized {
-		s.Priority = c.priority
-	}
-
-	return s
-}
-
-// expectedTokens returns the expected size of the output.
-func (a *streamAttempt) expectedTokens() int {
-	c := a.request
-	expected := c.ExpectedTokens
-	if expected == 0 && c.state.Catalog != nil {
-		if s := c.state.Catalog.Service(a.service); s != nil && s.Model != nil {
-			expected = s.Model.MeanOutputTokens
-		}
-	}
-	if c.MaxTokens > 0 {
-		expected = min(expected, c.MaxTokens)
-	}
-
-	return expected
-}
-
-// pauseEnds returns when the acceptable pause of the stream is over; before the first event, when
-// its latency objective is.
-func (a *streamAttempt) pauseEnds() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.pauseFrom.IsZero() {
-		return a.request.startedAt.Add(cmp.Or(a.request.route.LatencyObjective, defaultObjective))
-	}
-
-	return a.pauseFrom.Add(a.request.route.MaxEventInterval)
-}
-
-// callerLeaves returns when the caller is expected to give up.
-func (a *streamAttempt) callerLeaves() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	leaves := a.request.deadline
-	if a.pauseFrom.IsZero() {
-		return leaves
-	}
-	if at := a.pauseFrom.Add(abandonSilence); at.Before(leaves) {
-		leaves = at
-	}
-
-	return leaves
-}
-
-// hasEnded reports whether the attempt has ended, or is about to in favor of another one.
-func (a *streamAttempt) hasEnded() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	return a.ended || a.nextPath != nil
-}
-
-// logLimiter bounds how often findings about a stream are logged. The zero value is ready for use.
-type logLimiter struct {
-	mu    sync.Mutex
-	state repair.LogState
-}
-
-// due reports whether the finding should be logged now, and if so counts it as logged.
-func (l *logLimiter) due(finding string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var due bool
-	l.state, due = l.state.WithFinding(finding, clock.Now())
-
-	return due
-}
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -16,6 +16,8 @@
 	allowedPause = 250 * time.Millisecond
 	// replacements is the number of servers that take over in the replayed load.
 	replacements = 4
+	// boxes is the number of boxes in it, and perBox that of the streams of each.
+	boxes, perBox = 20, 12
 )
 
 // lostAt is when the servers of the tests are lost.
@@ -148,7 +150,7 @@
 
 // lostStreams returns the streams of many boxes that lose a stage at the same moment. They were
 // silent for different times when that is found, and differ in priority and size.
-func lostStreams(seed uint64, boxes, perBox, priorities int) []lostStream {
+func lostStreams(seed uint64, priorities int) []lostStream {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	out := make([]lostStream, 0, boxes*perBox)
 	for box := range boxes {
@@ -165,7 +167,7 @@
 
 // replayMoves has the replacements prefill the streams of all boxes, each box in its own order, and
 // returns how many streams of each priority continue in time.
-func replayMoves(streams []lostStream, boxes int, order func(ofBox []lostStream) []lostStream) map[int]int {
+func replayMoves(streams []lostStream, order func(ofBox []lostStream) []lostStream) map[int]int {
 	queues := make([][]lostStream, boxes)
 	for _, s := range streams {
 		queues[s.box] = append(queues[s.box], s)
@@ -198,7 +200,6 @@
 // replacements prefill. It checks that more streams are in time than in the order in which they are
 // found, and of the most urgent ones clearly more.
 func TestOrderUnderLoad(t *testing.T) {
-	const boxes, perBox = 20, 12
 	ordered := func(ofBox []lostStream) []lostStream {
 		q := &Queue[int]{}
 		for i, s := range ofBox {
@@ -214,13 +215,13 @@
 	asFound := func(ofBox []lostStream) []lostStream { return ofBox }
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			streams := lostStreams(seed, boxes, perBox, 3)
-			before, after := replayMoves(streams, boxes, asFound), replayMoves(streams, boxes, ordered)
+			streams := lostStreams(seed, 3)
+			before, after := replayMoves(streams, asFound), replayMoves(streams, ordered)
 			if 2*after[0] < 3*before[0] {
 				t.Errorf("most urgent streams in time: %d, in the order found %d", after[0], before[0])
 			}
-			streams = lostStreams(seed, boxes, perBox, 1)
-			before, after = replayMoves(streams, boxes, asFound), replayMoves(streams, boxes, ordered)
+			streams = lostStreams(seed, 1)
+			before, after = replayMoves(streams, asFound), replayMoves(streams, ordered)
 			if after[0] <= before[0] {
 				t.Errorf("streams in time without priorities: %d, in the order found %d", after[0], before[0])
 			}
