--- a/forward/repair.go
+++ b/forward/repair.go
@@ -37,14 +37,18 @@
 // Unwrap returns the cause.
 func (e *MoveRefusedError) Unwrap() error { return e.Err }
 
-// leaveServers continues a stream without the failed servers of its path.
+// leaveServers continues a stream without the failed servers of its path. If that is not possible
+// now, the stream waits.
 func (h *Handler) leaveServers(ctx context.Context, a *streamAttempt, path fleet.Path, started bool, failed []slatebridge.ServerID) {
 	if started && !slices.Contains(failed, path[0].Server.ID) {
 		h.replaceServers(ctx, a, path, failed)
 
 		return
 	}
-	h.restartElsewhere(ctx, a, path, failed)
+	if !h.restartElsewhere(ctx, a, path, failed) {
+		h.metrics.repairDone(repairWaits)
+		a.setWaits(repairedInOrder(a.request.route) && a.replaceable())
+	}
 }
 
 // replaceServers moves a stream off some of the servers of its path, other than the first. Instead,
@@ -78,8 +82,7 @@
 		if r.send(ctx) == nil {
 			return
 		}
-		r.reservation.Release()
-		r.shortage = fleet.NoCapacity
+		r.dropPath()
 	}
 	h.logWaiting(a, r.exclude, r.shortage)
 }
@@ -127,11 +130,7 @@
 // Load pattern: the servers that replace a lost one are nearly full. What a box knows of their
 // memory is older than the moves of other boxes, so that some refuse while others have room.
 func (r *streamRepair) move(ctx context.Context) bool {
-	moves := 1
-	if repairedInOrder(r.a.request.route) {
-		moves = maxMoves
-	}
-	for range moves {
+	for range maxMoves {
 		r.next, r.reservation, r.shortage = r.h.fleet.Repair(r.h.repairQuery(r.a, r.exclude), r.path)
 		// If the new path has more hops between halls, all tokens of the stream must be transferred
 		// over slow links. After a crash many streams do so at once and stall for longer than their
@@ -155,17 +154,17 @@
 // be tried. If it is not known whether the stream was moved, the path is kept for a repetition of
 // the same move.
 func (r *streamRepair) excludeRefusing(err error) bool {
-	var refused *MoveRefusedError
-	isRefused := errors.As(err, &refused)
-	if !isRefused && repairedInOrder(r.a.request.route) {
+	if !repairedInOrder(r.a.request.route) {
+		r.dropPath()
+
 		return false
 	}
-	var faulty []slatebridge.ServerID
-	if isRefused {
-		faulty = r.refusingServers(refused.FaultAddress)
+	var refused *MoveRefusedError
+	if !errors.As(err, &refused) {
+		return false
 	}
-	r.reservation.Release()
-	r.next, r.reservation, r.shortage = nil, nil, fleet.NoCapacity
+	faulty := r.refusingServers(refused.FaultAddress)
+	r.dropPath()
 	if len(faulty) == 0 {
 		return false
 	}
@@ -179,6 +178,12 @@
 	return true
 }
 
+// dropPath drops the next path, which has no room for the stream.
+func (r *streamRepair) dropPath() {
+	r.reservation.Release()
+	r.next, r.reservation, r.shortage = nil, nil, fleet.NoCapacity
+}
+
 // refusingServers returns the server of the next path with the address. If no server of the path has
 // it, any server that is new to the stream may have refused it. The result is empty if the first
 // server refused it, which cannot be replaced.
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -388,6 +388,30 @@
 	})
 }
 
+// TestWaitingForRetry checks that a stream that lost its first server when the budget had no retry is
+// restarted soon after there is one.
+func TestWaitingForRetry(t *testing.T) {
+	withRepairs(t, 0, []string{"s1"}, func(rt *repairTest) {
+		rt.h.activity.begin()
+		ctx, cancel := context.WithCancel(rt.Context())
+		defer cancel()
+		go rt.h.WatchStreams(ctx)
+		a := rt.stream("r", 0)
+		rt.h.fleet.Set(catalog.Server{ID: "f2", Service: "llm", Hall: "a", Accelerator: "big", Layers: slatebridge.LayerRange{To: 4}})
+		rt.h.fleet.Suspect("first", clock.Now().Add(suspicionTTL))
+		// Of the regular checks, one is just over and the next one comes after half a second.
+		time.Sleep(600 * time.Millisecond)
+		if !a.replaceable() {
+			rt.Fatal("the stream is restarted without a retry")
+		}
+		rt.h.SetBounds(Bounds{Retry: retry.Bounds{Extra: 100, Window: 10 * time.Second}})
+		time.Sleep(repairRetryInterval + 2*watchInterval)
+		if a.replaceable() {
+			rt.Error("the stream still waits")
+		}
+	})
+}
+
 // TestWaitingStreams replays replacements without room, at which more streams wait than have room as
 // others end there. It checks that the most urgent ones get it.
 func TestWaitingStreams(t *testing.T) {
