--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -54,7 +54,11 @@
 	if !ok {
 		known.since = now
 	}
-	known.failed = append(slices.Clone(known.failed), failed...)
+	for _, id := range failed {
+		if !slices.Contains(known.failed, id) {
+			known.failed = append(known.failed, id)
+		}
+	}
 	q.found[a] = known
 	q.queue.Add(a, first, s)
 }
--- a/repair/order.go
+++ b/repair/order.go
@@ -22,6 +22,10 @@
 	RemainingTokens int
 }
 
+// maxPlanned bounds the streams that are planned to be in time, and so what the order costs. The
+// pauses of more streams are over before their turn.
+const maxPlanned = 500
+
 // Order returns the streams, as indexes, in the order in which they are repaired, and how many of
 // them are expected to be in time. These come first: the more urgent before the less urgent, unless
 // one would then be late, and else by their deadlines. The others follow: first those whose callers
@@ -63,6 +67,11 @@
 // add adds a stream to those that are in time. If they cannot all be, the one with the longest turn
 // among the least urgent ones is left out. Streams are added by priority and deadline.
 func (p *plan) add(i int) {
+	if len(p.inTime) == maxPlanned {
+		p.late = append(p.late, i)
+
+		return
+	}
 	at, _ := slices.BinarySearchFunc(p.inTime, i, p.compareDeadlines)
 	p.inTime = slices.Insert(p.inTime, at, i)
 	missed := p.firstMissed(p.inTime)
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -228,3 +228,21 @@
 		})
 	}
 }
+
+// BenchmarkOrder measures the order of very many streams whose turns are not known.
+func BenchmarkOrder(b *testing.B) {
+	for _, n := range []int{30, 300, 5000} {
+		b.Run(fmt.Sprint("streams=", n), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			streams := make([]Stream, 0, n)
+			for range n {
+				s := stream(rng.IntN(3), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
+				s.Turn = 0
+				streams = append(streams, s)
+			}
+			for b.Loop() {
+				Order(streams, lostAt)
+			}
+		})
+	}
+}
