Room for repairs is computed in one pass over the servers; losses of servers whose model or layers have gone

Cause: with a hall of hundreds of servers lost, each search passed over all servers for each layer of each loss; a server whose service lost its model would have been used without one.

--- a/fleet/loss.go
+++ b/fleet/loss.go
@@ -21,9 +21,6 @@
 
 // recordLoss records that a server was lost just now. The caller holds mu.
 func (f *Fleet) recordLoss(m *member) {
-	if m.model == nil || m.Layers.Len() == 0 {
-		return
-	}
 	if _, known := f.losses[m.ID]; !known {
 		f.losses[m.ID] = loss{member: m, at: f.now()}
 	}
@@ -41,6 +38,8 @@
 		switch {
 		case now.Sub(l.at) > maxLossAge:
 			delete(f.losses, id)
+		case l.member.model == nil || l.member.Layers.Len() == 0:
+			// It has no model by a newer configuration, or its entry names no layers any more.
 		case l.member.load().Requests >= 1:
 			out = append(out, l)
 		}
@@ -73,49 +72,48 @@
 // neededRepairRoom returns the memory that streams of the service need after recent losses; nil if
 // there are none. It shrinks as the streams are repaired. The caller holds mu.
 func (f *Fleet) neededRepairRoom(service string) repairRoom {
-	var room repairRoom
+	room := make(repairRoom)
 	for _, l := range f.recentLosses() {
-		if l.member.Service != service {
-			continue
-		}
-		if room == nil {
-			room = make(repairRoom)
+		if l.member.Service == service {
+			room.addLoss(l.member)
 		}
-		f.addLoss(room, l.member)
 	}
-
-	return room
-}
-
-// addLoss adds the memory that the streams of a lost server need.
-func (f *Fleet) addLoss(room repairRoom, lost *member) {
-	perLayer := room[lost.Hall]
-	if perLayer == nil {
-		perLayer = make([]float64, lost.model.Layers)
-		room[lost.Hall] = perLayer
+	if len(room) == 0 {
+		return nil
 	}
-	servers := make([]int, len(perLayer))
 	now := f.now()
-	for _, m := range f.membersOf(lost.Service) {
-		if !m.replaces(lost, now) {
-			continue
-		}
-		for layer := max(m.Layers.From, lost.Layers.From); layer < min(m.Layers.To, lost.Layers.To, len(servers)); layer++ {
-			servers[layer]++
+	servers := make(map[slatebridge.HallID][]float64, len(room))
+	for hall, perLayer := range room {
+		servers[hall] = make([]float64, len(perLayer))
+	}
+	for _, m := range f.membersOf(service) {
+		if count := servers[m.Hall]; count != nil && m.available(now) {
+			addToLayers(count, m.Layers, 1)
 		}
 	}
-	tokens := lost.load().TokenLayers / float64(lost.Layers.Len())
-	for layer, n := range servers {
-		if n > 0 {
-			perLayer[layer] += tokens / float64(n)
+	for hall, perLayer := range room {
+		for layer, n := range servers[hall] {
+			// Layers that no server of the hall holds need no room there.
+			perLayer[layer] /= max(1, n)
 		}
 	}
+
+	return room
+}
+
+// addLoss adds the memory that all streams of a lost server need.
+func (r repairRoom) addLoss(lost *member) {
+	if r[lost.Hall] == nil {
+		r[lost.Hall] = make([]float64, lost.model.Layers)
+	}
+	addToLayers(r[lost.Hall], lost.Layers, lost.load().TokenLayers/float64(lost.Layers.Len()))
 }
 
-// replaces reports whether the server may take over streams of the lost one, if it holds their
-// layers.
-func (m *member) replaces(lost *member, now time.Time) bool {
-	return m != lost && m.Hall == lost.Hall && m.available(now)
+// addToLayers adds a value to each layer of the range.
+func addToLayers(perLayer []float64, layers slatebridge.LayerRange, value float64) {
+	for layer := layers.From; layer < min(layers.To, len(perLayer)); layer++ {
+		perLayer[layer] += value
+	}
 }
 
 // replacements returns the available servers of a lost server's hall that hold the layer and are
@@ -124,7 +122,7 @@
 	now := f.now()
 	var out []*member
 	for _, m := range f.membersOf(lost.Service) {
-		if m.replaces(lost, now) && m.hasLayer(layer) && !slices.Contains(exclude, m.ID) {
+		if m != lost && m.Hall == lost.Hall && m.hasLayer(layer) && m.available(now) && !slices.Contains(exclude, m.ID) {
 			out = append(out, m)
 		}
 	}
--- a/fleet/loss_test.go
+++ b/fleet/loss_test.go
@@ -88,6 +88,35 @@
 	})
 }
 
+// TestLossOfChangedServer checks losses of servers that lose their model or their layers meanwhile.
+func TestLossOfChangedServer(t *testing.T) {
+	for name, change := range map[string]func(f *Fleet){
+		"service without a model": func(f *Fleet) {
+			f.SetCatalog(catalog.New(2, catalog.Limits{}, nil, []catalog.Service{{Name: "llm"}}, nil, false))
+		},
+		"entry without layers": func(f *Fleet) {
+			f.Set(catalog.Server{ID: "a2", Service: "llm", Hall: "a", Accelerator: "big"})
+		},
+		"service without its servers": func(f *Fleet) {
+			f.Set(catalog.Server{ID: "a2", Service: "till", Hall: "a"})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := lossFleet(t)
+				path, _, _ := f.FindPath(Query{Service: "llm", Tokens: 10, Exclude: []slatebridge.ServerID{"a0", "a3"}})
+				f.Suspect("a2", time.Now().Add(time.Minute))
+				change(f)
+				if lost := f.RecentLosses(); lost != nil {
+					t.Errorf("losses %v", lost)
+				}
+				f.FindPath(keepRoom(10))
+				f.Takeover(path, []slatebridge.ServerID{"a2"}, 10)
+			})
+		})
+	}
+}
+
 // TestRoomForRepairsWithoutLoss replays requests with and without the limit, in a fleet that loses no
 // server, and checks that the paths are the same.
 func TestRoomForRepairsWithoutLoss(t *testing.T) {
