--- a/event/event.go
+++ b/event/event.go
@@ -90,6 +90,10 @@
 	RoomUnanswered        ID = 441
 	RoomLedgerHeld        ID = 442
 	RoomLedgerDropped     ID = 443
+	RepairsQueued         ID = 460
+	MoveRefused           ID = 461
+	RestartPreferred      ID = 462
+	RepairRoomKept        ID = 463
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
