--- a/box/room_test.go
+++ b/box/room_test.go
@@ -315,3 +315,49 @@
 		}
 	}
 }
+
+// TestClaimInTwoHalls checks that room claimed in one hall is released if another hall has none.
+func TestClaimInTwoHalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		boxes := startBoxesInHalls(t, memnet.New(), map[slatebridge.HallID]int{"a": 1, "b": 2}, 4, Bounds{MaxStaleness: 2 * time.Second, MaxRevocationDelay: 5 * time.Second, RetryWindow: time.Second})
+		first, second := roomServer, roomServer
+		first.Layers, second.ID, second.Hall, second.Layers = slatebridge.LayerRange{To: 2}, "b1", "b", slatebridge.LayerRange{From: 2, To: 4}
+		for _, b := range boxes {
+			setRoomModel(b)
+			b.fleet.Set(first)
+			b.fleet.Set(second)
+		}
+		time.Sleep(6*time.Second + tickInterval/2)
+		claimer := boxes[slices.IndexFunc(boxes, func(b *Box) bool { return b.settings.Hall == "a" && !holdsRoomLedger(b) })]
+		claim := func(tokens float64) forward.RoomAnswer {
+			answer, err := claimer.rooms.claim(t.Context(), forward.RoomClaim{
+				Service: "llm", Path: fleet.Path{{Server: first, Layers: first.Layers}, {Server: second, Layers: second.Layers}},
+				Tokens: tokens, Halls: []slatebridge.HallID{"a", "b"},
+			})
+			if err != nil {
+				t.Error(err)
+			}
+
+			return answer
+		}
+		// pending returns the number of claims that the ledger of hall a counts.
+		pending := func() int {
+			holder := boxes[slices.IndexFunc(boxes, holdsRoomLedger)]
+			holder.rooms.mu.Lock()
+			defer holder.rooms.mu.Unlock()
+
+			return holder.rooms.ledgers["llm"].Len()
+		}
+		if a := claim(1000); len(a.Full) != 0 || pending() != 1 {
+			t.Errorf("%v is full, %d claims count", a.Full, pending())
+		}
+		for _, b := range boxes {
+			b.fleet.SetPeerGroupLoads("test", map[uint32]fleet.Load{fleet.ShortID("b1"): {Requests: 1, TokenLayers: 1e9}})
+		}
+		a := claim(10)
+		synctest.Wait()
+		if diff := cmp.Diff([]slatebridge.ServerID{"b1"}, a.Full); diff != "" || pending() != 1 {
+			t.Errorf("%d claims count, full: %s", pending(), diff)
+		}
+	})
+}
