--- a/event/event.go
+++ b/event/event.go
@@ -84,6 +84,7 @@
 	TrialRefused          ID = 420
 	EndedAgain            ID = 421
 	QuarantineLifted      ID = 422
+	ShortageBegan         ID = 470
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -137,6 +138,8 @@
 	// stalledAt is when this process was last found to have stalled, in Unix nanoseconds.
 	stalledAt atomic.Int64
 	latencies latencyStats
+	// returns holds the *serviceReturns of each service that refused a request, by name.
+	returns sync.Map
 	// livenessQueue holds servers whose liveness is to be checked.
 	livenessQueue chan slatebridge.ServerID
 	ledger        *quarantine.Ledger
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -22,6 +23,8 @@
 	longestPause  prometheus.Histogram
 	notices       *prometheus.CounterVec
 	grants        *prometheus.CounterVec
+	returns       *prometheus.CounterVec
+	returnDelay   prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -58,7 +61,14 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_grants_total", Help: "Requests for grants for rate-limited backend servers, by outcome (taken, refused, unanswered, given back).",
 	}, []string{"what"})
-	reg.MustRegister(m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	m.returns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_returns_planned_total", Help: "Streams refused for lack of room, by service and how their return was planned (turn, late, unplanned).",
+	}, []string{"service", "plan"})
+	m.returnDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "slatebridge_return_delay_seconds", Help: "Time after which the callers of streams refused for lack of room were told to return.",
+		Buckets: []float64{.5, 1, 2, 3, 5, 10, 20},
+	})
+	reg.MustRegister(m.returns, m.returnDelay, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -108,3 +118,9 @@
 
 // grantRequested counts a request for a grant by its outcome.
 func (m *Metrics) grantRequested(outcome string) { m.grants.WithLabelValues(outcome).Inc() }
+
+// returnPlanned counts a refused stream by how the return of its caller was planned.
+func (m *Metrics) returnPlanned(service string, plan overload.ReturnPlan, delay time.Duration) {
+	m.returns.WithLabelValues(service, plan.String()).Inc()
+	m.returnDelay.Observe(delay.Seconds())
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -306,6 +306,7 @@
 		return t.handleNoResponse(ctx, path, r)
 	}
 	defer func() { _ = r.resp.Body.Close() }()
+	t.recordRoomFound()
 	t.recordRan(first.ID)
 	t.h.fleet.RecordAcceptance(serverIDs(path)...)
 	if r.resp.StatusCode != http.StatusOK {
@@ -411,7 +412,7 @@
 		e = result.New(result.AttemptsExhausted, "%s", e.Detail)
 	}
 	if !t.headWritten {
-		t.h.refuse(t.w, t.c, e)
+		t.h.refuse(t.w, t.c, t.withReturn(e))
 
 		return
 	}
--- a/lab/box.go
+++ b/lab/box.go
@@ -8,6 +8,7 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/observe"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/retry"
 )
@@ -22,6 +23,8 @@
 	streamDurations *observe.DurationHistogram
 	activeRequests  map[*request]bool
 	down            bool
+	// returns decides when refused callers return.
+	returns overload.Returns
 	// ledger tracks poison requests.
 	ledger *quarantine.Ledger
 	// suspendedUntil is the end of the current suspension.
@@ -48,6 +51,7 @@
 	b.streamDurations = observe.NewDurationHistogram(streamDurationWindow, observe.WithClock(now))
 	b.activeRequests = make(map[*request]bool)
 	b.ledger = quarantine.New()
+	b.returns = overload.Returns{}
 	b.down = false
 }
 
--- a/lab/execution.go
+++ b/lab/execution.go
@@ -8,6 +8,9 @@
 // execute starts the execution of the request by the servers of its path. The caller gives up if no
 // token arrives within callerTokenTimeout.
 func (q *request) execute() {
+	if len(q.executedBy) == 0 {
+		q.box.returns.RecordAdmitted(q.sim.clock())
+	}
 	if !slices.Contains(q.executedBy, q.path[0].Server.ID) {
 		q.executedBy = append(q.executedBy, q.path[0].Server.ID)
 	}
--- a/lab/request.go
+++ b/lab/request.go
@@ -192,6 +192,16 @@
 	return overload.CapacityRetryAfter(median, q.sim.rand.Float64())
 }
 
+// planReturn returns the delay after which the caller of a request refused for lack of room should
+// retry.
+func (q *request) planReturn() time.Duration {
+	median, _ := q.box.streamDurations.Quantile(medianQuantile)
+	f := overload.Refusal{TimeLeft: q.deadline() - q.sim.now, UsualDuration: median, Random: q.sim.rand.Float64()}
+	delay, _, _ := q.box.returns.Refuse(f, q.sim.clock())
+
+	return delay
+}
+
 // liveExecutors returns the servers that have executed the request and are not lost.
 func (q *request) liveExecutors() []slatebridge.ServerID {
 	return slices.DeleteFunc(slices.Clone(q.executedBy), func(id slatebridge.ServerID) bool { return q.sim.cluster.servers[id].lost })
@@ -303,6 +313,9 @@
 
 		return
 	}
+	if code == result.Overloaded && !q.sim.scenario.UnplannedReturns {
+		retryAfter = q.planReturn()
+	}
 	delete(q.box.activeRequests, q)
 	q.holdTime += q.sim.now - q.tryStartedAt
 	q.sim.result.refusalsByCode[code]++
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -51,6 +51,9 @@
 	// IgnoreServerNotices makes boxes ignore the cooldown, leaving and rate-limit notices of
 	// servers, as a baseline.
 	IgnoreServerNotices bool `toml:"deaf"`
+	// UnplannedReturns makes boxes tell refused callers to return after about the duration of a
+	// stream, as a baseline.
+	UnplannedReturns bool `toml:"unplanned_returns"`
 	// Faults are the [[trouble]] tables, in any order.
 	Faults []Fault `toml:"trouble"`
 }
