--- a/forward/return.go
+++ b/forward/return.go
@@ -39,15 +39,23 @@
 	s.returns.RecordAdmitted(clock.Now())
 }
 
-// withReturn sets when the caller of a stream should return that is refused for lack of room.
+// withReturn sets when the caller of a stream should return that is refused for lack of room. A
+// caller that resumes a stream takes no turn, since it has part of the answer already.
 func (t *streamRequest) withReturn(e *result.Error) *result.Error {
 	c := t.c
-	if e.Code != result.Overloaded || e.Execution != result.NotExecuted || !schedulesReturns(c.route) || t.ctx.Err() != nil {
+	if e.Code != result.Overloaded || e.Execution != result.NotExecuted || !schedulesReturns(c.route) || c.LastEventID > 0 || t.ctx.Err() != nil {
 		return e
 	}
 	delay, plan := t.h.scheduleReturn(c)
 
-	return result.New(e.Code, "%s; its return is planned as %s", e.Detail, plan).WithRetryAfter(delay)
+	return result.New(e.Code, "%s; %s", e.Detail, returnDetails[plan]).WithRetryAfter(delay)
+}
+
+// returnDetails says in the detail of a refusal how the return of its caller was planned.
+var returnDetails = map[overload.ReturnPlan]string{
+	overload.ReturnUnplanned: "it is not known yet when there will be room",
+	overload.ReturnInTurn:    "Retry-After is the caller's turn to return",
+	overload.ReturnLate:      "all turns to return within the time left are taken",
 }
 
 // scheduleReturn returns after which time the caller of a refused request should return.
--- a/overload/shortage.go
+++ b/overload/shortage.go
@@ -65,12 +65,16 @@
 
 		return
 	}
-	decay := math.Exp(-now.Sub(s.at).Seconds() / shortageWindow.Seconds())
-	s.admitted *= decay
-	s.short = s.short*decay + max(0, min(now.Sub(s.at), s.until.Sub(s.at))).Seconds()
+	elapsed := now.Sub(s.at)
+	short := max(0, min(elapsed, s.until.Sub(s.at)))
+	s.admitted *= weightAfter(elapsed)
+	s.short = s.short*weightAfter(elapsed) + short.Seconds()*weightAfter(elapsed-short)
 	s.at = now
 }
 
+// weightAfter returns the weight that is left to an observation after a time.
+func weightAfter(d time.Duration) float64 { return math.Exp(-d.Seconds() / shortageWindow.Seconds()) }
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
