--- a/forward/forward.go
+++ b/forward/forward.go
@@ -138,6 +138,8 @@
 	// stalledAt is when this process was last found to have stalled, in Unix nanoseconds.
 	stalledAt atomic.Int64
 	latencies latencyStats
+	// priorities holds the *servicePriority of each service, by name.
+	priorities sync.Map
 	// returns holds the *serviceReturns of each service that refused a request, by name.
 	returns sync.Map
 	// livenessQueue holds servers whose liveness is to be checked.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,7 +39,9 @@
 	// is set, that is, if there are requests of other priorities before the service.
 	priority    int
 	prioritized bool
-	state       State
+	// servicePriority is the state of the decisions by priority for the service; nil unless prioritized.
+	servicePriority *servicePriority
+	state           State
 	// plainAttempts counts the attempts at single servers, including those that were not sent. It
 	// stays zero for a stream over paths.
 	plainAttempts int
@@ -160,7 +162,8 @@
 		c.deadline = c.startedAt.Add(c.Timeout)
 	}
 	c.service = c.route.ChooseService(h.random())
-	c.priority, c.prioritized = catalog.Priority(c.route, c.state.Catalog.Account(c.APIKey)), c.state.Catalog.Prioritized(c.service)
+	c.prioritized = c.state.Catalog.Prioritized(c.service)
+	c.priority = c.state.Catalog.Priority(c.service, c.route, c.state.Catalog.Account(c.APIKey))
 	c.header = endToEndHeaders(r.Header)
 
 	if e := h.readBody(w, r, c); e != nil {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/overload"
+	"github.com/slatebridge/slatebridge/priority"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -25,6 +26,7 @@
 	grants        *prometheus.CounterVec
 	returns       *prometheus.CounterVec
 	returnDelay   prometheus.Histogram
+	priorities    *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -68,7 +70,10 @@
 		Name: "slatebridge_return_delay_seconds", Help: "Time after which the callers of streams refused for lack of room were told to return.",
 		Buckets: []float64{.5, 1, 2, 3, 5, 10, 20},
 	})
-	reg.MustRegister(m.returns, m.returnDelay, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	m.priorities = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_priority_requests_total", Help: "Streams of services with requests of several priorities, by priority and what was decided (offered, admitted, refused for the room kept for more urgent ones, preferred because their class or account was admitted rarely).",
+	}, []string{"priority", "what"})
+	reg.MustRegister(m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -124,3 +129,16 @@
 	m.returns.WithLabelValues(service, plan.String()).Inc()
 	m.returnDelay.Observe(delay.Seconds())
 }
+
+// Values of the label "what" of slatebridge_priority_requests_total.
+const (
+	priorityOffered   = "offered"
+	priorityAdmitted  = "admitted"
+	priorityRefused   = "refused"
+	priorityPreferred = "preferred"
+)
+
+// priorityCounter returns the counter of requests by their priority and what was decided about them.
+func (m *Metrics) priorityCounter(class int, what string) prometheus.Counter {
+	return m.priorities.WithLabelValues(strconv.Itoa(priority.ClassIndex(class)), what)
+}
--- a/forward/return_test.go
+++ b/forward/return_test.go
@@ -78,7 +78,9 @@
 		checkPlan(refusedStream(h, objective), overload.ReturnUnplanned)
 		for range 10 {
 			time.Sleep(100 * time.Millisecond)
-			refusedStream(h, objective).withReturn(errNoRoom)
+			if e := refusedStream(h, objective).withReturn(errNoRoom); e.Code != result.Overloaded {
+				t.Errorf("refused with code %d", e.Code)
+			}
 			refusedStream(h, objective).recordRoomFound()
 		}
 		checkPlan(refusedStream(h, objective), overload.ReturnInTurn)
--- a/lab/box.go
+++ b/lab/box.go
@@ -9,6 +9,7 @@
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/observe"
 	"github.com/slatebridge/slatebridge/overload"
+	"github.com/slatebridge/slatebridge/priority"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/retry"
 )
@@ -27,6 +28,8 @@
 	returns overload.Returns
 	// ledger tracks poison requests.
 	ledger *quarantine.Ledger
+	// priorities tracks the requests by class.
+	priorities *priority.Tracker
 	// suspendedUntil is the end of the current suspension.
 	suspendedUntil time.Duration
 }
@@ -52,6 +55,7 @@
 	b.activeRequests = make(map[*request]bool)
 	b.ledger = quarantine.New()
 	b.returns = overload.Returns{}
+	b.priorities = priority.NewTracker(now())
 	b.down = false
 }
 
--- a/lab/execution.go
+++ b/lab/execution.go
@@ -11,6 +11,7 @@
 	if len(q.executedBy) == 0 {
 		q.box.returns.RecordAdmitted(q.sim.clock())
 	}
+	q.recordAdmitted()
 	if !slices.Contains(q.executedBy, q.path[0].Server.ID) {
 		q.executedBy = append(q.executedBy, q.path[0].Server.ID)
 	}
