--- a/forward/return_test.go
+++ b/forward/return_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -90,6 +92,19 @@
 	})
 }
 
+// TestFailPlansReturn checks that the caller of a refused stream is sent its time to return, and that
+// the refusal still says that the request was not executed.
+func TestFailPlansReturn(t *testing.T) {
+	h := returnsHandler()
+	var sent *result.Error
+	h.codec.WriteError = func(_ http.ResponseWriter, _ string, e *result.Error) { sent = e }
+	refusedStream(h, time.Second).fail(errNoRoom)
+	want := result.New(result.Overloaded, "no room; %s", returnDetails[overload.ReturnUnplanned]).WithRetryAfter(overload.MinRetryAfter)
+	if diff := cmp.Diff(want, sent); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
+
 // TestRecordRoomFound checks that a stream costs no memory while there is room.
 func TestRecordRoomFound(t *testing.T) {
 	h := returnsHandler()
