--- a/event/event.go
+++ b/event/event.go
@@ -86,6 +86,10 @@
 	QuarantineLifted      ID = 422
 	PriorityLimited       ID = 430
 	UnderservedPreferred  ID = 431
+	RepairsQueued         ID = 460
+	MoveRefused           ID = 461
+	RestartPreferred      ID = 462
+	RepairRoomKept        ID = 463
 	ShortageBegan         ID = 470
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
--- a/forward/room.go
+++ b/forward/room.go
@@ -116,14 +116,22 @@
 
 // roomLimits returns how far the request may fill the servers of its path. running says that a
 // server may have run the request already; such a request, and one whose caller resumes a stream,
-// leaves no room to others.
+// is a stream under way.
 func (h *Handler) roomLimits(c *inboundRequest, running bool) fleet.Limits {
+	if running || c.LastEventID > 0 {
+		return h.runningLimits(c)
+	}
+	limits := h.priorityLimits(c)
+	limits.KeepForRepairs = repairedInOrder(c.route)
+
+	return limits
+}
+
+// priorityLimits returns how far a new request may fill servers by its priority.
+func (h *Handler) priorityLimits(c *inboundRequest) fleet.Limits {
 	if !c.prioritized {
 		return fleet.Limits{}
 	}
-	if running || c.LastEventID > 0 {
-		return fleet.LimitsWithReserve(0, 0)
-	}
 	s, now := c.servicePriority, clock.Now()
 	r := s.tracker.Reserve(c.priorityRequest(), h.supply(s, c, now), now)
 	if r.Reason == priority.Underserved {
@@ -154,6 +162,7 @@
 func (h *Handler) noRoomError(c *inboundRequest, q fleet.Query, firsts []slatebridge.ServerID, s fleet.Shortage) *result.Error {
 	e := h.noPathError(c, s)
 	full := fleet.LimitsWithReserve(0, 0)
+	full.KeepForRepairs = q.Limits.KeepForRepairs
 	if !c.prioritized || e.Code != result.Overloaded || q.Limits == full {
 		return e
 	}
@@ -170,7 +179,26 @@
 	return result.New(result.Overloaded, "the room left is kept for more urgent requests").WithRetryAfter(e.RetryAfter)
 }
 
+// runningMemoryShare is the share of a server's memory that streams under way may fill after servers
+// were lost. The rest covers what boxes do not know of each other: a server that has no room rejects
+// the stream.
+const runningMemoryShare = 0.97
+
+// runningLimits returns how far a stream under way may fill the servers of another path. It leaves
+// no room to others; after servers were lost, new requests leave it the rest of the memory.
+func (h *Handler) runningLimits(c *inboundRequest) fleet.Limits {
+	var limits fleet.Limits
+	if c.prioritized {
+		limits = fleet.LimitsWithReserve(0, 0)
+	}
+	if repairedInOrder(c.route) && len(h.fleet.RecentLosses()) > 0 {
+		limits.Memory = runningMemoryShare
+	}
+
+	return limits
+}
+
 // repairQuery returns the query for another path of a stream under way.
 func (h *Handler) repairQuery(a *streamAttempt, exclude []slatebridge.ServerID) fleet.Query {
-	return fleet.Query{Service: a.service, Tokens: a.kvTokens, Exclude: exclude, Limits: h.roomLimits(a.request, true)}
+	return fleet.Query{Service: a.service, Tokens: a.kvTokens, Exclude: exclude, Limits: h.runningLimits(a.request)}
 }
