--- a/event/event.go
+++ b/event/event.go
@@ -90,6 +90,7 @@
 	MoveRefused           ID = 461
 	RestartPreferred      ID = 462
 	RepairRoomKept        ID = 463
+	ShortageBegan         ID = 470
 	ClaimWon              ID = 500
 	ClaimLost             ID = 501
 	ClaimGivenUp          ID = 502
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -141,6 +141,8 @@
 	latencies latencyStats
 	// priorities holds the *servicePriority of each service, by name.
 	priorities sync.Map
+	// returns holds the *serviceReturns of each service that refused a request, by name.
+	returns sync.Map
 	// livenessQueue holds servers whose liveness is to be checked.
 	livenessQueue chan slatebridge.ServerID
 	ledger        *quarantine.Ledger
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/priority"
 	"github.com/slatebridge/slatebridge/result"
 )
@@ -26,6 +27,8 @@
 	stalls        prometheus.Counter
 	notices       *prometheus.CounterVec
 	grants        *prometheus.CounterVec
+	returns       *prometheus.CounterVec
+	returnDelay   prometheus.Histogram
 	priorities    *prometheus.CounterVec
 }
 
@@ -74,10 +77,17 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_grants_total", Help: "Requests for grants for rate-limited backend servers, by outcome (taken, refused, unanswered, given back).",
 	}, []string{"what"})
+	m.returns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_returns_planned_total", Help: "Streams refused for lack of room, by service and how their return was planned (turn, late, unplanned).",
+	}, []string{"service", "plan"})
+	m.returnDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "slatebridge_return_delay_seconds", Help: "Time after which the callers of streams refused for lack of room were told to return.",
+		Buckets: []float64{.5, 1, 2, 3, 5, 10, 20},
+	})
 	m.priorities = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_priority_requests_total", Help: "Streams of services with requests of several priorities, by priority and what was decided (offered, admitted, refused for the room kept for more urgent ones, preferred because their class or account was admitted rarely).",
 	}, []string{"priority", "what"})
-	reg.MustRegister(m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	reg.MustRegister(m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -144,6 +154,12 @@
 // grantRequested counts a request for a grant by its outcome.
 func (m *Metrics) grantRequested(outcome string) { m.grants.WithLabelValues(outcome).Inc() }
 
+// returnPlanned counts a refused stream by how the return of its caller was planned.
+func (m *Metrics) returnPlanned(service string, plan overload.ReturnPlan, delay time.Duration) {
+	m.returns.WithLabelValues(service, plan.String()).Inc()
+	m.returnDelay.Observe(delay.Seconds())
+}
+
 // Values of the label "what" of slatebridge_priority_requests_total.
 const (
 	priorityOffered   = "offered"
--- a/lab/box.go
+++ b/lab/box.go
@@ -8,6 +8,7 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/observe"
+	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/priority"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/retry"
@@ -23,6 +24,8 @@
 	streamDurations *observe.DurationHistogram
 	activeRequests  map[*request]bool
 	down            bool
+	// returns decides when refused callers return.
+	returns overload.Returns
 	// ledger tracks poison requests.
 	ledger *quarantine.Ledger
 	// priorities tracks the requests by class.
@@ -51,6 +54,7 @@
 	b.streamDurations = observe.NewDurationHistogram(streamDurationWindow, observe.WithClock(now))
 	b.activeRequests = make(map[*request]bool)
 	b.ledger = quarantine.New()
+	b.returns = overload.Returns{}
 	b.priorities = priority.NewTracker(now())
 	b.down = false
 }
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -54,6 +54,9 @@
 	// Prioritized gives the classes the priorities of their ranks. Without it, the rank of a class
 	// changes no decision.
 	Prioritized bool `toml:"priorities"`
+	// UnplannedReturns makes boxes tell refused callers to return after about the duration of a
+	// stream, as a baseline.
+	UnplannedReturns bool `toml:"unplanned_returns"`
 	// Faults are the [[trouble]] tables, in any order.
 	Faults []Fault `toml:"trouble"`
 }
