--- a/event/event.go
+++ b/event/event.go
@@ -86,6 +86,10 @@
 	QuarantineLifted      ID = 422
 	PriorityLimited       ID = 430
 	UnderservedPreferred  ID = 431
+	RoomRefused           ID = 440
+	RoomUnanswered        ID = 441
+	RoomLedgerHeld        ID = 442
+	RoomLedgerDropped     ID = 443
 	RepairsQueued         ID = 460
 	MoveRefused           ID = 461
 	RestartPreferred      ID = 462
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -28,11 +28,18 @@
 	return Limits{Memory: maxPlannedFill - memory, Slots: 1 - slots}
 }
 
+// MemoryShares returns the shares of the memory that may be in use before the request and with it.
+func (l Limits) MemoryShares() (before, with float64) {
+	before = cmp.Or(l.Memory, maxPlannedFill)
+
+	return before, max(before, maxPlannedFill)
+}
+
 // hasRoom reports whether the server has room for one more request of the given size within the
 // limits.
 func (m *member) hasRoom(q Query, used Load) bool {
-	limit, capacity := cmp.Or(q.Limits.Memory, maxPlannedFill), m.capacity()
-	if used.TokenLayers+q.Tokens*float64(m.Layers.Len()) > max(limit, maxPlannedFill)*capacity || used.TokenLayers > limit*capacity {
+	before, with := q.Limits.MemoryShares()
+	if capacity := m.capacity(); used.TokenLayers+q.Tokens*float64(m.Layers.Len()) > with*capacity || used.TokenLayers > before*capacity {
 		return false
 	}
 	if m.Layers.From > 0 || m.Slots <= 0 || q.Limits.Slots <= 0 {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -27,6 +27,7 @@
 	stalls        prometheus.Counter
 	notices       *prometheus.CounterVec
 	grants        *prometheus.CounterVec
+	roomClaims    *prometheus.CounterVec
 	returns       *prometheus.CounterVec
 	returnDelay   prometheus.Histogram
 	priorities    *prometheus.CounterVec
@@ -77,6 +78,9 @@
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_grants_total", Help: "Requests for grants for rate-limited backend servers, by outcome (taken, refused, unanswered, given back).",
 	}, []string{"what"})
+	m.roomClaims = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_room_claims_total", Help: "Claims of room at nearly full backend servers, by outcome (granted, refused, unanswered).",
+	}, []string{"what"})
 	m.returns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_returns_planned_total", Help: "Streams refused for lack of room, by service and how their return was planned (turn, late, unplanned).",
 	}, []string{"service", "plan"})
@@ -87,7 +91,7 @@
 	m.priorities = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_priority_requests_total", Help: "Streams of services with requests of several priorities, by priority and what was decided (offered, admitted, refused for the room kept for more urgent ones, preferred because their class or account was admitted rarely).",
 	}, []string{"priority", "what"})
-	reg.MustRegister(m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	reg.MustRegister(m.roomClaims, m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -135,6 +139,9 @@
 	m.streamMoves.WithLabelValues(how).Inc()
 }
 
+// roomClaimed counts a claim of room by its outcome.
+func (m *Metrics) roomClaimed(outcome string) { m.roomClaims.WithLabelValues(outcome).Inc() }
+
 // Outcomes of a repair.
 const (
 	repairMoved     = "moved"
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -3,6 +3,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"net"
@@ -133,5 +134,5 @@
 		return err
 	}
 
-	return m.Grant.validate()
+	return cmp.Or(m.Grant.validate(), m.Room.validate())
 }
