A new allocator waits its delay also when another allocator changes

Cause: grants kept the allocators before the last change only. Boxes that are lost together leave the list one after the other, so the change after the one in which a box became the allocator made it "the allocator before" too, and it gave grants at once: those of rate-limited servers without the 600 ms, and retries without the 2 s in which it is to hear what was granted before. Found by reading.

Change: the allocators before all changes of the last two seconds are kept; a box waits until the delay has passed since the last of them in which it was not the allocator. One change alone gives the same delay as before.

Run: box.TestHandoverDuringChanges, which fails (0 s are left of 600 ms, and of 2 s) when only the last change is looked at; go test -race ./box, passed.

--- a/box/allocators_test.go
+++ b/box/allocators_test.go
@@ -12,6 +12,7 @@
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/relay"
+	"github.com/slatebridge/slatebridge/retry"
 )
 
 // limited is the rate-limited server of these tests.
@@ -86,6 +87,33 @@
 	}
 }
 
+// TestHandoverDuringChanges checks that a change in another hall does not shorten the delay of a new
+// allocator.
+func TestHandoverDuringChanges(t *testing.T) {
+	c := newTestControl(t)
+	c.box.settings.Box = "a2"
+	g, began := newGrants(c.box), time.Now()
+	for i, halls := range []map[slatebridge.HallID][]slatebridge.BoxID{
+		{"a": {"a1"}, "b": {"b1", "b2"}},
+		{"a": {"a2"}, "b": {"b1", "b2"}},
+		{"a": {"a2"}, "b": {"b1"}},
+		{"a": {"a2"}, "b": {"b2"}},
+	} {
+		v := newAllocators(halls)
+		v.asOf = began.Add(time.Duration(i) * 100 * time.Millisecond)
+		g.setAllocators(v)
+	}
+	becameAt := began.Add(100 * time.Millisecond)
+	for _, delay := range []time.Duration{handoverDelay, retry.GrantorWarmup} {
+		if remaining := g.handoverRemaining(limited, delay, becameAt.Add(delay-time.Millisecond)); remaining != time.Millisecond {
+			t.Errorf("%s are left of a delay of %s, want a millisecond", remaining, delay)
+		}
+		if remaining := g.handoverRemaining(limited, delay, becameAt.Add(delay)); remaining != 0 {
+			t.Errorf("%s are left after a delay of %s", remaining, delay)
+		}
+	}
+}
+
 // TestAllocatorRedirect checks that a box that is not the allocator names the allocator.
 func TestAllocatorRedirect(t *testing.T) {
 	c := newTestControl(t)
--- a/box/grants.go
+++ b/box/grants.go
@@ -18,6 +18,7 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/relay"
+	"github.com/slatebridge/slatebridge/retry"
 )
 
 const (
@@ -29,6 +30,8 @@
 	// handoverDelay is how long a new allocator of a server gives no grants: boxes that have not
 	// yet heard of the change may still ask its predecessor.
 	handoverDelay = 600 * time.Millisecond
+	// maxHandoverDelay is the longest such delay, that of the allocator of a retry pool.
+	maxHandoverDelay = retry.GrantorWarmup
 	// maxGrantObservations limits the observations of a server's rate limit in a grant request.
 	maxGrantObservations = 3
 )
@@ -36,6 +39,13 @@
 // errNoAllocator reports that no reachable box allocates grants for a server.
 var errNoAllocator = errors.New("no reachable box allocates grants for the server")
 
+// earlierAllocators are allocators that were replaced. Views change hall by hall, so a box may become
+// an allocator in the change before the last one.
+type earlierAllocators struct {
+	*allocators
+	until time.Time
+}
+
 // grants requests grants for rate-limited servers and retries from the retry pools of services, and
 // allocates those of which this box is the allocator. It bypasses the control actor, because
 // requests wait for the answer.
@@ -46,9 +56,8 @@
 	mu sync.Mutex
 	// allocator decides on the grants for the servers of which this box is the allocator.
 	allocator *allowance.Allocator
-	// previous are the allocators before the last change, at changedAt.
-	previous  *allocators
-	changedAt time.Time
+	// earlier are the allocators before the changes within maxHandoverDelay, oldest first.
+	earlier []earlierAllocators
 	// waiting are the unanswered requests to other boxes, by message ID.
 	waiting map[uint64]chan mesh.GrantMessage
 	lastID  uint64
@@ -80,7 +89,8 @@
 	} else if sameAllocators(previous, v) {
 		return
 	}
-	g.previous, g.changedAt = previous, v.asOf
+	g.earlier = slices.DeleteFunc(g.earlier, func(o earlierAllocators) bool { return v.asOf.Sub(o.until) > maxHandoverDelay })
+	g.earlier = append(g.earlier, earlierAllocators{allocators: previous, until: v.asOf})
 }
 
 // request asks the allocator of a rate-limited server for a grant.
@@ -220,11 +230,14 @@
 func (g *grants) handoverRemaining(s catalog.Server, delay time.Duration, now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.previous.isAllocator(g.box.settings.Box, s) {
-		return 0
+	var remaining time.Duration
+	for _, o := range g.earlier {
+		if !o.isAllocator(g.box.settings.Box, s) {
+			remaining = max(remaining, o.until.Add(delay).Sub(now))
+		}
 	}
 
-	return max(0, g.changedAt.Add(delay).Sub(now))
+	return remaining
 }
 
 // release returns an unused grant to its allocator.
