The floor and the limit of large accounts act beyond chance only

Cause: at a box with a few requests a second, an account has one or two of them in the window. One refusal made it underserved, so that a third of all decisions were exceptions, and less urgent classes had the room of urgent ones. Requests that were not decided yet, or ended for another reason than room, counted as not admitted; one admitted after an attempt that may have run did not count at all. A wider window was not tried.

The lab records the same way.

--- a/forward/room.go
+++ b/forward/room.go
@@ -92,7 +92,7 @@
 	return priority.Request{Class: c.priority, Account: c.account}
 }
 
-// recordOffered records a stream for the decisions by priority.
+// recordOffered records the arrival of a stream for the decisions by priority.
 func (t *streamRequest) recordOffered() {
 	c := t.c
 	if !c.prioritized {
@@ -103,17 +103,27 @@
 	c.servicePriority.count(t.h.metrics, c.priority).offered.Inc()
 }
 
-// recordAdmitted records that a server has accepted the stream, unless one did before. It counts as
-// admitted when it was offered, so that both are compared over the same requests.
+// recordAdmitted records that a server has accepted the stream, unless one did before.
 func (t *streamRequest) recordAdmitted() {
 	c := t.c
-	if !c.prioritized || len(t.ranOn) > 0 {
+	if !c.prioritized || t.admitted {
 		return
 	}
+	t.admitted = true
 	c.servicePriority.tracker.RecordAdmitted(c.priorityRequest(), t.kvTokens(), c.startedAt)
 	c.servicePriority.count(t.h.metrics, c.priority).admitted.Inc()
 }
 
+// recordRefused records a stream that ends with the error if that is for lack of room: servers or
+// the box itself refused it. Other errors say nothing about its priority.
+func (t *streamRequest) recordRefused(e *result.Error) {
+	c := t.c
+	if !c.prioritized || t.admitted || len(t.ranOn) > 0 || e.Code != result.Overloaded {
+		return
+	}
+	c.servicePriority.tracker.RecordRefused(c.priorityRequest(), t.kvTokens(), c.startedAt)
+}
+
 // roomLimits returns how far the request may fill the servers of its path. running says that a
 // server may have run the request already; such a request, and one whose caller resumes a stream,
 // is a stream under way.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -68,6 +68,8 @@
 	closedBy []slatebridge.ServerID
 	// withheld counts the attempts with the fate withheld.
 	withheld int
+	// admitted is set once a server has accepted the request.
+	admitted bool
 	// queuesForGrant is set once no path can be used at once and some server is rate-limited. The
 	// request may then queue for a grant of such a server.
 	queuesForGrant bool
@@ -408,6 +410,7 @@
 // fail ends a request without a complete response. If part of the response was written, the
 // connection is aborted so that the response does not appear complete.
 func (t *streamRequest) fail(e *result.Error) {
+	t.recordRefused(e)
 	if len(t.ranOn) > 0 && e.Execution == result.NotExecuted {
 		e = result.New(result.AttemptsExhausted, "%s", e.Detail)
 	}
--- a/lab/priority.go
+++ b/lab/priority.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/slatebridge/slatebridge/fleet"
 	"github.com/slatebridge/slatebridge/priority"
+	"github.com/slatebridge/slatebridge/result"
 )
 
 // prioritized reports whether the priority of the request counts: in a Prioritized scenario, until a
@@ -15,7 +16,7 @@
 	return priority.Request{Class: q.class.PriorityRank}
 }
 
-// recordOffered records the try at its box.
+// recordOffered records the arrival of the try at its box.
 func (q *request) recordOffered() {
 	if q.prioritized() {
 		q.box.priorities.RecordOffered(q.priorityRequest(), q.pathQuery().Tokens, q.sim.clock())
@@ -25,7 +26,14 @@
 // recordAdmitted records that the first server of the try has accepted it.
 func (q *request) recordAdmitted() {
 	if q.prioritized() {
-		q.box.priorities.RecordAdmitted(q.priorityRequest(), q.pathQuery().Tokens, q.sim.clock())
+		q.box.priorities.RecordAdmitted(q.priorityRequest(), q.pathQuery().Tokens, q.sim.timeAt(q.tryStartedAt))
+	}
+}
+
+// recordRefused records that the try ends with the code, if that is for lack of room.
+func (q *request) recordRefused(code result.Code) {
+	if q.prioritized() && code == result.Overloaded {
+		q.box.priorities.RecordRefused(q.priorityRequest(), q.pathQuery().Tokens, q.sim.timeAt(q.tryStartedAt))
 	}
 }
 
--- a/lab/request.go
+++ b/lab/request.go
@@ -308,6 +308,7 @@
 
 		return
 	}
+	q.recordRefused(code)
 	delete(q.box.activeRequests, q)
 	q.holdTime += q.sim.now - q.tryStartedAt
 	q.sim.result.refusalsByCode[code]++
--- a/priority/priority.go
+++ b/priority/priority.go
@@ -26,8 +26,11 @@
 	// largeDemand is the factor by which an account must offer more than the mean of the other
 	// accounts of its class to be limited before them.
 	largeDemand = 2
-	// contendedShare is the share of the offered tokens of a class of which less must be admitted for
-	// its accounts to compete; requests being sent are not admitted yet.
+	// chanceDeviations is the number of standard deviations up to which a number of requests may
+	// differ from the expected one by chance.
+	chanceDeviations = 2.0
+	// contendedShare is the share of the decided tokens of a class of which less must be admitted for
+	// its accounts to compete.
 	contendedShare = 0.9
 	// streamRetryReserve is the share of the retry budget that all new requests leave to streams under
 	// way, and urgentRetryReserve the share that they leave in addition if all others are more urgent.
@@ -93,14 +96,21 @@
 // NewTracker returns a Tracker that observes requests from the given time on.
 func NewTracker(startedAt time.Time) *Tracker { return &Tracker{startedAt: startedAt} }
 
-// RecordOffered records a new request and the number of tokens for which it needs memory.
+// RecordOffered records the arrival of a request and the number of tokens for which it needs memory.
 func (t *Tracker) RecordOffered(r Request, tokens float64, now time.Time) {
 	t.record(r, counts{offered: 1, offeredTokens: int64(math.Ceil(tokens))}, now)
 }
 
 // RecordAdmitted records that a server accepted a request that was offered at the given time.
 func (t *Tracker) RecordAdmitted(r Request, tokens float64, offeredAt time.Time) {
-	t.record(r, counts{admitted: 1, admittedTokens: int64(math.Ceil(tokens))}, offeredAt)
+	n := int64(math.Ceil(tokens))
+	t.record(r, counts{decided: 1, decidedTokens: n, admitted: 1, admittedTokens: n}, offeredAt)
+}
+
+// RecordRefused records that there was no room for a request that was offered at the given time.
+// Requests that end for another reason are not recorded.
+func (t *Tracker) RecordRefused(r Request, tokens float64, offeredAt time.Time) {
+	t.record(r, counts{decided: 1, decidedTokens: int64(math.Ceil(tokens))}, offeredAt)
 }
 
 func (t *Tracker) record(r Request, n counts, now time.Time) {
@@ -199,7 +209,10 @@
 }
 
 // underserved reports whether a part of the requests was admitted less than minRelativeService times
-// as often as all of them. The newest request does not count, as it is not decided yet.
+// as often as all of them, beyond chance.
 func underserved(part, all counts) bool {
-	return float64(part.admitted)*float64(all.offered) < minRelativeService*float64(all.admitted)*float64(part.offered-1)
+	expected := float64(all.admitted) * float64(part.decided) / float64(max(1, all.decided))
+	admitted := float64(part.admitted)
+
+	return admitted < minRelativeService*expected && expected-admitted > chanceDeviations*math.Sqrt(expected)
 }
--- a/priority/window.go
+++ b/priority/window.go
@@ -11,23 +11,28 @@
 	recentSlots = 3
 )
 
-// counts counts requests and the tokens for which they need memory.
+// counts counts requests and the tokens for which they need memory. A request is decided once it is
+// admitted or refused.
 type counts struct {
-	offered, admitted             int64
-	offeredTokens, admittedTokens int64
+	offered, decided, admitted                   int64
+	offeredTokens, decidedTokens, admittedTokens int64
 }
 
 func (n *counts) add(o counts) {
 	n.offered += o.offered
+	n.decided += o.decided
 	n.admitted += o.admitted
 	n.offeredTokens += o.offeredTokens
+	n.decidedTokens += o.decidedTokens
 	n.admittedTokens += o.admittedTokens
 }
 
 func (n *counts) subtract(o counts) {
 	n.offered -= o.offered
+	n.decided -= o.decided
 	n.admitted -= o.admitted
 	n.offeredTokens -= o.offeredTokens
+	n.decidedTokens -= o.decidedTokens
 	n.admittedTokens -= o.admittedTokens
 }
 
