A small number of slots does not refuse less urgent requests at idle servers

Cause: a reserve of any size left less than one of one or two slots, since the bound held for the slots after the request. The most urgent class was not hit.

Change: a request needs a free slot, and the bound holds for the slots in use before it, as with memory.

Run: the new subtest of TestLimits with 1 to 3 slots failed before; packages fleet and forward pass.

--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -364,6 +364,18 @@
 		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.2)}, full)
 		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.1)}, path)
 	})
+	t.Run("an idle server with few slots takes a request", func(t *testing.T) {
+		for _, slots := range []int{1, 2, 3} {
+			f := newTestFleet(servers...)
+			for _, s := range f.Servers() {
+				s.Slots = slots
+				f.Set(s)
+			}
+			wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.2)}, path)
+			f.SetPeerGroupLoads("b", LoadsByShortID(map[slatebridge.ServerID]Load{"a1": {FirstStage: float64(slots)}}))
+			wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0)}, full)
+		}
+	})
 	t.Run("a search reserves nothing", func(t *testing.T) {
 		f := newTestFleet(servers...)
 		for range 2 {
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -12,7 +12,8 @@
 	// for the memory in use before the request, so that it refuses large requests no more often than
 	// small ones.
 	Memory float64
-	// Slots bounds the slots of the first server; zero means no bound.
+	// Slots bounds the slots of the first server that are in use before the request; zero means no
+	// bound. With a bound, the request needs a free slot.
 	Slots float64
 	// KeepForRepairs leaves the memory that streams of recently lost servers need at the servers
 	// that can replace them, as long as there is another path.
@@ -39,7 +40,9 @@
 		return true
 	}
 
-	return used.FirstStage+1 <= q.Limits.Slots*float64(m.Slots)
+	slots := float64(m.Slots)
+
+	return used.FirstStage+1 <= slots && used.FirstStage < q.Limits.Slots*slots
 }
 
 // HasPath reports whether there is a path for the request that starts at one of the given first
