The reserve of the retries is of what silent boxes leave

Cause: a box assumes that boxes it does not hear use their equal parts of the budget, and these counted as used against a share of the whole budget. In a hall cut off from two others nothing was left for new requests, although the hall has its own part. The check and the taking were two steps, and allotments were not reduced, so that boxes together could go into the share.

Change: the share is of the budget that silent and unknown boxes are not assumed to use, and is taken off the allotment in the step that takes the retry. Before a retry is asked of the pool, the same share must be left. A share of what each step finds left was considered: it renews itself as the window moves, so that new requests would use up the reserve (TestRetriesByPriority holds against it).

Run: TestTakeLocalLeaving failed with the two former steps.

--- a/forward/retry.go
+++ b/forward/retry.go
@@ -16,6 +16,12 @@
 	if h.budget.TakeLocal(service, h.state().BoxCount, u, clock.Now()) {
 		return true
 	}
+
+	return h.takePooled(ctx, service, u)
+}
+
+// takePooled takes one retry from the pool of all boxes, and reports whether there was one.
+func (h *Handler) takePooled(ctx context.Context, service string, u retry.Urgency) bool {
 	if h.requestRetry == nil || !h.requestRetry(ctx, service, u) {
 		return false
 	}
@@ -30,14 +36,15 @@
 // Load pattern: full servers reject so many requests that the budget runs out, and then servers fail
 // and interrupt streams.
 func (t *streamRequest) takeRequired() bool {
-	c := t.c
-	if c.prioritized && len(t.ranOn) == 0 && c.LastEventID == 0 {
-		now := clock.Now()
-		share := c.servicePriority.tracker.RetryReserve(c.priorityRequest(), now)
-		if !t.h.budget.Leaves(c.service, t.h.state().BoxCount, share, now) {
-			return false
-		}
+	h, c := t.h, t.c
+	if !c.prioritized || len(t.ranOn) > 0 || c.LastEventID > 0 {
+		return h.takeRetry(t.ctx, c.service, retry.Required)
+	}
+	boxes, now := h.state().BoxCount, clock.Now()
+	share := c.servicePriority.tracker.RetryReserve(c.priorityRequest(), now)
+	if h.budget.TakeLocalLeaving(c.service, boxes, share, now) {
+		return true
 	}
 
-	return t.h.takeRetry(t.ctx, c.service, retry.Required)
+	return h.budget.Leaves(c.service, boxes, share, now) && h.takePooled(t.ctx, c.service, retry.Required)
 }
--- a/lab/priority.go
+++ b/lab/priority.go
@@ -51,5 +51,9 @@
 
 // retryReserve returns the share of the retry budget that the request leaves to others.
 func (q *request) retryReserve() float64 {
+	if !q.prioritized() {
+		return 0
+	}
+
 	return q.box.priorities.RetryReserve(q.priorityRequest(), q.sim.clock())
 }
--- a/lab/request.go
+++ b/lab/request.go
@@ -285,12 +285,13 @@
 // takeRetry takes a retry from the box's local share of the budget, or else from the shared pool.
 func (q *request) takeRetry() bool {
 	now, boxes := q.sim.clock(), len(q.sim.boxes)
-	if q.prioritized() && !q.box.budget.Leaves(service, boxes, q.retryReserve(), now) {
-		return false
-	}
-	if q.box.budget.TakeLocal(service, boxes, retry.Required, now) {
+	share := q.retryReserve()
+	if q.box.budget.TakeLocalLeaving(service, boxes, share, now) {
 		return true
 	}
+	if share > 0 && !q.box.budget.Leaves(service, boxes, share, now) {
+		return false
+	}
 	i := slices.IndexFunc(q.sim.boxes, func(b *box) bool { return !b.down })
 	if i < 0 || !q.sim.boxes[i].budget.GrantFromPool(service, boxes, retry.Required, now) {
 		return false
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -167,6 +167,8 @@
 	// share is the fraction of the remaining budget that all boxes together may take this way. The
 	// allotment of one box is its equal part of that, plus rounding.
 	share, rounding float64
+	// reserve is the share of the budget that is left to other retries.
+	reserve float64
 }
 
 func (b *Budget) take(service string, boxes int, now time.Time, a allotment) bool {
@@ -180,6 +182,12 @@
 	recent := w.sum(propagationDelay)
 	used := b.totalUsage(own, service, boxes, now)
 	left := b.limit(used, a.urgency) - float64(used.Retries-recent.Retries)
+	if a.reserve > 0 {
+		left -= a.reserve * b.knownLimit(used, service, boxes, now)
+		if float64(recent.Retries+1) > left {
+			return false
+		}
+	}
 	if float64(recent.Retries-recent.FromPool+1) > a.share*left/float64(max(1, boxes))+a.rounding {
 		return false
 	}
@@ -188,15 +196,28 @@
 	return true
 }
 
-// Leaves reports whether one more retry would leave the given share of what required retries may
-// use, as far as this box knows. A caller that takes a retry only then leaves that share to others.
+// Leaves reports whether one more retry would leave the given share of what required retries of the
+// boxes that are heard may use. A caller that takes a retry only then leaves that share to others.
 func (b *Budget) Leaves(service string, boxes int, share float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := b.totalUsage(b.currentWindow(b.sent, service, now).sum(b.bounds.Window), service, boxes, now)
-	limit := b.limit(used, Required)
 
-	return limit-float64(used.Retries+1) >= share*limit
+	return b.limit(used, Required)-float64(used.Retries+1) >= share*b.knownLimit(used, service, boxes, now)
+}
+
+// knownLimit returns how many required retries are left for the boxes that are heard, if the others
+// use their equal parts. The caller holds mu.
+func (b *Budget) knownLimit(used Usage, service string, boxes int, now time.Time) float64 {
+	assumed, unknown := 0, boxes-1
+	for _, p := range b.peers {
+		if unknown -= p.boxes; now.Sub(p.lastSeenAt) > peerTimeout {
+			assumed += b.usageOf(p, service, boxes, now).Retries
+		}
+	}
+	assumed += b.equalPart(Usage{}, max(0, unknown), boxes)
+
+	return max(0, b.limit(used, Required)-float64(assumed))
 }
 
 // totalUsage returns what all boxes have used. A box whose usage is unknown counts as having used
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -139,6 +140,54 @@
 	})
 }
 
+func TestTakeLocalLeaving(t *testing.T) {
+	const hallBoxes, allBoxes = 20, 59
+	// takeLocal takes retries from the allotment as long as they leave the share, and returns their
+	// number.
+	takeLocal := func(b *Budget, boxes int, share float64) int {
+		n := 0
+		for b.TakeLocalLeaving("s", boxes, share, start) {
+			n++
+		}
+
+		return n
+	}
+	// cutOff returns the budget of a box that hears only those of its hall.
+	cutOff := func(other *peerGroup) *Budget {
+		b := New(Bounds{Extra: 10_000, Window: bounds.Window})
+		b.SetPeerGroup("own hall", hallBoxes-1, nil, start)
+		if other != nil {
+			b.SetPeerGroup("other halls", other.boxes, other.usage, start.Add(-time.Hour))
+		}
+
+		return b
+	}
+	for name, other := range map[string]*peerGroup{
+		"silent boxes": {boxes: allBoxes - hallBoxes, usage: map[string]Usage{"s": {Requests: 100}}}, "unknown boxes": nil,
+	} {
+		t.Run(name+" use up no reserve", func(t *testing.T) {
+			all := takeLocal(cutOff(other), allBoxes, 0)
+			for _, share := range []float64{0.2, 0.35, 0.5} {
+				if got, want := takeLocal(cutOff(other), allBoxes, share), (1-share)*float64(all); math.Abs(float64(got)-want) > 1 {
+					t.Errorf("leaving %.2f: %d retries, want %.1f of %d", share, got, want, all)
+				}
+			}
+		})
+	}
+	t.Run("the allotments of all boxes together leave the share", func(t *testing.T) {
+		b := New(bounds)
+		b.SetPeerGroup("others", 1, nil, start)
+		wantRetries(t, takeLocal(b, 2, 0.5), 4)
+		wantRetries(t, takeLocal(b, 2, 0), 4)
+	})
+	t.Run("no rounding goes into the share", func(t *testing.T) {
+		b := New(bounds, WithRounding(1))
+		b.SetPeerGroup("others", 0, map[string]Usage{"s": {Retries: 36}}, start)
+		wantRetries(t, takeLocal(b, 1, 0.5), 0)
+		wantRetries(t, takeLocal(b, 1, 0.2), 6)
+	})
+}
+
 func TestSum(t *testing.T) {
 	b := New(bounds)
 	b.RecordRequest("s", start)
--- a/retry/pool.go
+++ b/retry/pool.go
@@ -26,12 +26,22 @@
 // Scenario: a server dies, and all streams that break run at a few of a thousand boxes. The
 // equal part of each box is less than one retry, while the parts of the other boxes stay unused.
 func (b *Budget) TakeLocal(service string, boxes int, u Urgency, now time.Time) bool {
-	share := localShare
+	return b.takeLocal(service, boxes, now, allotment{urgency: u})
+}
+
+// TakeLocalLeaving is like TakeLocal for a required retry that leaves a share of the budget to others.
+// If there is none, the caller asks the grantor only if Leaves reports that this leaves the share too.
+func (b *Budget) TakeLocalLeaving(service string, boxes int, share float64, now time.Time) bool {
+	return b.takeLocal(service, boxes, now, allotment{urgency: Required, reserve: share})
+}
+
+func (b *Budget) takeLocal(service string, boxes int, now time.Time, a allotment) bool {
+	a.share, a.rounding = localShare, b.rounding
 	if b.reachableBoxes(now) <= minorityShare*float64(boxes) {
-		share = 1
+		a.share = 1
 	}
 
-	return b.take(service, boxes, now, allotment{urgency: u, share: share, rounding: b.rounding})
+	return b.take(service, boxes, now, a)
 }
 
 // reachableBoxes returns how many boxes are heard, including this one.
