A stream that its caller resumes has the limits of its class

Cause: the ID of an event in a request, which any caller can send, gave all room and all retries, as for streams that this box knows to be under way.

Change: where there are priorities, such a stream has the room and the retries of a new request of its class, the floor included. The subtest that held the fault now holds the limits of the class; without priorities nothing changes.

--- a/forward/room.go
+++ b/forward/room.go
@@ -125,14 +125,16 @@
 }
 
 // roomLimits returns how far the request may fill the servers of its path. running says that a
-// server may have run the request already; such a request, and one whose caller resumes a stream,
-// is a stream under way.
+// server may have run the request already, so that it is a stream under way; so is one that its
+// caller resumes. But only the caller says so, and where there are priorities, such a stream has the
+// limits of its class.
 func (h *Handler) roomLimits(c *inboundRequest, running bool) fleet.Limits {
-	if running || c.LastEventID > 0 {
+	resumed := c.LastEventID > 0
+	if running || (resumed && !c.prioritized) {
 		return h.runningLimits(c)
 	}
 	limits := h.priorityLimits(c)
-	limits.KeepForRepairs = repairedInOrder(c.route)
+	limits.KeepForRepairs = !resumed && repairedInOrder(c.route)
 
 	return limits
 }
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -152,8 +152,21 @@
 		s.c.route.MaxServers = 2
 		wantRefusal(t, s, "")
 	})
-	t.Run("so does one that its caller resumes", func(t *testing.T) {
-		s := nearlyFull(t, 0).stream(1, 50)
+	t.Run("one that its caller resumes has the limits of its class", func(t *testing.T) {
+		f := nearlyFull(t, 0)
+		s := f.stream(1, 50)
+		s.c.LastEventID = 3
+		wantRefusal(t, s, roomKept)
+		if diff := cmp.Diff(f.handler.roomLimits(f.stream(1, 50).c, false), f.handler.roomLimits(s.c, false)); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("nor less than a class that is rarely admitted", func(t *testing.T) {
+		f := nearlyFull(t, 0)
+		for range 100 {
+			f.stream(1, 50).recordRefused(result.New(result.Overloaded, noRoom))
+		}
+		s := f.stream(1, 50)
 		s.c.LastEventID = 3
 		wantRefusal(t, s, "")
 	})
@@ -303,6 +316,12 @@
 		wantRetry(t, 45, true, urgent)
 	})
 	t.Run("the rest is for streams under way", func(t *testing.T) {
+		wantRetry(t, 60, false, func(f *roomFixture) *streamRequest {
+			s := f.stream(0, 50)
+			s.c.LastEventID = 3
+
+			return s
+		})
 		wantRetry(t, 60, false, urgent)
 		wantRetry(t, 60, true, running)
 	})
