Refusals for kept room: counted when the stream ends, named by what lacks

Cause: a refused search was followed by the one for missing layers and then by one with other limits, also for streams under way, which have no reserve. It was counted and logged at each search, also of streams that then wait and are served. The floor counted as a preference whether or not it gave the path. Full slots were reported as full memory.

Change: the search for a path tells the reasons apart: room kept (the second search, only if there is a reserve), missing layers (only if that fails), slots, capacity. Refusals count where the stream ends, preferences where a server accepts a stream for which the ordinary reserve had no path. The text for full memory stays as it was; for full slots it is "no path has room left for the request". Subtests that expected no capacity left now expect the precise reason. With rate-limited servers a refusal takes four searches instead of five.

--- a/fleet/path.go
+++ b/fleet/path.go
@@ -44,11 +44,16 @@
 	// NoCapacity means that a path exists only through servers without enough free memory or in the
 	// backoff after a rejection, or over links between halls that are in full use.
 	NoCapacity
+	// NoSlots is like NoCapacity, where slots are bounded and some first server has memory, but no
+	// free slot.
+	NoSlots
+	// RoomKept means that only the reserve in the limits of the request refused it.
+	RoomKept
 )
 
 // String returns the reason as logged.
 func (s Shortage) String() string {
-	return [...]string{"none", "no path through available servers", "no capacity left on servers or links"}[s]
+	return [...]string{"none", "no path through available servers", "no capacity left on servers or links", "no slots or capacity left", "the room left is kept"}[s]
 }
 
 // Query describes the request that needs a path.
@@ -126,16 +131,29 @@
 		path = f.search(q, true)
 	}
 	if path == nil {
-		if f.search(q, false) == nil {
-			return nil, nil, NoLayers
-		}
-
-		return nil, nil, NoCapacity
+		return nil, nil, f.shortage(q)
 	}
 
 	return path, f.reserve(path, q), NoShortage
 }
 
+// shortage returns why there is no path with room for the request. The caller holds mu.
+func (f *Fleet) shortage(q Query) Shortage {
+	if full := q.Limits.withoutReserve(); full != q.Limits {
+		if q.Limits = full; f.search(q, true) != nil {
+			return RoomKept
+		}
+	}
+	if f.search(q, false) == nil {
+		return NoLayers
+	}
+	if f.lacksSlots(q) {
+		return NoSlots
+	}
+
+	return NoCapacity
+}
+
 // FindPathFrom is like FindPath, but tries the given first servers in order; an empty list allows
 // any.
 func (f *Fleet) FindPathFrom(q Query, firsts []slatebridge.ServerID) (Path, *Reservation, Shortage) {
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -338,15 +338,23 @@
 
 		return f
 	}
-	const full = "none: no capacity left on servers or links"
+	const (
+		full      = "none: no capacity left on servers or links"
+		slotsFull = "none: no slots or capacity left"
+		kept      = "none: the room left is kept"
+	)
 	t.Run("a reserve is kept free", func(t *testing.T) {
-		wantPath(t, filled(t, 850), Query{Tokens: 10, Limits: LimitsWithReserve(0.1, 0)}, full)
+		wantPath(t, filled(t, 850), Query{Tokens: 10, Limits: LimitsWithReserve(0.1, 0)}, kept)
 		wantPath(t, filled(t, 850), Query{Tokens: 10, Limits: LimitsWithReserve(0, 0)}, path)
 	})
 	t.Run("it does not depend on the size of the request", func(t *testing.T) {
 		for _, tokens := range []float64{1, 100, 200} {
 			wantPath(t, filled(t, 700), Query{Tokens: tokens, Limits: LimitsWithReserve(0.2, 0)}, path)
-			wantPath(t, filled(t, 730), Query{Tokens: tokens, Limits: LimitsWithReserve(0.2, 0)}, full)
+			want := kept
+			if 730+tokens > 920 {
+				want = full
+			}
+			wantPath(t, filled(t, 730), Query{Tokens: tokens, Limits: LimitsWithReserve(0.2, 0)}, want)
 		}
 		wantPath(t, filled(t, 700), Query{Tokens: 230, Limits: LimitsWithReserve(0.2, 0)}, full)
 	})
@@ -361,7 +369,7 @@
 			f.Set(s)
 		}
 		f.SetPeerGroupLoads("b", LoadsByShortID(map[slatebridge.ServerID]Load{"a1": {FirstStage: 8}, "a2": {FirstStage: 10}}))
-		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.2)}, full)
+		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.2)}, kept)
 		wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.1)}, path)
 	})
 	t.Run("an idle server with few slots takes a request", func(t *testing.T) {
@@ -373,7 +381,7 @@
 			}
 			wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0.2)}, path)
 			f.SetPeerGroupLoads("b", LoadsByShortID(map[slatebridge.ServerID]Load{"a1": {FirstStage: float64(slots)}}))
-			wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0)}, full)
+			wantPath(t, f, Query{Tokens: 1, Limits: LimitsWithReserve(0, 0)}, slotsFull)
 		}
 	})
 	t.Run("a search reserves nothing", func(t *testing.T) {
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/slatebridge/slatebridge"
 )
@@ -29,6 +30,30 @@
 	return Limits{Memory: maxPlannedFill - memory, Slots: 1 - slots}
 }
 
+// withoutReserve returns the limits of a request that leaves nothing free.
+func (l Limits) withoutReserve() Limits {
+	if l.Memory > 0 {
+		l.Memory = max(l.Memory, maxPlannedFill)
+	}
+	if l.Slots > 0 {
+		l.Slots = max(l.Slots, 1)
+	}
+
+	return l
+}
+
+// lacksSlots reports whether some first server has memory for the request, but no slot within the
+// limits. The caller holds mu.
+func (f *Fleet) lacksSlots(q Query) bool {
+	unbounded := q
+	unbounded.Limits.Slots = 0
+	now := f.now()
+
+	return slices.ContainsFunc(f.membersOf(q.Service), func(m *member) bool {
+		return m.model != nil && m.offersLayers(q, now) && m.hasRoom(unbounded, m.load()) && !m.hasRoom(q, m.load())
+	})
+}
+
 // hasRoom reports whether the server has room for one more request of the given size within the
 // limits.
 func (m *member) hasRoom(q Query, used Load) bool {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -267,8 +267,14 @@
 	if e := h.rateLimitError(c); e != nil {
 		return e
 	}
-	if s == fleet.NoCapacity {
+	switch s {
+	case fleet.NoCapacity:
 		return result.New(result.Overloaded, "no path has memory left for the request").WithRetryAfter(h.capacityRetryAfter())
+	case fleet.NoSlots:
+		return result.New(result.Overloaded, "no path has room left for the request").WithRetryAfter(h.capacityRetryAfter())
+	case fleet.RoomKept:
+		return result.New(result.Overloaded, "the room left is kept for more urgent requests").WithRetryAfter(h.capacityRetryAfter())
+	case fleet.NoShortage, fleet.NoLayers:
 	}
 	if e := h.cooldownError(c); e != nil {
 		return e
--- a/forward/room.go
+++ b/forward/room.go
@@ -112,6 +112,9 @@
 	t.admitted = true
 	c.servicePriority.tracker.RecordAdmitted(c.priorityRequest(), t.kvTokens(), c.startedAt)
 	c.servicePriority.count(t.h.metrics, c.priority).admitted.Inc()
+	if t.preferred {
+		t.recordPreferred()
+	}
 }
 
 // recordRefused records a stream that ends with the error if that is for lack of room: servers or
@@ -122,6 +125,9 @@
 		return
 	}
 	c.servicePriority.tracker.RecordRefused(c.priorityRequest(), t.kvTokens(), c.startedAt)
+	if e == t.roomKept.err {
+		t.recordRoomKept()
+	}
 }
 
 // roomLimits returns how far the request may fill the servers of its path. running says that a
@@ -146,13 +152,6 @@
 	}
 	s, now := c.servicePriority, clock.Now()
 	r := s.tracker.Reserve(c.priorityRequest(), h.supply(s, c, now), now)
-	if r.Reason == priority.Underserved {
-		h.metrics.priorityCounter(c.priority, priorityPreferred).Inc()
-		if n := s.preferred.next(now); n > 0 {
-			event.Log(h.logger, event.UnderservedPreferred, zap.String("service", c.service), zap.Int("priority", c.priority),
-				zap.String("account", c.account), zap.Int("requests", n))
-		}
-	}
 
 	return fleet.LimitsWithReserve(r.Memory, r.Slots)
 }
@@ -169,26 +168,49 @@
 	return v.Supply
 }
 
-// noRoomError returns the error for a stream for which the query found no path. The query without
-// what the stream leaves to more urgent ones tells whether that is the reason.
-func (h *Handler) noRoomError(c *inboundRequest, q fleet.Query, firsts []slatebridge.ServerID, s fleet.Shortage) *result.Error {
-	e := h.noPathError(c, s)
-	full := fleet.LimitsWithReserve(0, 0)
-	full.KeepForRepairs = q.Limits.KeepForRepairs
-	if !c.prioritized || e.Code != result.Overloaded || q.Limits == full {
-		return e
+// needsPreference reports whether a stream that leaves nothing free, since its class or account was
+// admitted too rarely, finds a path only for that.
+func (t *streamRequest) needsPreference(q fleet.Query, firsts []slatebridge.ServerID) bool {
+	c := t.c
+	if !c.prioritized || len(t.ranOn) > 0 {
+		return false
 	}
-	limits := q.Limits
-	if q.Limits = full; !h.fleet.HasPath(q, firsts) {
-		return e
+	now := clock.Now()
+	r := c.servicePriority.tracker.OrdinaryReserve(c.priorityRequest(), t.h.supply(c.servicePriority, c, now), now)
+	ordinary := fleet.LimitsWithReserve(r.Memory, r.Slots)
+	if q.Limits.Memory <= ordinary.Memory && q.Limits.Slots <= ordinary.Slots {
+		return false
+	}
+	q.Limits = ordinary
+
+	return !t.h.fleet.HasPath(q, firsts)
+}
+
+// recordPreferred counts and logs a stream that got room that others of its class leave free.
+func (t *streamRequest) recordPreferred() {
+	c := t.c
+	t.h.metrics.priorityCounter(c.priority, priorityPreferred).Inc()
+	if n := c.servicePriority.preferred.next(clock.Now()); n > 0 {
+		event.Log(t.h.logger, event.UnderservedPreferred, zap.String("service", c.service), zap.Int("priority", c.priority),
+			zap.String("account", c.account), zap.Int("requests", n))
 	}
-	h.metrics.priorityCounter(c.priority, priorityRefused).Inc()
+}
+
+// roomKeptError is the error for room that is kept for more urgent requests, and the limits of the
+// request.
+type roomKeptError struct {
+	err    *result.Error
+	limits fleet.Limits
+}
+
+// recordRoomKept counts and logs a stream that ends for room that is kept for more urgent requests.
+func (t *streamRequest) recordRoomKept() {
+	c, limits := t.c, t.roomKept.limits
+	t.h.metrics.priorityCounter(c.priority, priorityRefused).Inc()
 	if n := c.servicePriority.refused.next(clock.Now()); n > 0 {
-		event.Log(h.logger, event.PriorityLimited, zap.String("service", c.service), zap.Int("priority", c.priority), zap.String("account", c.account),
+		event.Log(t.h.logger, event.PriorityLimited, zap.String("service", c.service), zap.Int("priority", c.priority), zap.String("account", c.account),
 			zap.Float64("memory_limit", limits.Memory), zap.Float64("slot_limit", limits.Slots), zap.Int("requests", n))
 	}
-
-	return result.New(result.Overloaded, "the room left is kept for more urgent requests").WithRetryAfter(e.RetryAfter)
 }
 
 // runningMemoryShare is the share of a server's memory that streams under way may fill after servers
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -32,6 +32,8 @@
 	catalog  *catalog.Catalog
 	logs     *observer.ObservedLogs
 	registry *prometheus.Registry
+	// draws counts the random numbers that searches drew, one for each candidate.
+	draws int
 }
 
 func newRoomFixture(urgentPriority int) *roomFixture {
@@ -40,19 +42,24 @@
 	}
 	model := &catalog.Model{Layers: 8, LayerMB: 1000, KVBytesPerToken: 2e6, Slots: 100, Accelerators: []catalog.Accelerator{{Name: "card", MemoryMB: 10000}}}
 	cat := catalog.New(1, catalog.Limits{}, []catalog.Route{route(urgentPriority), route(1)}, []catalog.Service{{Name: "llm", Model: model}}, nil, false)
-	servers := fleet.New("a", time.Now)
+	f := &roomFixture{catalog: cat, registry: prometheus.NewRegistry()}
+	servers := fleet.New("a", time.Now, fleet.WithRandom(func() float64 {
+		f.draws++
+
+		return 0.5
+	}))
 	servers.SetCatalog(cat)
 	servers.Set(catalog.Server{ID: "s", Service: "llm", Hall: "a", Accelerator: "card", Layers: slatebridge.LayerRange{To: 8}, Slots: 100})
 	core, logs := observer.New(zap.InfoLevel)
-	registry := prometheus.NewRegistry()
-	h := New(Config{
-		Fleet: servers, Ledger: quarantine.New(), Random: func() float64 { return 0.5 }, Logger: zap.New(core), Metrics: NewMetrics(registry),
+	f.logs = logs
+	f.handler = New(Config{
+		Fleet: servers, Ledger: quarantine.New(), Random: func() float64 { return 0.5 }, Logger: zap.New(core), Metrics: NewMetrics(f.registry),
 		State:  func() State { return State{Catalog: cat, BoxCount: 1} },
 		Codec:  HeaderCodec{WriteError: func(http.ResponseWriter, string, *result.Error) {}},
 		Bounds: Bounds{Retry: retry.Bounds{Extra: 100, Window: 10 * time.Second}},
 	})
 
-	return &roomFixture{handler: h, catalog: cat, logs: logs, registry: registry}
+	return f
 }
 
 // wantCount fails the test unless that many streams of the priority were counted as decided so.
@@ -127,6 +134,7 @@
 const (
 	roomKept = "the room left is kept for more urgent requests"
 	noRoom   = "no path has memory left for the request"
+	noSlots  = "no path has room left for the request"
 )
 
 func TestRoomByPriority(t *testing.T) {
@@ -180,17 +188,60 @@
 	t.Run("slots are bounded for all", func(t *testing.T) {
 		f := newRoomFixture(0)
 		f.handler.fleet.SetPeerGroupLoads("a", fleet.LoadsByShortID(map[slatebridge.ServerID]fleet.Load{"s": {Requests: 100, FirstStage: 100}}))
-		wantRefusal(t, f.stream(0, 50), noRoom)
+		wantRefusal(t, f.stream(0, 50), noSlots)
 	})
-	t.Run("refusals are logged once a second", func(t *testing.T) {
+	t.Run("refusals are logged once a second, and counted when the streams end", func(t *testing.T) {
 		f := nearlyFull(t, 0)
 		for range 5 {
-			wantRefusal(t, f.stream(1, 50), roomKept)
+			s := f.stream(1, 50)
+			s.w = httptest.NewRecorder()
+			for range 3 {
+				wantRefusal(t, s, roomKept)
+			}
+			_, _, e := s.choosePath()
+			s.fail(e)
 		}
+		f.wantCount(t, 1, priorityRefused, 5)
 		if lines := f.logs.FilterMessage("PriorityLimited").Len(); lines != 1 {
 			t.Errorf("%d lines of event %d, want 1", lines, event.PriorityLimited)
 		}
 	})
+	t.Run("a stream that waits and is served is no refusal", func(t *testing.T) {
+		f := nearlyFull(t, 0)
+		s := f.stream(1, 50)
+		wantRefusal(t, s, roomKept)
+		s.recordAdmitted()
+		f.wantCount(t, 1, priorityRefused, 0)
+		if lines := f.logs.FilterMessage("PriorityLimited").Len(); lines != 0 {
+			t.Errorf("%d lines of event %d, want none", lines, event.PriorityLimited)
+		}
+	})
+	t.Run("only the room of more urgent requests is a preference", func(t *testing.T) {
+		for tokens, want := range map[float64]float64{100: 0, 860: 1} {
+			f := newRoomFixture(0)
+			for range 5 {
+				f.offer(0)
+			}
+			for range 100 {
+				f.stream(1, 50).recordRefused(result.New(result.Overloaded, noRoom))
+			}
+			f.fill(t, tokens)
+			s := f.stream(1, 50)
+			wantRefusal(t, s, "")
+			s.recordAdmitted()
+			f.wantCount(t, 1, priorityPreferred, want)
+		}
+	})
+	t.Run("a refusal for room kept takes two searches", func(t *testing.T) {
+		f := nearlyFull(t, 0)
+		s := f.stream(1, 50)
+		// The server is a candidate of the second search only.
+		f.draws = 0
+		wantRefusal(t, s, roomKept)
+		if f.draws != 1 {
+			t.Errorf("the server was a candidate of %d searches, want 1", f.draws)
+		}
+	})
 }
 
 // TestDecisionsOnly checks that the comparison of the classes counts the streams that were admitted,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -70,6 +70,10 @@
 	withheld int
 	// admitted is set once a server has accepted the request.
 	admitted bool
+	// preferred is set if the path of the stream uses room that others of its class leave free.
+	preferred bool
+	// roomKept is the last error for room that is kept for more urgent requests.
+	roomKept roomKeptError
 	// queuesForGrant is set once no path can be used at once and some server is rate-limited. The
 	// request may then queue for a grant of such a server.
 	queuesForGrant bool
@@ -205,13 +209,19 @@
 	}
 	firstServers := t.h.allowedFirstServers(t.possiblyRunningOn(), t.c.route.MaxServers)
 	query := fleet.Query{Service: t.c.service, Tokens: t.kvTokens(), Exclude: slices.Concat(t.exclude, reserved), Isolated: trialOnly, Limits: t.h.roomLimits(t.c, len(t.ranOn) > 0)}
+	t.preferred = t.needsPreference(query, firstServers)
 	path, reservation, shortage := t.h.fleet.FindPathFrom(query, firstServers)
 	if path == nil && t.mayWaitForGrant() {
 		query.WaitForGrant, t.queuesForGrant = true, true
 		path, reservation, shortage = t.h.fleet.FindPathFrom(query, firstServers)
 	}
 	if path == nil {
-		return nil, nil, t.h.noRoomError(t.c, query, firstServers, shortage)
+		e := t.h.noPathError(t.c, shortage)
+		if shortage == fleet.RoomKept {
+			t.roomKept = roomKeptError{err: e, limits: query.Limits}
+		}
+
+		return nil, nil, e
 	}
 
 	return path, reservation, nil
--- a/priority/priority.go
+++ b/priority/priority.go
@@ -143,6 +143,14 @@
 	}
 }
 
+// OrdinaryReserve returns what the class of a new request leaves free, whatever was admitted.
+func (t *Tracker) OrdinaryReserve(r Request, s Supply, now time.Time) Reserve {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.expected(r.class(), s, now)
+}
+
 // RetryReserve returns the share of the retry budget that a new request leaves to streams under way
 // and to more urgent requests. The latter part grows with their share of recent requests.
 func (t *Tracker) RetryReserve(r Request, now time.Time) float64 {
