The reserve counts live boxes

Cause: the number of boxes was that of the retry budget, which counts lost boxes until they are forgotten, so that the reserve stayed too large after a cut.

Change: the state has the number of live boxes, and the reserve uses it. In TestReserveAfterFailures the subtests about a pause and a start now have a reserve before, without which they could not fail.

Run: the new subtest failed before; packages forward; box -run 'Peer|Budget|Publish|Config|Hall'.

--- a/box/box.go
+++ b/box/box.go
@@ -141,7 +141,7 @@
 	b.quarantine = newReplicatedLedger(b)
 	b.grants = newGrants(b)
 	b.serversConfirmedAt.Store(&time.Time{})
-	b.state.Store(&forward.State{BoxCount: 1})
+	b.state.Store(&forward.State{BoxCount: 1, LiveBoxes: 1})
 	b.status.Store(&Status{})
 	b.handler = forward.New(forward.Config{
 		Codec: p.HeaderCodec, Fleet: b.fleet, HTTPClient: client, ServerClient: p.ServerClient,
--- a/box/config_updates.go
+++ b/box/config_updates.go
@@ -51,7 +51,7 @@
 
 // publish makes the state visible to requests.
 func (c *control) publish() {
-	c.box.state.Store(&forward.State{Catalog: c.catalog, ConfigVerifiedAt: c.configConfirmedAt, BoxCount: c.retryBudgetBoxes(), Synced: c.catalog != nil && len(c.serversByName) > 0})
+	c.box.state.Store(&forward.State{Catalog: c.catalog, ConfigVerifiedAt: c.configConfirmedAt, BoxCount: c.retryBudgetBoxes(), LiveBoxes: c.liveBoxes(), Synced: c.catalog != nil && len(c.serversByName) > 0})
 }
 
 func (c *control) onStoreFailed(m *storeFailed) {
--- a/box/peers_test.go
+++ b/box/peers_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestRetryBudgetBoxes checks that boxes reported by a lost relay share the retry budget until they
-// are forgotten.
+// are forgotten, and count as live until its reports are too old.
 func TestRetryBudgetBoxes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const boxes = 30
@@ -20,13 +20,18 @@
 		for _, v := range []struct {
 			after time.Duration
 			want  int
-		}{{0, boxes}, {digestTTL + time.Second, boxes}, {peerRetention, 1}} {
+			live  int
+		}{{0, boxes, boxes}, {digestTTL + time.Second, boxes, 1}, {peerRetention, 1, 1}} {
 			time.Sleep(v.after)
 			c.expirePeers(time.Now())
 			c.updateHallWork(c.ownWork(time.Now()), time.Now())
 			if n := c.retryBudgetBoxes(); n != v.want {
 				t.Errorf("%d boxes share the retry budget after another %s, want %d", n, v.after, v.want)
 			}
+			c.publish()
+			if n := c.box.state.Load().LiveBoxes; n != v.live {
+				t.Errorf("%d boxes are live after another %s, want %d", n, v.after, v.live)
+			}
 		}
 	})
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,6 +102,8 @@
 	Synced bool
 	// BoxCount is the number of boxes that share the work and the retry budget.
 	BoxCount int
+	// LiveBoxes is the number of boxes that are not known to be lost, this one included.
+	LiveBoxes int
 }
 
 // Bounds are limits from the settings.
--- a/forward/room.go
+++ b/forward/room.go
@@ -161,7 +161,7 @@
 	if v := s.supply.Load(); v != nil && now.Sub(v.at) < supplyInterval {
 		return v.Supply
 	}
-	v := &datedSupply{Supply: priority.Supply{Boxes: c.state.BoxCount, Staleness: fleet.PeerLoadStaleness}, at: now}
+	v := &datedSupply{Supply: priority.Supply{Boxes: max(1, c.state.LiveBoxes), Staleness: fleet.PeerLoadStaleness}, at: now}
 	v.Tokens, v.Slots = h.fleet.RequestCapacity(c.service)
 	s.supply.Store(v)
 
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -317,19 +317,34 @@
 			}
 		})
 	})
+	t.Run("boxes that are lost have no part in it", func(t *testing.T) {
+		reserve := make(map[int]float64)
+		for _, live := range []int{2, 4} {
+			inFixture(t, func(_ *testing.T, f *roomFixture, s *streamRequest) {
+				s.c.state.BoxCount, s.c.state.LiveBoxes = 4, live
+				reserve[live] = reserveOf(f, s)
+			})
+		}
+		if reserve[2] <= 0 || math.Abs(reserve[4]-2*reserve[2]) > 1e-6 {
+			t.Errorf("the reserve is %.4f with four boxes and %.4f with two", reserve[4], reserve[2])
+		}
+	})
 	t.Run("what was before a pause does not count", func(t *testing.T) {
 		inFixture(t, func(t *testing.T, f *roomFixture, s *streamRequest) {
+			before := reserveOf(f, s)
 			time.Sleep(time.Minute)
-			if got := reserveOf(f, s); got != 0 {
-				t.Errorf("the reserve is %.4f, want 0", got)
+			if got := reserveOf(f, s); before <= 0 || got != 0 {
+				t.Errorf("the reserve is %.4f before the pause, %.4f after it, want 0", before, got)
 			}
 		})
 	})
 	t.Run("a box that has just started leaves nothing", func(t *testing.T) {
-		f := newRoomFixture(0)
-		if got := reserveOf(f, f.stream(1, 50)); got != 0 {
-			t.Errorf("the reserve is %.4f, want 0", got)
-		}
+		inFixture(t, func(t *testing.T, f *roomFixture, s *streamRequest) {
+			restarted := newRoomFixture(0)
+			if before, got := reserveOf(f, s), reserveOf(restarted, restarted.stream(1, 50)); before <= 0 || got != 0 {
+				t.Errorf("the reserve is %.4f before the start, %.4f after it, want 0", before, got)
+			}
+		})
 	})
 }
 
