Classes are those of the streams before a service

Cause: a route that is no stream, or has no weight, made a service prioritized for room and retries. With more pairs of priorities than classes, the least urgent ones fell together across accounts. A new configuration changed which priority a class stands for, while the tracker kept the former ones; trackers of services that are gone stayed.

Change: room and retries use the rank among the streams of weight above 0, by account only if there are more than ten; the priority sent to servers is as before. The state of services whose classes a newer configuration changes is dropped. Tests of room set these classes now instead of the priorities sent to servers.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -196,6 +196,10 @@
 	byService map[string]*Service
 	// priorities has the priorities of the requests before each service, the most urgent first.
 	priorities map[string][]priorityPair
+	// classes is like priorities, of streams only. classesByAccount has the services whose classes
+	// are the priorities of the accounts.
+	classes          map[string][]priorityPair
+	classesByAccount map[string]bool
 }
 
 // New returns a Catalog that indexes the given routes, services and accounts.
@@ -206,6 +210,7 @@
 		byKey:     make(map[string]*Account),
 		byService: make(map[string]*Service, len(services)), priorities: prioritiesByService(routes, accounts, requireAPIKey),
 	}
+	c.setClasses(routes, accounts)
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		c.byHost[host] = append(c.byHost[host], &routes[i])
--- a/catalog/priority.go
+++ b/catalog/priority.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/slatebridge/slatebridge/priority"
 )
 
 // priorityPair is the priority of a client account and that of a route, 0 for the most urgent.
@@ -37,6 +39,48 @@
 // service.
 func (c *Catalog) Prioritized(service string) bool { return len(c.priorities[service]) > 1 }
 
+// HasClasses reports whether the configuration has streams of more than one class before the service.
+func (c *Catalog) HasClasses(service string) bool { return len(c.classes[service]) > 1 }
+
+// Class returns the rank of a stream to the service among the priorities of all streams that the
+// configuration has before it, 0 for the most urgent. If there are more of them than priority.Classes,
+// only those of the accounts count.
+func (c *Catalog) Class(service string, r *Route, a *Account) int {
+	p, classes := newPriorityPair(r, a), c.classes[service]
+	if c.classesByAccount[service] {
+		p.route = 0
+	}
+	i, _ := slices.BinarySearchFunc(classes, p, comparePriorities)
+
+	return i
+}
+
+// SameClasses reports whether the other configuration has the same classes before the service.
+func (c *Catalog) SameClasses(o *Catalog, service string) bool {
+	return slices.Equal(c.classes[service], o.classes[service])
+}
+
+// setClasses sets the classes of the streams before each service.
+func (c *Catalog) setClasses(routes []Route, accounts []Account) {
+	streams := make([]Route, 0, len(routes))
+	for _, r := range routes {
+		if r.Kind == Stream {
+			r.TrafficSplit = slices.DeleteFunc(slices.Clone(r.TrafficSplit), func(s WeightedService) bool { return s.Weight <= 0 })
+			streams = append(streams, r)
+		}
+	}
+	c.classes, c.classesByAccount = prioritiesByService(streams, accounts, c.RequireAPIKey), make(map[string]bool)
+	for service, pairs := range c.classes {
+		if len(pairs) <= priority.Classes {
+			continue
+		}
+		for i := range pairs {
+			pairs[i].route = 0
+		}
+		c.classes[service], c.classesByAccount[service] = slices.Compact(pairs), true
+	}
+}
+
 // prioritiesByService returns the priorities of the requests before each service, the most urgent
 // first. Any account may use any route.
 func prioritiesByService(routes []Route, accounts []Account, requireAPIKey bool) map[string][]priorityPair {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -143,6 +143,10 @@
 	latencies latencyStats
 	// priorities holds the *servicePriority of each service, by name.
 	priorities sync.Map
+	// priorityConfig is the newest configuration whose classes the priorities have. The mutex guards
+	// its replacement.
+	priorityConfig   atomic.Pointer[catalog.Catalog]
+	priorityConfigMu sync.Mutex
 	// livenessQueue holds servers whose liveness is to be checked.
 	livenessQueue chan slatebridge.ServerID
 	ledger        *quarantine.Ledger
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,7 +39,11 @@
 	// is set, that is, if there are requests of other priorities before the service.
 	priority    int
 	prioritized bool
-	// servicePriority is the state of the decisions by priority for the service; nil unless prioritized.
+	// class is the rank of the priority among those of all streams to the service. It counts only if
+	// hasClasses is set, that is, if the request is a stream and there are several of them.
+	class      int
+	hasClasses bool
+	// servicePriority is the state of the decisions by priority for the service; nil unless hasClasses.
 	servicePriority *servicePriority
 	state           State
 	// plainAttempts counts the attempts at single servers, including those that were not sent. It
@@ -163,7 +167,11 @@
 	}
 	c.service = c.route.ChooseService(h.random())
 	c.prioritized = c.state.Catalog.Prioritized(c.service)
-	c.priority = c.state.Catalog.Priority(c.service, c.route, c.state.Catalog.Account(c.APIKey))
+	account := c.state.Catalog.Account(c.APIKey)
+	c.priority = c.state.Catalog.Priority(c.service, c.route, account)
+	if c.route.Kind == catalog.Stream {
+		c.hasClasses, c.class = c.state.Catalog.HasClasses(c.service), c.state.Catalog.Class(c.service, c.route, account)
+	}
 	c.header = endToEndHeaders(r.Header)
 
 	if e := h.readBody(w, r, c); e != nil {
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -111,7 +111,7 @@
 	}
 	c := &inboundRequest{
 		route:     &catalog.Route{MaxEventInterval: 250 * time.Millisecond, Resumable: true, Kind: catalog.Stream, MaxServers: 2},
-		startedAt: clock.Now(), deadline: clock.Now().Add(20 * time.Second), service: "llm", priority: priority, prioritized: true, done: &atomic.Bool{},
+		startedAt: clock.Now(), deadline: clock.Now().Add(20 * time.Second), service: "llm", priority: priority, prioritized: true, class: priority, hasClasses: true, done: &atomic.Bool{},
 	}
 	a := rt.h.monitor.add(&streamAttempt{
 		requestID: id, service: "llm", path: path, reservation: reservation, kvTokens: 10, cancel: func(error) {},
@@ -511,7 +511,7 @@
 		a := rt.stream("r", 0)
 		route := a.request.route
 		limits := func(r *catalog.Route, prioritized bool) fleet.Limits {
-			a.request.route, a.request.prioritized = r, prioritized
+			a.request.route, a.request.hasClasses = r, prioritized
 
 			return rt.h.repairQuery(a, nil).Limits
 		}
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -37,7 +37,7 @@
 // and interrupt streams.
 func (t *streamRequest) takeRequired() bool {
 	h, c := t.h, t.c
-	if !c.prioritized || len(t.ranOn) > 0 {
+	if !c.hasClasses || len(t.ranOn) > 0 {
 		return h.takeRetry(t.ctx, c.service, retry.Required)
 	}
 	boxes, now := h.state().BoxCount, clock.Now()
--- a/forward/room.go
+++ b/forward/room.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
@@ -78,8 +79,12 @@
 	return n
 }
 
-// servicePriority returns the state for a service, and creates it if needed.
-func (h *Handler) servicePriority(service string) *servicePriority {
+// servicePriority returns the state for a service, and creates it if needed. cfg is the configuration
+// of the request.
+func (h *Handler) servicePriority(service string, cfg *catalog.Catalog) *servicePriority {
+	if known := h.priorityConfig.Load(); known == nil || known.Version < cfg.Version {
+		h.dropChangedPriorities(cfg)
+	}
 	v, ok := h.priorities.Load(service)
 	if !ok {
 		v, _ = h.priorities.LoadOrStore(service, &servicePriority{tracker: priority.NewTracker(clock.Now())})
@@ -88,30 +93,49 @@
 	return v.(*servicePriority)
 }
 
+// dropChangedPriorities drops the state of the services whose classes a new configuration changes: a
+// class of the same number is another one.
+func (h *Handler) dropChangedPriorities(cfg *catalog.Catalog) {
+	h.priorityConfigMu.Lock()
+	defer h.priorityConfigMu.Unlock()
+	known := h.priorityConfig.Load()
+	if known != nil && known.Version >= cfg.Version {
+		return
+	}
+	h.priorities.Range(func(service, _ any) bool {
+		if known == nil || !cfg.SameClasses(known, service.(string)) {
+			h.priorities.Delete(service)
+		}
+
+		return true
+	})
+	h.priorityConfig.Store(cfg)
+}
+
 func (c *inboundRequest) priorityRequest() priority.Request {
-	return priority.Request{Class: c.priority, Account: c.account}
+	return priority.Request{Class: c.class, Account: c.account}
 }
 
 // recordOffered records the arrival of a stream for the decisions by priority.
 func (t *streamRequest) recordOffered() {
 	c := t.c
-	if !c.prioritized {
+	if !c.hasClasses {
 		return
 	}
-	c.servicePriority = t.h.servicePriority(c.service)
+	c.servicePriority = t.h.servicePriority(c.service, c.state.Catalog)
 	c.servicePriority.tracker.RecordOffered(c.priorityRequest(), t.kvTokens(), c.startedAt)
-	c.servicePriority.count(t.h.metrics, c.priority).offered.Inc()
+	c.servicePriority.count(t.h.metrics, c.class).offered.Inc()
 }
 
 // recordAdmitted records that a server has accepted the stream, unless one did before.
 func (t *streamRequest) recordAdmitted() {
 	c := t.c
-	if !c.prioritized || t.admitted {
+	if !c.hasClasses || t.admitted {
 		return
 	}
 	t.admitted = true
 	c.servicePriority.tracker.RecordAdmitted(c.priorityRequest(), t.kvTokens(), c.startedAt)
-	c.servicePriority.count(t.h.metrics, c.priority).admitted.Inc()
+	c.servicePriority.count(t.h.metrics, c.class).admitted.Inc()
 	if t.preferred {
 		t.recordPreferred()
 	}
@@ -121,7 +145,7 @@
 // the box itself refused it. Other errors say nothing about its priority.
 func (t *streamRequest) recordRefused(e *result.Error) {
 	c := t.c
-	if !c.prioritized || t.admitted || len(t.ranOn) > 0 || e.Code != result.Overloaded {
+	if !c.hasClasses || t.admitted || len(t.ranOn) > 0 || e.Code != result.Overloaded {
 		return
 	}
 	c.servicePriority.tracker.RecordRefused(c.priorityRequest(), t.kvTokens(), c.startedAt)
@@ -136,7 +160,7 @@
 // limits of its class.
 func (h *Handler) roomLimits(c *inboundRequest, running bool) fleet.Limits {
 	resumed := c.LastEventID > 0
-	if running || (resumed && !c.prioritized) {
+	if running || (resumed && !c.hasClasses) {
 		return h.runningLimits(c)
 	}
 	limits := h.priorityLimits(c)
@@ -147,7 +171,7 @@
 
 // priorityLimits returns how far a new request may fill servers by its priority.
 func (h *Handler) priorityLimits(c *inboundRequest) fleet.Limits {
-	if !c.prioritized {
+	if !c.hasClasses {
 		return fleet.Limits{}
 	}
 	s, now := c.servicePriority, clock.Now()
@@ -172,7 +196,7 @@
 // admitted too rarely, finds a path only for that.
 func (t *streamRequest) needsPreference(q fleet.Query, firsts []slatebridge.ServerID) bool {
 	c := t.c
-	if !c.prioritized || len(t.ranOn) > 0 {
+	if !c.hasClasses || len(t.ranOn) > 0 {
 		return false
 	}
 	now := clock.Now()
@@ -189,9 +213,9 @@
 // recordPreferred counts and logs a stream that got room that others of its class leave free.
 func (t *streamRequest) recordPreferred() {
 	c := t.c
-	t.h.metrics.priorityCounter(c.priority, priorityPreferred).Inc()
+	t.h.metrics.priorityCounter(c.class, priorityPreferred).Inc()
 	if n := c.servicePriority.preferred.next(clock.Now()); n > 0 {
-		event.Log(t.h.logger, event.UnderservedPreferred, zap.String("service", c.service), zap.Int("priority", c.priority),
+		event.Log(t.h.logger, event.UnderservedPreferred, zap.String("service", c.service), zap.Int("priority", c.class),
 			zap.String("account", c.account), zap.Int("requests", n))
 	}
 }
@@ -206,9 +230,9 @@
 // recordRoomKept counts and logs a stream that ends for room that is kept for more urgent requests.
 func (t *streamRequest) recordRoomKept() {
 	c, limits := t.c, t.roomKept.limits
-	t.h.metrics.priorityCounter(c.priority, priorityRefused).Inc()
+	t.h.metrics.priorityCounter(c.class, priorityRefused).Inc()
 	if n := c.servicePriority.refused.next(clock.Now()); n > 0 {
-		event.Log(t.h.logger, event.PriorityLimited, zap.String("service", c.service), zap.Int("priority", c.priority), zap.String("account", c.account),
+		event.Log(t.h.logger, event.PriorityLimited, zap.String("service", c.service), zap.Int("priority", c.class), zap.String("account", c.account),
 			zap.Float64("memory_limit", limits.Memory), zap.Float64("slot_limit", limits.Slots), zap.Int("requests", n))
 	}
 }
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -89,8 +89,8 @@
 // stream returns a stream of the priority that takes the given number of tokens.
 func (f *roomFixture) stream(priority, tokens int) *streamRequest {
 	c := &inboundRequest{
-		Request: Request{PromptTokens: tokens}, service: "llm", state: f.handler.state(), priority: priority,
-		prioritized: f.catalog.Prioritized("llm"), route: &catalog.Route{}, startedAt: time.Now(),
+		Request: Request{PromptTokens: tokens}, service: "llm", state: f.handler.state(), class: priority,
+		hasClasses: f.catalog.HasClasses("llm"), route: &catalog.Route{}, startedAt: time.Now(),
 	}
 	s := &streamRequest{h: f.handler, c: c}
 	s.recordOffered()
@@ -244,6 +244,38 @@
 	})
 }
 
+// TestChangedClasses checks that a new configuration of the classes of a service begins with no
+// records, and another one keeps them.
+func TestChangedClasses(t *testing.T) {
+	for name, c := range map[string]struct {
+		service    string
+		priorities []int
+		version    int64
+		want       float64
+	}{
+		"the same classes":         {"llm", []int{0, 1}, 2, 1},
+		"a class more":             {"llm", []int{0, 1, 2}, 2, 0},
+		"the service is gone":      {"other", []int{0, 1}, 2, 0},
+		"an earlier configuration": {"llm", []int{0, 1, 2}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newRoomFixture(0)
+			f.offer(0)
+			var routes []catalog.Route
+			for _, p := range c.priorities {
+				routes = append(routes, catalog.Route{Priority: p, Kind: catalog.Stream, TrafficSplit: []catalog.WeightedService{{Service: c.service, Weight: 1}}})
+			}
+			next := catalog.New(c.version, catalog.Limits{}, routes, nil, nil, false)
+			f.handler.servicePriority("another", next)
+			s := f.handler.servicePriority("llm", next)
+			r := s.tracker.OrdinaryReserve(priority.Request{Class: 1}, priority.Supply{Tokens: 1, Boxes: 1, Staleness: time.Second}, time.Now())
+			if got := r.Memory / 0.2; math.Abs(got-c.want) > 1e-6 {
+				t.Errorf("the reserve is %.2f times the largest, want %.2f", got, c.want)
+			}
+		})
+	}
+}
+
 // TestDecisionsOnly checks that the comparison of the classes counts the streams that were admitted,
 // once, and those for which there was no room.
 func TestDecisionsOnly(t *testing.T) {
--- a/lab/priority.go
+++ b/lab/priority.go
@@ -9,7 +9,7 @@
 // prioritized reports whether the priority of the request counts: in a Prioritized scenario, until a
 // server has executed the request.
 func (q *request) prioritized() bool {
-	return q.sim.catalog.Prioritized(service) && len(q.executedBy) == 0
+	return q.sim.catalog.HasClasses(service) && len(q.executedBy) == 0
 }
 
 func (q *request) priorityRequest() priority.Request {
