A preference is looked for only where nothing is left free

A stream whose limits have a reserve, or of the most urgent class, takes no part in it, so that the reserve is not computed a second time for it.

--- a/fleet/path.go
+++ b/fleet/path.go
@@ -139,8 +139,8 @@
 
 // shortage returns why there is no path with room for the request. The caller holds mu.
 func (f *Fleet) shortage(q Query) Shortage {
-	if full := q.Limits.withoutReserve(); full != q.Limits {
-		if q.Limits = full; f.search(q, true) != nil {
+	if q.Limits.HasReserve() {
+		if q.Limits = q.Limits.withoutReserve(); f.search(q, true) != nil {
 			return RoomKept
 		}
 	}
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -30,6 +30,9 @@
 	return Limits{Memory: maxPlannedFill - memory, Slots: 1 - slots}
 }
 
+// HasReserve reports whether the request leaves something free.
+func (l Limits) HasReserve() bool { return l != l.withoutReserve() }
+
 // withoutReserve returns the limits of a request that leaves nothing free.
 func (l Limits) withoutReserve() Limits {
 	if l.Memory > 0 {
--- a/forward/room.go
+++ b/forward/room.go
@@ -196,18 +196,14 @@
 // admitted too rarely, finds a path only for that.
 func (t *streamRequest) needsPreference(q fleet.Query, firsts []slatebridge.ServerID) bool {
 	c := t.c
-	if !c.hasClasses || len(t.ranOn) > 0 {
+	if !c.hasClasses || c.class == 0 || len(t.ranOn) > 0 || q.Limits.HasReserve() {
 		return false
 	}
 	now := clock.Now()
 	r := c.servicePriority.tracker.OrdinaryReserve(c.priorityRequest(), t.h.supply(c.servicePriority, c, now), now)
-	ordinary := fleet.LimitsWithReserve(r.Memory, r.Slots)
-	if q.Limits.Memory <= ordinary.Memory && q.Limits.Slots <= ordinary.Slots {
-		return false
-	}
-	q.Limits = ordinary
+	q.Limits = fleet.LimitsWithReserve(r.Memory, r.Slots)
 
-	return !t.h.fleet.HasPath(q, firsts)
+	return q.Limits.HasReserve() && !t.h.fleet.HasPath(q, firsts)
 }
 
 // recordPreferred counts and logs a stream that got room that others of its class leave free.
