--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -244,6 +244,56 @@
 	})
 }
 
+// TestAdmittedClass checks which requests have a class, and which servers are told of a priority.
+func TestAdmittedClass(t *testing.T) {
+	type class struct {
+		Priority    int
+		Prioritized bool
+		Class       int
+		HasClasses  bool
+	}
+	plain := func(prefix string, priority int) catalog.Route {
+		return catalog.Route{Host: "example.com", Timeout: time.Minute, Prefix: prefix, Priority: priority, Kind: catalog.Idempotent, TrafficSplit: []catalog.WeightedService{{Service: "llm", Weight: 1}}}
+	}
+	stream := func(prefix string, priority int) catalog.Route {
+		r := plain(prefix, priority)
+		r.Kind = catalog.Stream
+
+		return r
+	}
+	for name, c := range map[string]struct {
+		routes []catalog.Route
+		want   []class
+	}{
+		"streams and other calls": {
+			[]catalog.Route{plain("/a", 0), stream("/b", 1), stream("/c", 2)},
+			[]class{{0, true, 0, false}, {1, true, 0, true}, {2, true, 1, true}},
+		},
+		"streams of one priority": {
+			[]catalog.Route{stream("/a", 0), plain("/b", 1)},
+			[]class{{0, true, 0, false}, {1, true, 0, false}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newRoomFixture(0)
+			cat := catalog.New(1, catalog.Limits{}, c.routes, []catalog.Service{{Name: "llm"}}, nil, false)
+			f.handler.state = func() State { return State{Catalog: cat, Synced: true} }
+			f.handler.codec.ParseRequest = func(*http.Request) (Request, error) { return Request{}, nil }
+			var got []class
+			for _, r := range c.routes {
+				q, e := f.handler.admit(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, r.Prefix, http.NoBody))
+				if e != nil {
+					t.Fatal(e)
+				}
+				got = append(got, class{q.priority, q.prioritized, q.class, q.hasClasses})
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestChangedClasses checks that a new configuration of the classes of a service begins with no
 // records, and another one keeps them.
 func TestChangedClasses(t *testing.T) {
