--- a/box/box.go
+++ b/box/box.go
@@ -144,7 +144,7 @@
 	b.grants = newGrants(b)
 	b.rooms = newRooms(b)
 	b.serversConfirmedAt.Store(&time.Time{})
-	b.state.Store(&forward.State{BoxCount: 1})
+	b.state.Store(&forward.State{BoxCount: 1, LiveBoxes: 1})
 	b.status.Store(&Status{})
 	b.handler = forward.New(forward.Config{
 		Codec: p.HeaderCodec, Fleet: b.fleet, HTTPClient: client, ServerClient: p.ServerClient,
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/slatebridge/slatebridge"
 )
@@ -12,7 +13,8 @@
 	// for the memory in use before the request, so that it refuses large requests no more often than
 	// small ones.
 	Memory float64
-	// Slots bounds the slots of the first server; zero means no bound.
+	// Slots bounds the slots of the first server that are in use before the request; zero means no
+	// bound. With a bound, the request needs a free slot.
 	Slots float64
 	// KeepForRepairs leaves the memory that streams of recently lost servers need at the servers
 	// that can replace them, as long as there is another path.
@@ -35,6 +37,33 @@
 	return before, max(before, maxPlannedFill)
 }
 
+// HasReserve reports whether the request leaves something free.
+func (l Limits) HasReserve() bool { return l != l.withoutReserve() }
+
+// withoutReserve returns the limits of a request that leaves nothing free.
+func (l Limits) withoutReserve() Limits {
+	if l.Memory > 0 {
+		l.Memory = max(l.Memory, maxPlannedFill)
+	}
+	if l.Slots > 0 {
+		l.Slots = max(l.Slots, 1)
+	}
+
+	return l
+}
+
+// lacksSlots reports whether some first server has memory for the request, but no slot within the
+// limits. The caller holds mu.
+func (f *Fleet) lacksSlots(q Query) bool {
+	unbounded := q
+	unbounded.Limits.Slots = 0
+	now := f.now()
+
+	return slices.ContainsFunc(f.membersOf(q.Service), func(m *member) bool {
+		return m.model != nil && m.offersLayers(q, now) && m.hasRoom(unbounded, m.load()) && !m.hasRoom(q, m.load())
+	})
+}
+
 // hasRoom reports whether the server has room for one more request of the given size within the
 // limits.
 func (m *member) hasRoom(q Query, used Load) bool {
@@ -46,7 +75,9 @@
 		return true
 	}
 
-	return used.FirstStage+1 <= q.Limits.Slots*float64(m.Slots)
+	slots := float64(m.Slots)
+
+	return used.FirstStage+1 <= slots && used.FirstStage < q.Limits.Slots*slots
 }
 
 // HasPath reports whether there is a path for the request that starts at one of the given first
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,6 +102,8 @@
 	Synced bool
 	// BoxCount is the number of boxes that share the work and the retry budget.
 	BoxCount int
+	// LiveBoxes is the number of boxes that are not known to be lost, this one included.
+	LiveBoxes int
 }
 
 // Bounds are limits from the settings.
@@ -143,6 +145,10 @@
 	priorities sync.Map
 	// returns holds the *serviceReturns of each service that refused a request, by name.
 	returns sync.Map
+	// priorityConfig is the newest configuration whose classes the priorities have. The mutex guards
+	// its replacement.
+	priorityConfig   atomic.Pointer[catalog.Catalog]
+	priorityConfigMu sync.Mutex
 	// livenessQueue holds servers whose liveness is to be checked.
 	livenessQueue chan slatebridge.ServerID
 	ledger        *quarantine.Ledger
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -172,6 +172,8 @@
 	// share is the fraction of the remaining budget that all boxes together may take this way. The
 	// allotment of one box is its equal part of that, plus rounding.
 	share, rounding float64
+	// reserve is the share of the budget that is left to other retries.
+	reserve float64
 }
 
 // take takes one retry from the box's allotment, if one is left. The caller holds mu.
@@ -188,6 +190,12 @@
 	lost := b.grantorLost(service, now)
 	used := b.totalUsage(own, service, boxes, lost, now)
 	left := a.urgency.maxShare(lost)*b.full(used) - float64(used.Retries-recent.Retries)
+	if a.reserve > 0 {
+		left -= a.reserve * b.knownLimit(used, service, boxes, lost, now)
+		if float64(recent.Retries+1) > left {
+			return false
+		}
+	}
 	if float64(recent.Retries-recent.FromPool+1) > a.share*left/float64(max(1, boxes))+a.rounding {
 		return false
 	}
@@ -196,8 +204,8 @@
 	return true
 }
 
-// Leaves reports whether one more retry would leave the given share of what required retries may
-// use, as far as this box knows. A caller that takes a retry only then leaves that share to others.
+// Leaves reports whether one more retry would leave the given share of what required retries of the
+// boxes that are heard may use. A caller that takes a retry only then leaves that share to others.
 func (b *Budget) Leaves(service string, boxes int, share float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -205,7 +213,30 @@
 	used := b.totalUsage(b.currentWindow(b.sent, service, now).sum(b.bounds.Window), service, boxes, lost, now)
 	limit := Required.maxShare(lost) * b.full(used)
 
-	return limit-float64(used.Retries+1) >= share*limit
+	return limit-float64(used.Retries+1) >= share*b.knownLimit(used, service, boxes, lost, now)
+}
+
+// knownLimit returns how many required retries are left for the boxes that are heard, if the others
+// use their equal parts. The caller holds mu.
+func (b *Budget) knownLimit(used Usage, service string, boxes int, grantorLost bool, now time.Time) float64 {
+	share := Required.maxShare(grantorLost)
+	assumed, unknown := 0, boxes-1
+	for _, p := range b.peers {
+		if unknown -= p.boxes; now.Sub(p.lastSeenAt) > peerTimeout {
+			assumed += b.silentRetries(p, service, boxes, share)
+		}
+	}
+	assumed += int(share * b.equalPart(Usage{}, max(0, unknown), boxes))
+
+	return max(0, share*b.full(used)-float64(assumed))
+}
+
+// silentRetries returns how many retries a group of peers that is not heard may have made: what it
+// reported last, or its equal part of the given share of the budget.
+func (b *Budget) silentRetries(p *peerGroup, service string, boxes int, share float64) int {
+	u := p.usage[service]
+
+	return max(u.Retries, int(share*b.equalPart(u, p.boxes, boxes)))
 }
 
 // totalUsage returns what all boxes have used. A box whose usage is unknown counts as having used
@@ -216,7 +247,7 @@
 	for _, p := range b.peers {
 		u := p.usage[service]
 		if now.Sub(p.lastSeenAt) > peerTimeout {
-			u.Retries = max(u.Retries, int(share*b.equalPart(u, p.boxes, boxes)))
+			u.Retries = b.silentRetries(p, service, boxes, share)
 		}
 		all = all.plus(u)
 		unknown -= p.boxes
