Repairs in order: silent first servers leave turns to others

Cause: two first servers that do not respond to moves held all eight turns for 0.1 s each, again and again, and were not queried, as a suspect on the path was enough for the check of a stalled stream. Ruled out: keeping the last turns free for servers without a repair, which slows down the usual case of few first servers. Change: a first server that does not respond to a move for 25 ms gets one repair at a time until it responds, silent ones together get half of the turns, and silence for the whole 0.1 s has it queried. The repetition of a move ends if other streams of that server are under repair. Streams that are queued or under repair are not queued again by the round of retries. Run: TestSilentFirstServers and TestLivenessOfSilentFirstServer failed before; go test ./repair ./forward pass. Conclusion: streams of responding first servers are moved within about 25 ms in the test.

--- a/forward/repair.go
+++ b/forward/repair.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -22,6 +23,10 @@
 // takes a round trip to the first server, and a hall rarely has more servers with the same layers.
 const maxMoves = 3
 
+// moveSilence is the time without a response to a move after which the first server counts as
+// silent, so that its streams hold up fewer others. A response usually takes one round trip.
+const moveSilence = 25 * time.Millisecond
+
 // MoveRefusedError says that the first server of a stream refused to move it, as a server of the new
 // path has no room or does not hold its layers. The stream continues on its path.
 type MoveRefusedError struct {
@@ -79,7 +84,7 @@
 		return
 	}
 	if r.next != nil {
-		if r.send(ctx) == nil {
+		if h.repairs.keep(a) && r.send(ctx) == nil {
 			return
 		}
 		r.dropPath()
@@ -208,7 +213,7 @@
 // again.
 func (r *streamRepair) send(ctx context.Context) error {
 	h, a := r.h, r.a
-	err := h.sendMove(ctx, r.path[0].Server, a.requestID, r.next)
+	err := r.sendInTime(ctx)
 	event.Log(h.logger, event.StreamMoved, zap.String("request", a.requestID), zap.Stringer("from", r.path),
 		zap.Stringer("to", r.next), event.Error(err))
 	if err != nil {
@@ -224,6 +229,30 @@
 	return nil
 }
 
+// sendInTime moves the stream to the next path, and records whether its first server responds.
+func (r *streamRepair) sendInTime(ctx context.Context) error {
+	h, first := r.h, r.path[0].Server
+	if !repairedInOrder(r.a.request.route) {
+		return h.sendMove(ctx, first, r.a.requestID, r.next)
+	}
+	silence := time.AfterFunc(moveSilence, func() {
+		h.repairs.recordMove(first.ID, false)
+		h.startRepairs(ctx)
+	})
+	err := h.sendMove(ctx, first, r.a.requestID, r.next)
+	silence.Stop()
+	switch {
+	case errors.Is(err, ErrServerNotAccepting), errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded):
+		h.repairs.recordMove(first.ID, false)
+		h.enqueueLivenessCheck(first.ID)
+	default:
+		h.repairs.recordMove(first.ID, true)
+	}
+
+	return err
+}
+
 // restartElsewhere ends the attempt if there is a path for another one and a retry for it in the
 // budget, and reports whether it did. Otherwise it is better to wait: the server may recover or be
 // wrongly suspected.
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -39,6 +39,8 @@
 	moves            []string
 	inProgress, most int
 	model            *catalog.Model
+	// report is the response of a server to a query.
+	report func(id slatebridge.ServerID) error
 }
 
 // withRepairs runs the test in virtual time with a box before servers "first" [0,4) and the given
@@ -47,7 +49,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		core, logs := observer.New(zap.InfoLevel)
-		rt := &repairTest{T: t, logs: logs, answer: func(string, fleet.Path) error { return nil }}
+		rt := &repairTest{T: t, logs: logs, answer: func(string, fleet.Path) error { return nil }, report: func(slatebridge.ServerID) error { return nil }}
 		model := &catalog.Model{
 			Layers: 8, LayerMB: 1000, KVBytesPerToken: 2e6, MeanOutputTokens: 40,
 			Accelerators: []catalog.Accelerator{{Name: "big", MemoryMB: 5000}},
@@ -69,7 +71,9 @@
 			Random: func() float64 { return 0.5 }, Bounds: Bounds{Retry: retry.Bounds{Extra: retries, Window: 10 * time.Second}},
 			ServerClient: ServerClient{
 				MoveStream: rt.moveStream,
-				Report:     func(context.Context, catalog.Server) (Report, error) { return Report{Slowness: 1}, nil },
+				Report: func(_ context.Context, s catalog.Server) (Report, error) {
+					return Report{Slowness: 1}, rt.report(s.ID)
+				},
 			},
 		})
 		// The budget is open to a box once it has heard from others.
@@ -99,9 +103,16 @@
 // stream adds a stream in flight over the first server and lostServer.
 func (rt *repairTest) stream(id string, priority int) *streamAttempt {
 	rt.Helper()
+
+	return rt.streamFrom("first", id, priority)
+}
+
+// streamFrom adds a stream in flight over the given first server and lostServer.
+func (rt *repairTest) streamFrom(first slatebridge.ServerID, id string, priority int) *streamAttempt {
+	rt.Helper()
 	exclude := make([]slatebridge.ServerID, 0)
 	for _, s := range rt.h.fleet.Servers() {
-		if s.ID != "first" && s.ID != lostServer {
+		if s.ID != first && s.ID != lostServer {
 			exclude = append(exclude, s.ID)
 		}
 	}
@@ -115,7 +126,7 @@
 	}
 	a := rt.h.monitor.add(&streamAttempt{
 		requestID: id, service: "llm", path: path, reservation: reservation, kvTokens: 10, cancel: func(error) {},
-		ranOn: []slatebridge.ServerID{"first"}, maxRuns: 2, limits: silenceLimitsFor(c.route), request: c,
+		ranOn: []slatebridge.ServerID{first}, maxRuns: 2, limits: silenceLimitsFor(c.route), request: c,
 	})
 	a.recordEvent()
 
@@ -368,6 +379,80 @@
 	})
 }
 
+// addSilentServers adds servers for the layers [0,4), which respond neither to moves nor to queries.
+func (rt *repairTest) addSilentServers(ids ...slatebridge.ServerID) {
+	for _, id := range ids {
+		rt.h.fleet.Set(catalog.Server{ID: id, Service: "llm", Hall: "a", Accelerator: "big", Address: string(id) + ":80", Layers: slatebridge.LayerRange{To: 4}})
+	}
+	rt.answer = func(_ string, p fleet.Path) error {
+		if slices.Contains(ids, p[0].Server.ID) {
+			time.Sleep(reportTimeout)
+
+			return context.DeadlineExceeded
+		}
+
+		return nil
+	}
+	rt.report = func(id slatebridge.ServerID) error {
+		if slices.Contains(ids, id) {
+			return context.DeadlineExceeded
+		}
+
+		return nil
+	}
+}
+
+// TestSilentFirstServers checks that streams whose first servers do not respond do not hold up those
+// of other first servers, even if they are more urgent and have come before.
+func TestSilentFirstServers(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		rt.addSilentServers("silent1", "silent2")
+		var silent, others []*streamAttempt
+		for i := range 16 {
+			silent = append(silent, rt.streamFrom([]slatebridge.ServerID{"silent1", "silent2"}[i%2], fmt.Sprint("silent", i), 0))
+		}
+		for i := range 8 {
+			others = append(others, rt.stream(fmt.Sprint("other", i), 1))
+		}
+		rt.lose(silent...)
+		time.Sleep(2 * repairGatherTime)
+		rt.lose(others...)
+		time.Sleep(moveSilence + 8*time.Millisecond)
+		for _, a := range others {
+			if path, _ := a.current(); path.Contains(lostServer) {
+				rt.Errorf("%s has not been moved", a.requestID)
+			}
+		}
+		before := len(rt.moves)
+		time.Sleep(10 * reportTimeout)
+		// Each silent first server is asked for one stream at a time.
+		if n := len(rt.moves) - before; n > 2*10 {
+			rt.Errorf("%d further moves", n)
+		}
+		rt.h.repairs.clear()
+		rt.settle()
+	})
+}
+
+// TestLivenessOfSilentFirstServer checks that a first server that does not respond to a move is
+// queried, although another server of the path is suspect already.
+func TestLivenessOfSilentFirstServer(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		rt.h.activity.begin()
+		ctx, cancel := context.WithCancel(rt.Context())
+		defer cancel()
+		go rt.h.WatchStreams(ctx)
+		rt.addSilentServers("silent")
+		rt.lose(rt.streamFrom("silent", "r", 0))
+		time.Sleep(3 * reportTimeout)
+		if diff := cmp.Diff([]slatebridge.ServerID{lostServer, "silent"}, rt.h.fleet.Suspects()); diff != "" {
+			rt.Error(diff)
+		}
+		cancel()
+		rt.settle()
+	})
+}
+
 // TestWaitingStreamIsRetried checks that a stream that waits for room is moved soon after there is
 // some, and not only at its next regular check.
 func TestWaitingStreamIsRetried(t *testing.T) {
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -63,10 +63,14 @@
 	q.queue.Add(a, first, s)
 }
 
-// next returns the stream whose repair starts now.
-func (q *repairQueue) next(now time.Time) (*streamAttempt, repairFinding, bool) {
+// next returns the stream whose repair starts now. Suspects are not asked to move streams, which
+// are restarted instead.
+func (q *repairQueue) next(now time.Time, suspects []slatebridge.ServerID) (*streamAttempt, repairFinding, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, id := range suspects {
+		q.queue.RecordAnswer(id)
+	}
 	a, ok := q.queue.Next(now)
 	if !ok {
 		return nil, repairFinding{}, false
@@ -83,6 +87,33 @@
 	q.queue.Done(a)
 }
 
+// recordMove records whether a first server responded to a move.
+func (q *repairQueue) recordMove(first slatebridge.ServerID, answered bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if answered {
+		q.queue.RecordAnswer(first)
+	} else {
+		q.queue.RecordSilence(first, clock.Now())
+	}
+}
+
+// keep reports whether the repair of the stream may go on after its first server has not responded.
+func (q *repairQueue) keep(a *streamAttempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.Keep(a)
+}
+
+// has reports whether the stream waits for its turn or is under repair.
+func (q *repairQueue) has(a *streamAttempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.Has(a)
+}
+
 // beginGather reports whether the caller is to start the repairs after repairGatherTime.
 func (q *repairQueue) beginGather() bool {
 	q.mu.Lock()
@@ -124,7 +155,7 @@
 func (h *Handler) startRepairs(ctx context.Context) {
 	for {
 		now := clock.Now()
-		a, found, ok := h.repairs.next(now)
+		a, found, ok := h.repairs.next(now, h.fleet.Suspects())
 		if !ok {
 			return
 		}
--- a/forward/repairretry.go
+++ b/forward/repairretry.go
@@ -27,7 +27,7 @@
 	var waiting []*streamAttempt
 	var streams []repair.Stream
 	for _, a := range attempts {
-		if a.waits() {
+		if a.waits() && !w.h.repairs.has(a) {
 			waiting = append(waiting, a)
 			streams = append(streams, a.repairStream())
 		}
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -108,6 +108,49 @@
 			t.Error(diff)
 		}
 	})
+	t.Run("first servers found silent leave half of the repairs to others", func(t *testing.T) {
+		q := fill(50, func(i int) slatebridge.ServerID {
+			return []slatebridge.ServerID{"silent1", "silent2", "other"}[min(i/20, 2)]
+		})
+		running(q)
+		for _, first := range []slatebridge.ServerID{"silent1", "silent2"} {
+			q.RecordSilence(first, lostAt)
+		}
+		wantStarted(t, q, running, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 4, "other": 4})
+		endAll(q)
+		wantStarted(t, q, running, map[slatebridge.ServerID]int{"silent1": 1, "silent2": 1, "other": 4})
+		q.RecordAnswer("silent1")
+		endAll(q)
+		wantStarted(t, q, running, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 1, "other": 2})
+	})
+	t.Run("many silent first servers hold half of the repairs", func(t *testing.T) {
+		q := fill(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
+		for i := range 40 {
+			q.RecordSilence(slatebridge.ServerID(fmt.Sprint(i)), lostAt)
+		}
+		running(q)
+		silent := 0
+		for key := range q.running {
+			if key < 40 {
+				silent++
+			}
+		}
+		if silent != maxConcurrentSilent || len(q.running) != maxConcurrent {
+			t.Errorf("%d of %d streams under repair are of silent first servers", silent, len(q.running))
+		}
+	})
+	t.Run("a repair of a silent first server goes on only alone", func(t *testing.T) {
+		q := fill(3, func(int) slatebridge.ServerID { return "silent" })
+		running(q)
+		kept := []bool{q.Keep(0)}
+		q.RecordSilence("silent", lostAt)
+		for i := range 3 {
+			kept = append(kept, q.Keep(i))
+		}
+		if diff := cmp.Diff([]bool{true, false, false, true}, kept); diff != "" {
+			t.Error(diff)
+		}
+	})
 	t.Run("a stream under repair that loses another server waits for its end", func(t *testing.T) {
 		q := fill(1, func(int) slatebridge.ServerID { return "s" })
 		running(q)
@@ -140,6 +183,26 @@
 	})
 }
 
+// wantStarted starts all repairs that may start, and checks the first servers of those in progress.
+func wantStarted(t *testing.T, q *Queue[int], start func(*Queue[int]) int, want map[slatebridge.ServerID]int) {
+	t.Helper()
+	start(q)
+	started := make(map[slatebridge.ServerID]int)
+	for _, first := range q.running {
+		started[first]++
+	}
+	if diff := cmp.Diff(want, started); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// endAll ends all repairs in progress.
+func endAll(q *Queue[int]) {
+	for key := range q.running {
+		q.Done(key)
+	}
+}
+
 // lostStream is a stream of the replayed load.
 type lostStream struct {
 	box    int
--- a/repair/queue.go
+++ b/repair/queue.go
@@ -1,6 +1,7 @@
 package repair
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -14,6 +15,12 @@
 	// maxConcurrentPerServer bounds those of streams with the same first server, which is asked to
 	// move them. If it does not respond, its streams do not hold up those of others.
 	maxConcurrentPerServer = 4
+	// maxConcurrentSilent bounds those of streams whose first servers are known not to respond to
+	// moves, together.
+	maxConcurrentSilent = maxConcurrent / 2
+	// silenceTTL is how long a first server that is not asked any more counts as silent. Streams
+	// that were to leave a server at that time have ended.
+	silenceTTL = 10 * time.Second
 )
 
 // Queue holds the streams of a box that wait for their repair and those under repair, by a key K
@@ -24,6 +31,8 @@
 	ordered bool
 	// running maps the streams under repair to their first servers.
 	running map[K]slatebridge.ServerID
+	// silent maps the first servers that have not responded to the last move to the time of that.
+	silent map[slatebridge.ServerID]time.Time
 }
 
 // waitingStream is a stream that waits for its repair.
@@ -62,7 +71,7 @@
 // Done. It returns false if there is none.
 func (q *Queue[K]) Next(now time.Time) (K, bool) {
 	var none K
-	if len(q.running) >= maxConcurrent {
+	if silent, others := q.countRunning(); min(silent, maxConcurrentSilent)+others >= maxConcurrent {
 		return none, false
 	}
 	if !q.ordered {
@@ -88,14 +97,77 @@
 	if _, running := q.running[w.key]; running {
 		return false
 	}
+	n := q.runningAt(w.first)
+	if !q.isSilent(w.first) {
+		return n < maxConcurrentPerServer
+	}
+	silent, others := q.countRunning()
+
+	return n == 0 && silent < maxConcurrentSilent && silent+others < maxConcurrent
+}
+
+// runningAt returns the number of streams of the first server that are under repair.
+func (q *Queue[K]) runningAt(first slatebridge.ServerID) int {
 	n := 0
-	for _, first := range q.running {
-		if first == w.first {
+	for _, s := range q.running {
+		if s == first {
 			n++
 		}
 	}
 
-	return n < maxConcurrentPerServer
+	return n
+}
+
+// countRunning returns the number of streams under repair whose first servers are silent, and that
+// of the others.
+func (q *Queue[K]) countRunning() (silent, others int) {
+	for _, first := range q.running {
+		if q.isSilent(first) {
+			silent++
+		} else {
+			others++
+		}
+	}
+
+	return silent, others
+}
+
+func (q *Queue[K]) isSilent(first slatebridge.ServerID) bool {
+	_, silent := q.silent[first]
+
+	return silent
+}
+
+// RecordSilence records that a first server has not responded to a move in time. Until it responds,
+// one of its streams is repaired at a time.
+func (q *Queue[K]) RecordSilence(first slatebridge.ServerID, now time.Time) {
+	if q.silent == nil {
+		q.silent = make(map[slatebridge.ServerID]time.Time)
+	}
+	maps.DeleteFunc(q.silent, func(_ slatebridge.ServerID, at time.Time) bool { return now.Sub(at) > silenceTTL })
+	q.silent[first] = now
+}
+
+// RecordAnswer records that a first server has responded to a move, or will not be asked for one.
+func (q *Queue[K]) RecordAnswer(first slatebridge.ServerID) { delete(q.silent, first) }
+
+// Keep reports whether the repair of a stream may go on after its first server has not responded.
+// If others of that server are under repair as well, its repair has ended.
+func (q *Queue[K]) Keep(key K) bool {
+	first, running := q.running[key]
+	if !running || !q.isSilent(first) || q.runningAt(first) == 1 {
+		return true
+	}
+	delete(q.running, key)
+
+	return false
+}
+
+// Has reports whether the stream waits or is under repair.
+func (q *Queue[K]) Has(key K) bool {
+	_, running := q.running[key]
+
+	return running || slices.ContainsFunc(q.waiting, func(w waitingStream[K]) bool { return w.key == key })
 }
 
 // Done records that the repair of a stream has ended.
