Losses of restarted servers: models and loads follow the configuration and the reports

Cause: a restarted server is removed from the fleet but stays among the losses with its model. After a configuration without the model, Takeover read the model of the present servers, which had none, and the box ended. Reports of other boxes did not reach the removed server, so that its load never shrank, and a box did not tell others of its own streams there. Ruled out: keeping removed members in the index, which all queries use. Change: prefillSpeed passes over servers without a model, SetCatalog assigns the models of losses as well, recentLosses reads the reported loads of removed servers, and OwnLoads includes them. Run: TestLossOfChangedServer (nil dereference), TestLoadOfRestartedServer and TestOwnLoadOfRestartedServer failed before; go test ./fleet ./forward ./box pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,7 +84,7 @@
 	f.hallPeers, f.allPeers = inHall, max(inHall, total)
 }
 
-// SetCatalog assigns each server the model of its service.
+// SetCatalog assigns each server the model of its service, also those lost recently.
 func (f *Fleet) SetCatalog(c *catalog.Catalog) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -92,6 +92,9 @@
 	for _, m := range f.members {
 		f.assignModel(m)
 	}
+	for _, l := range f.losses {
+		f.assignModel(l.member)
+	}
 }
 
 func (f *Fleet) assignModel(m *member) {
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -39,7 +39,8 @@
 	return Load{Requests: math.Round(l.Requests), TokenLayers: math.Round(l.TokenLayers), FirstStage: math.Round(l.FirstStage)}
 }
 
-// OwnLoads returns the work that this box has in flight, by server.
+// OwnLoads returns the work that this box has in flight, by server. This includes servers that were
+// lost recently and have been removed.
 func (f *Fleet) OwnLoads() map[slatebridge.ServerID]Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -47,6 +48,12 @@
 	for m := range f.index.busy {
 		out[m.ID] = m.ownLoad.rounded()
 	}
+	// Other boxes leave room for these streams as well.
+	for _, l := range f.recentLosses() {
+		if l.member.removed && l.member.ownLoad.Requests > 0 {
+			out[l.member.ID] = l.member.ownLoad.rounded()
+		}
+	}
 
 	return out
 }
--- a/fleet/loss.go
+++ b/fleet/loss.go
@@ -35,6 +35,10 @@
 	now := f.now()
 	var out []loss
 	for id, l := range f.losses {
+		if l.member.removed {
+			// It is in no index, so that reports of other boxes do not reach it.
+			l.member.peerLoad = f.peerLoadAt(l.member.shortID)
+		}
 		switch {
 		case now.Sub(l.at) > maxLossAge:
 			delete(f.losses, id)
--- a/fleet/loss_test.go
+++ b/fleet/loss_test.go
@@ -90,23 +90,29 @@
 
 // TestLossOfChangedServer checks losses of servers that lose their model or their layers meanwhile.
 func TestLossOfChangedServer(t *testing.T) {
-	for name, change := range map[string]func(f *Fleet){
-		"service without a model": func(f *Fleet) {
-			f.SetCatalog(catalog.New(2, catalog.Limits{}, nil, []catalog.Service{{Name: "llm"}}, nil, false))
-		},
-		"entry without layers": func(f *Fleet) {
+	suspect := func(f *Fleet) { f.Suspect("a2", time.Now().Add(time.Minute)) }
+	retire := func(f *Fleet) { f.RetireIncarnation("a2") }
+	withoutModel := func(f *Fleet) {
+		f.SetCatalog(catalog.New(2, catalog.Limits{}, nil, []catalog.Service{{Name: "llm"}}, nil, false))
+	}
+	for name, v := range map[string]struct {
+		lose, change func(f *Fleet)
+	}{
+		"service without a model":            {suspect, withoutModel},
+		"restarted, service without a model": {retire, withoutModel},
+		"entry without layers": {suspect, func(f *Fleet) {
 			f.Set(catalog.Server{ID: "a2", Service: "llm", Hall: "a", Accelerator: "big"})
-		},
-		"service without its servers": func(f *Fleet) {
+		}},
+		"service without its servers": {suspect, func(f *Fleet) {
 			f.Set(catalog.Server{ID: "a2", Service: "till", Hall: "a"})
-		},
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := lossFleet(t)
 				path, _, _ := f.FindPath(Query{Service: "llm", Tokens: 10, Exclude: []slatebridge.ServerID{"a0", "a3"}})
-				f.Suspect("a2", time.Now().Add(time.Minute))
-				change(f)
+				v.lose(f)
+				v.change(f)
 				if lost := f.RecentLosses(); lost != nil {
 					t.Errorf("losses %v", lost)
 				}
@@ -117,6 +123,43 @@
 	}
 }
 
+// TestLoadOfRestartedServer checks that the load of a server that has been removed from the fleet
+// shrinks as other boxes report that they have repaired its streams.
+func TestLoadOfRestartedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 4, 8}, testServer{"a3", "a", 4, 8})
+		report := func(streams float64) {
+			f.SetPeerGroupLoads("hall", map[uint32]Load{ShortID("a2"): {Requests: streams, TokenLayers: 400 * streams}})
+		}
+		report(4)
+		f.RetireIncarnation("a2")
+		var kept []float64
+		for _, streams := range []float64{4, 3, 1, 0} {
+			report(streams)
+			kept = append(kept, f.neededRepairRoom("llm").at(f.members["a3"]))
+		}
+		if diff := cmp.Diff([]float64{1600, 1200, 400, 0}, kept); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// TestOwnLoadOfRestartedServer checks that a box tells others of its streams that still pass a
+// recently lost server, although that is not in the fleet any more.
+func TestOwnLoadOfRestartedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(testServer{"a1", "a", 0, 4}, testServer{"a2", "a", 4, 8})
+		r := wantPath(t, f, Query{Tokens: 100}, "a1[0,4)>a2[4,8)")
+		f.RetireIncarnation("a2")
+		loads := []Load{f.OwnLoads()["a2"]}
+		r.Release()
+		loads = append(loads, f.OwnLoads()["a2"])
+		if diff := cmp.Diff([]Load{{Requests: 1, TokenLayers: 400}, {}}, loads); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // TestRoomForRepairsWithoutLoss replays requests with and without the limit, in a fleet that loses no
 // server, and checks that the paths are the same.
 func TestRoomForRepairsWithoutLoss(t *testing.T) {
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -118,6 +118,9 @@
 func (f *Fleet) prefillSpeed(servers []*member) float64 {
 	sum, now := 0.0, f.now()
 	for _, m := range servers {
+		if m.model == nil {
+			continue
+		}
 		speed := m.model.PrefillTokensPerSecond * float64(m.model.Layers) / cmp.Or(m.accelerator.PrefillTimeFactor, 1)
 		if now.Before(m.slowUntil) {
 			speed /= max(1, m.slowness)
