--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -67,39 +67,43 @@
 	}
 }
 
-func TestQueue(t *testing.T) {
-	fill := func(n int, first func(i int) slatebridge.ServerID) *Queue[int] {
-		q := &Queue[int]{}
-		for i := range n {
-			q.Add(i, first(i), stream(0, time.Second, i))
-		}
-
-		return q
+// fillQueue returns a queue of n streams with the given first servers.
+func fillQueue(n int, first func(i int) slatebridge.ServerID) *Queue[int] {
+	q := &Queue[int]{}
+	for i := range n {
+		q.Add(i, first(i), stream(0, time.Second, i))
 	}
-	running := func(q *Queue[int]) int {
-		n := 0
-		for {
-			if _, ok := q.Next(lostAt); !ok {
-				return n
-			}
-			n++
+
+	return q
+}
+
+// startRunning starts all repairs that may start, and returns their number.
+func startRunning(q *Queue[int]) int {
+	n := 0
+	for {
+		if _, ok := q.Next(lostAt); !ok {
+			return n
 		}
+		n++
 	}
+}
+
+func TestQueue(t *testing.T) {
 	t.Run("bounds the repairs at a time", func(t *testing.T) {
-		q := fill(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
-		if n := running(q); n != maxConcurrent {
+		q := fillQueue(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
+		if n := startRunning(q); n != maxConcurrent {
 			t.Errorf("%d streams under repair, want %d", n, maxConcurrent)
 		}
 	})
 	t.Run("streams of a silent first server do not hold up others", func(t *testing.T) {
-		q := fill(50, func(i int) slatebridge.ServerID {
+		q := fillQueue(50, func(i int) slatebridge.ServerID {
 			if i < 40 {
 				return "silent"
 			}
 
 			return "other"
 		})
-		running(q)
+		startRunning(q)
 		started := make(map[slatebridge.ServerID]int)
 		for _, first := range q.running {
 			started[first]++
@@ -108,27 +112,61 @@
 			t.Error(diff)
 		}
 	})
+	t.Run("a stream under repair that loses another server waits for its end", func(t *testing.T) {
+		q := fillQueue(1, func(int) slatebridge.ServerID { return "s" })
+		startRunning(q)
+		q.Add(0, "s", stream(0, time.Second, 0))
+		if n := startRunning(q); n != 0 {
+			t.Error("the stream is repaired twice at a time")
+		}
+		q.Done(0)
+		if n := startRunning(q); n != 1 {
+			t.Error("the second repair does not start")
+		}
+	})
+	t.Run("a stream that is added twice waits once, with the new values", func(t *testing.T) {
+		q := &Queue[string]{}
+		q.Add("a", "s", stream(1, time.Second, 0))
+		q.Add("b", "s", stream(0, time.Second, 0))
+		q.Add("a", "s", stream(0, time.Millisecond*500, 0))
+		wantOrder(t, q, "a", "b")
+	})
+	t.Run("cleared streams are not repaired", func(t *testing.T) {
+		q := fillQueue(20, func(int) slatebridge.ServerID { return "s" })
+		n := startRunning(q)
+		q.Clear()
+		for i := range n {
+			q.Done(i)
+		}
+		if n := startRunning(q); n != 0 {
+			t.Errorf("%d streams are repaired", n)
+		}
+	})
+}
+
+// TestQueueOfSilentServers checks the bounds of first servers that do not respond to moves.
+func TestQueueOfSilentServers(t *testing.T) {
 	t.Run("first servers found silent leave half of the repairs to others", func(t *testing.T) {
-		q := fill(50, func(i int) slatebridge.ServerID {
+		q := fillQueue(50, func(i int) slatebridge.ServerID {
 			return []slatebridge.ServerID{"silent1", "silent2", "other"}[min(i/20, 2)]
 		})
-		running(q)
+		startRunning(q)
 		for _, first := range []slatebridge.ServerID{"silent1", "silent2"} {
 			q.RecordSilence(first, lostAt)
 		}
-		wantStarted(t, q, running, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 4, "other": 4})
+		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 4, "other": 4})
 		endAll(q)
-		wantStarted(t, q, running, map[slatebridge.ServerID]int{"silent1": 1, "silent2": 1, "other": 4})
+		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 1, "silent2": 1, "other": 4})
 		q.RecordAnswer("silent1")
 		endAll(q)
-		wantStarted(t, q, running, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 1, "other": 2})
+		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 1, "other": 2})
 	})
 	t.Run("many silent first servers hold half of the repairs", func(t *testing.T) {
-		q := fill(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
+		q := fillQueue(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
 		for i := range 40 {
 			q.RecordSilence(slatebridge.ServerID(fmt.Sprint(i)), lostAt)
 		}
-		running(q)
+		startRunning(q)
 		silent := 0
 		for key := range q.running {
 			if key < 40 {
@@ -140,8 +178,8 @@
 		}
 	})
 	t.Run("a repair of a silent first server goes on only alone", func(t *testing.T) {
-		q := fill(3, func(int) slatebridge.ServerID { return "silent" })
-		running(q)
+		q := fillQueue(3, func(int) slatebridge.ServerID { return "silent" })
+		startRunning(q)
 		kept := []bool{q.Keep(0)}
 		q.RecordSilence("silent", lostAt)
 		for i := range 3 {
@@ -151,42 +189,12 @@
 			t.Error(diff)
 		}
 	})
-	t.Run("a stream under repair that loses another server waits for its end", func(t *testing.T) {
-		q := fill(1, func(int) slatebridge.ServerID { return "s" })
-		running(q)
-		q.Add(0, "s", stream(0, time.Second, 0))
-		if n := running(q); n != 0 {
-			t.Error("the stream is repaired twice at a time")
-		}
-		q.Done(0)
-		if n := running(q); n != 1 {
-			t.Error("the second repair does not start")
-		}
-	})
-	t.Run("a stream that is added twice waits once, with the new values", func(t *testing.T) {
-		q := &Queue[string]{}
-		q.Add("a", "s", stream(1, time.Second, 0))
-		q.Add("b", "s", stream(0, time.Second, 0))
-		q.Add("a", "s", stream(0, time.Millisecond*500, 0))
-		wantOrder(t, q, "a", "b")
-	})
-	t.Run("cleared streams are not repaired", func(t *testing.T) {
-		q := fill(20, func(int) slatebridge.ServerID { return "s" })
-		n := running(q)
-		q.Clear()
-		for i := range n {
-			q.Done(i)
-		}
-		if n := running(q); n != 0 {
-			t.Errorf("%d streams are repaired", n)
-		}
-	})
 }
 
 // wantStarted starts all repairs that may start, and checks the first servers of those in progress.
-func wantStarted(t *testing.T, q *Queue[int], start func(*Queue[int]) int, want map[slatebridge.ServerID]int) {
+func wantStarted(t *testing.T, q *Queue[int], want map[slatebridge.ServerID]int) {
 	t.Helper()
-	start(q)
+	startRunning(q)
 	started := make(map[slatebridge.ServerID]int)
 	for _, first := range q.running {
 		started[first]++
