Repairs in order: streams that fit nowhere do not starve the others that wait

Cause: each 0.1 s the first four waiting streams in order were tried again, always the same. Ruled out: passing over those tried in the last round. With more than eight waiting it starves the rest all the same, and in every second round room goes to less urgent streams. Change: with the first four, the four whose last retry is longest ago are tried; the queue keeps the order within the round. Conclusion: each waiting stream is tried within (waiting/4) rounds.

--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -30,6 +30,8 @@
 	// mustNotReplace is set if the attempt must not be ended in favor of another one.
 	mustNotReplace bool
 	request        *inboundRequest
+	// retriedAt is when the watcher, which alone uses it, last retried the repair.
+	retriedAt time.Time
 
 	mu   sync.Mutex
 	path fleet.Path
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -473,6 +473,39 @@
 	})
 }
 
+// TestWaitingStreamsThatFitNowhere checks that urgent streams that fit nowhere do not keep others from
+// being tried again.
+func TestWaitingStreamsThatFitNowhere(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		rt.h.activity.begin()
+		ctx, cancel := context.WithCancel(rt.Context())
+		defer cancel()
+		go rt.h.WatchStreams(ctx)
+		const large, small = maxRetriedRepairs, 3 * maxRetriedRepairs
+		var all []*streamAttempt
+		for i := range large + small {
+			a := rt.stream(fmt.Sprint("r", i), min(i/large, 1))
+			if i < large {
+				a.kvTokens = 5000
+			}
+			all = append(all, a)
+		}
+		rt.h.fleet.Set(catalog.Server{ID: "f2", Service: "llm", Hall: "a", Accelerator: "big", Address: "f2:80", Layers: slatebridge.LayerRange{To: 4}})
+		_, full, _ := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 965, Exclude: []slatebridge.ServerID{lostServer, "first"}, Limits: fleet.Limits{Memory: 0.99}})
+		rt.lose(all...)
+		// Of the regular checks, one is just over and the next one comes after half a second.
+		time.Sleep(560 * time.Millisecond)
+		wantMoves(rt)
+		full.Release()
+		time.Sleep(small/maxRetriedRepairs*repairRetryInterval + 2*watchInterval)
+		for _, a := range all[large:] {
+			if path, _ := a.current(); path.Contains(lostServer) {
+				rt.Errorf("%s still waits", a.requestID)
+			}
+		}
+	})
+}
+
 // TestWaitingForRetry checks that a stream that lost its first server when the budget had no retry is
 // restarted soon after there is one.
 func TestWaitingForRetry(t *testing.T) {
--- a/forward/repairretry.go
+++ b/forward/repairretry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/slatebridge/slatebridge/repair"
@@ -10,12 +11,14 @@
 const (
 	// repairRetryInterval is the pause between two rounds of repairs of streams that wait.
 	repairRetryInterval = 100 * time.Millisecond
-	// maxRetriedRepairs bounds the streams in such a round, and what their searches cost the box.
-	// The others are tried at the regular checks of silent streams.
+	// maxRetriedRepairs bounds the first streams in such a round, and likewise those that were left
+	// out for longest, and so what their searches cost the box. The others are tried at the regular
+	// checks of silent streams.
 	maxRetriedRepairs = 4
 )
 
-// retryWaiting queues the first of the streams that wait for a repair once more.
+// retryWaiting queues the first of the streams that wait for a repair once more, and those whose last
+// retry is longest ago, as the first ones may be too large for any server.
 //
 // Load pattern: the replacements of lost servers are full, and streams of all boxes wait for room
 // there. With a pause that doubles from check to check, those that have waited longest notice last
@@ -37,8 +40,12 @@
 	}
 	w.nextRetryAt = now.Add(repairRetryInterval)
 	order, _ := repair.Order(streams, now)
-	for _, i := range order[:min(len(order), maxRetriedRepairs)] {
-		a := waiting[i]
+	ordered := make([]*streamAttempt, 0, len(order))
+	for _, i := range order {
+		ordered = append(ordered, waiting[i])
+	}
+	for _, a := range chooseRetried(ordered) {
+		a.retriedAt = now
 		path, _, _ := a.state()
 		if failed := w.h.stillFailed(path, nil); len(failed) > 0 {
 			go w.h.queueRepair(ctx, a, path, failed)
@@ -48,6 +55,15 @@
 	}
 }
 
+// chooseRetried returns the streams of a round, of those that wait in the order of repair.
+func chooseRetried(waiting []*streamAttempt) []*streamAttempt {
+	n := min(len(waiting), maxRetriedRepairs)
+	first, others := waiting[:n:n], slices.Clone(waiting[n:])
+	slices.SortStableFunc(others, func(a, b *streamAttempt) int { return a.retriedAt.Compare(b.retriedAt) })
+
+	return append(first, others[:min(len(others), maxRetriedRepairs)]...)
+}
+
 // setWaits records whether the stream waits for a repair since the last one failed.
 func (a *streamAttempt) setWaits(waits bool) {
 	a.mu.Lock()
