Repairs in order: one refused move does not back a server off for everybody

Cause: each refused move counted as a rejection, so that the server was left alone by all for 0.15 to 4 s, also where it had no room only for one large stream. Ruled out: a fixed, shorter back-off for repairs only. It takes the server from small streams all the same, and requests would still run into a server that is really full. Change: a refusal excludes the server for that stream. It counts for others only if the server refused another stream just before (within a second, with no accepted one between). Run: TestRefusalOfOneStream failed before; go test ./forward passes.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -127,6 +127,7 @@
 	budget       *retry.Budget
 	monitor      *monitor
 	repairs      repairQueue
+	refusals     moveRefusals
 	drain        drainState
 	activity     activity
 	startedAt    time.Time
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -173,7 +173,7 @@
 	if len(faulty) == 0 {
 		return false
 	}
-	if len(faulty) == 1 {
+	if len(faulty) == 1 && r.h.refusals.add(faulty[0], r.a.requestID, clock.Now()) {
 		r.h.fleet.RecordRejection(faulty[0])
 	}
 	r.exclude = append(r.exclude, faulty...)
@@ -219,6 +219,7 @@
 	if err != nil {
 		return err
 	}
+	h.refusals.forget(r.next)
 	_, previous := a.current()
 	h.unanswered.add(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: previous, servers: serverIDs(r.path), endedAt: clock.Now(), requestDone: a.request.done})
 	_, streak := h.ledger.Verdict(a.request.fingerprint(), clock.Now())
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -506,6 +506,41 @@
 	})
 }
 
+// TestRefusalOfOneStream checks that a server that refuses one stream, however often, is still used
+// by others, and that it is left alone for a moment once it has refused two in a row.
+func TestRefusalOfOneStream(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		large, large2, small := rt.stream("large", 0), rt.stream("large2", 0), rt.stream("small", 0)
+		rt.answer = func(id string, p fleet.Path) error {
+			if id != "small" {
+				return refusedBy("s2")(id, p)
+			}
+
+			return nil
+		}
+		wantRefused := func(want bool, streams ...*streamAttempt) {
+			rt.Helper()
+			for _, a := range streams {
+				rt.lose(a)
+				time.Sleep(10 * time.Millisecond)
+			}
+			p, r, _ := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 10})
+			r.Release()
+			if (p == nil) != want {
+				rt.Errorf("path of another request: %s", p)
+			}
+		}
+		wantRefused(false, large, large)
+		wantRefused(false, small)
+		if path, _ := small.current(); path.Contains(lostServer) {
+			rt.Error("the small stream has not been moved")
+		}
+		wantRefused(false, large)
+		wantRefused(true, large2)
+		wantMoves(rt, "large first[0,4)>s2[4,8)", "large first[0,4)>s2[4,8)", "small first[0,4)>s2[4,8)", "large first[0,4)>s2[4,8)", "large2 first[0,4)>s2[4,8)")
+	})
+}
+
 // TestWaitingForRetry checks that a stream that lost its first server when the budget had no retry is
 // restarted soon after there is one.
 func TestWaitingForRetry(t *testing.T) {
