Repairs in order: an unanswered move keeps its reservation and is repeated first

Cause: after a lost answer the reservation of the new path was released, although the stream may be there, so that the memory of its servers was counted too low; the next repair tried any path. Ruled out: reserving only at servers that are new to the stream, as the reservation then lacks the others when the repeated move is confirmed. Change: the path and its reservation stay with the attempt until a move is confirmed or the attempt ends. The next repair repeats that move first, unless a server of it is lost too; a refusal says that the stream is not there. Conclusion: servers on both paths are counted twice for one stream meanwhile.

--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -55,7 +55,11 @@
 	// nextPath is the path of the next attempt, if it has been chosen.
 	nextPath        fleet.Path
 	nextReservation *fleet.Reservation
-	ended           bool
+	// unansweredPath is the path of a move to which the response was lost, if any, and
+	// unansweredReservation its reservation.
+	unansweredPath        fleet.Path
+	unansweredReservation *fleet.Reservation
+	ended                 bool
 	// checkedAt is the time of the last check, nextCheckAt the earliest time of the next one, and
 	// checkBackoff the pause after that.
 	checkedAt    time.Time
@@ -205,10 +209,45 @@
 
 		return
 	}
-	previous := a.reservation
+	previous, unanswered := a.reservation, a.unansweredReservation
+	a.unansweredPath, a.unansweredReservation = nil, nil
 	a.path, a.ledgerAttempt, a.reservation, a.lastEventAt, a.waitsForRepair = p, ledgerAttempt, reservation, clock.Now(), false
 	a.mu.Unlock()
 	previous.Release()
+	unanswered.Release()
+}
+
+// keepUnanswered keeps the path of a move to which the response was lost, and its reservation, until
+// the next confirmed move or the end of the attempt.
+func (a *streamAttempt) keepUnanswered(p fleet.Path, reservation *fleet.Reservation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		reservation.Release()
+
+		return
+	}
+	a.unansweredReservation.Release()
+	a.unansweredPath, a.unansweredReservation = p, reservation
+}
+
+// takeUnanswered returns the path of a move to which the response was lost, and its reservation,
+// which the caller has to release or keep again.
+func (a *streamAttempt) takeUnanswered() (fleet.Path, *fleet.Reservation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, reservation := a.unansweredPath, a.unansweredReservation
+	a.unansweredPath, a.unansweredReservation = nil, nil
+
+	return p, reservation
+}
+
+// mayHaveMoved reports whether the response to the last move was lost.
+func (a *streamAttempt) mayHaveMoved() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.unansweredPath != nil
 }
 
 // monitor holds the stream attempts in flight at this box, and what the box itself has found out
@@ -322,6 +361,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.reservation.Release()
+	a.unansweredReservation.Release()
 	a.ended = true
 
 	return a.nextPath, a.nextReservation
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -68,14 +68,14 @@
 
 		return
 	}
-	if t, share := h.moveShare(a, path, exclude); h.random() > share && h.restartElsewhere(ctx, a, path, exclude) {
+	r := &streamRepair{h: h, a: a, path: path, exclude: slices.Clone(exclude)}
+	if t, share := h.moveShare(a, path, exclude); !a.mayHaveMoved() && h.random() > share && h.restartElsewhere(ctx, a, path, exclude) {
 		event.Log(h.logger, event.RestartPreferred, zap.String("request", a.requestID), zap.Float64("streams", t.Streams),
 			zap.Duration("move_ms", t.MoveQueue), zap.Duration("restart_ms", t.RestartQueue), zap.Float64("move_share", share))
 
 		return
 	}
-	r := &streamRepair{h: h, a: a, path: path, exclude: slices.Clone(exclude)}
-	if r.move(ctx) {
+	if r.repeat(ctx) || (r.next == nil && r.move(ctx)) {
 		return
 	}
 	if h.restartElsewhere(ctx, a, path, r.exclude) {
@@ -84,10 +84,10 @@
 		return
 	}
 	if r.next != nil {
-		if h.repairs.keep(a) && r.send(ctx) == nil {
+		if !r.repeated && h.repairs.keep(a) && r.send(ctx) == nil {
 			return
 		}
-		r.dropPath()
+		r.leavePath()
 	}
 	h.logWaiting(a, r.exclude, r.shortage)
 }
@@ -127,6 +127,30 @@
 	next        fleet.Path
 	reservation *fleet.Reservation
 	shortage    fleet.Shortage
+	// unanswered is set if the stream may have been moved to the next path, and repeated if that
+	// was so before this repair.
+	unanswered, repeated bool
+}
+
+// repeat repeats the last move of the stream if the response to it was lost, and reports whether it
+// succeeded.
+func (r *streamRepair) repeat(ctx context.Context) bool {
+	next, reservation := r.a.takeUnanswered()
+	if next == nil {
+		return false
+	}
+	if slices.ContainsFunc(r.exclude, next.Contains) || len(r.h.stillFailed(next, nil)) > 0 {
+		r.a.keepUnanswered(next, reservation)
+
+		return false
+	}
+	r.next, r.reservation, r.unanswered, r.repeated = next, reservation, true, true
+	err := r.send(ctx)
+	if err != nil {
+		r.excludeRefusing(err)
+	}
+
+	return err == nil
 }
 
 // move moves the stream to other servers, and reports whether it succeeded. If a server of the new
@@ -186,7 +210,17 @@
 // dropPath drops the next path, which has no room for the stream.
 func (r *streamRepair) dropPath() {
 	r.reservation.Release()
-	r.next, r.reservation, r.shortage = nil, nil, fleet.NoCapacity
+	r.next, r.reservation, r.shortage, r.unanswered, r.repeated = nil, nil, fleet.NoCapacity, false, false
+}
+
+// leavePath leaves the next path to a later repair if the stream may have been moved there, and else
+// drops it.
+func (r *streamRepair) leavePath() {
+	if r.unanswered && repairedInOrder(r.a.request.route) {
+		r.a.keepUnanswered(r.next, r.reservation)
+		r.reservation = nil
+	}
+	r.dropPath()
 }
 
 // refusingServers returns the server of the next path with the address. If no server of the path has
@@ -217,6 +251,9 @@
 	event.Log(h.logger, event.StreamMoved, zap.String("request", a.requestID), zap.Stringer("from", r.path),
 		zap.Stringer("to", r.next), event.Error(err))
 	if err != nil {
+		var refused *MoveRefusedError
+		r.unanswered = !errors.As(err, &refused) && (r.unanswered || !notQueried(err))
+
 		return err
 	}
 	h.refusals.forget(r.next)
