Repairs in order: a stream that waits for a retry of other boxes leaves its turn to others

Cause: the request for a retry from the pool of all boxes takes up to 60 ms, within one of eight turns, so that eight streams without a first server held up those that only need a move. Ruled out: giving the turn up for good, as up to hundreds of streams whose retry is denied would then be moved at once; and not counting restarts at all. Change: up to 16 repairs are paused while they wait for the pool; more keep their turns. Conclusion: up to 16 more repairs than eight may run for a moment.

--- a/forward/repair.go
+++ b/forward/repair.go
@@ -313,7 +313,7 @@
 		// The stream cannot continue where it is.
 		urgency = retry.Required
 	}
-	if !h.takeRetry(ctx, a.service, urgency) || !a.setNextPath(next, reservation) {
+	if !h.takeRepairRetry(ctx, a, urgency) || !a.setNextPath(next, reservation) {
 		reservation.Release()
 
 		return false
@@ -324,6 +324,23 @@
 	return true
 }
 
+// takeRepairRetry takes a retry for a stream under way. While it waits for one of other boxes, its
+// turn in the order of repairs is left to others.
+func (h *Handler) takeRepairRetry(ctx context.Context, a *streamAttempt, u retry.Urgency) bool {
+	if h.takeOwnRetry(a.service, u) {
+		return true
+	}
+	if h.requestRetry == nil {
+		return false
+	}
+	if h.repairs.pause(a) {
+		defer h.repairs.resume(a)
+		h.startRepairs(ctx)
+	}
+
+	return h.takePoolRetry(ctx, a.service, u)
+}
+
 // sendMove asks the first server of a stream to continue it over another path.
 func (h *Handler) sendMove(ctx context.Context, first catalog.Server, id string, next fleet.Path) error {
 	if h.fleet.Eligibility(first.ID) == fleet.IneligibleCoolingDown {
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -106,6 +106,20 @@
 	return q.queue.Keep(a)
 }
 
+// pause leaves the turn of the stream to others until resume, and reports whether it did.
+func (q *repairQueue) pause(a *streamAttempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.Pause(a)
+}
+
+func (q *repairQueue) resume(a *streamAttempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.Resume(a)
+}
+
 // has reports whether the stream waits for its turn or is under repair.
 func (q *repairQueue) has(a *streamAttempt) bool {
 	q.mu.Lock()
--- a/forward/retry.go
+++ b/forward/retry.go
@@ -13,9 +13,16 @@
 // takeRetry takes one retry from the box's allotment of the budget, or else from the pool, and
 // reports whether there was one.
 func (h *Handler) takeRetry(ctx context.Context, service string, u retry.Urgency) bool {
-	if h.budget.TakeLocal(service, h.state().BoxCount, u, clock.Now()) {
-		return true
-	}
+	return h.takeOwnRetry(service, u) || h.takePoolRetry(ctx, service, u)
+}
+
+// takeOwnRetry takes one retry from the box's allotment of the budget.
+func (h *Handler) takeOwnRetry(service string, u retry.Urgency) bool {
+	return h.budget.TakeLocal(service, h.state().BoxCount, u, clock.Now())
+}
+
+// takePoolRetry asks for one retry from the pool of all boxes.
+func (h *Handler) takePoolRetry(ctx context.Context, service string, u retry.Urgency) bool {
 	if h.requestRetry == nil || !h.requestRetry(ctx, service, u) {
 		return false
 	}
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -144,6 +145,37 @@
 	})
 }
 
+// TestQueueOfPausedRepairs checks that repairs that wait for a retry leave their turns to others.
+func TestQueueOfPausedRepairs(t *testing.T) {
+	ownServer := func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) }
+	q := fillQueue(50, ownServer)
+	startRunning(q)
+	paused := 0
+	for {
+		again := 0
+		for key := range maps.Clone(q.running) {
+			if q.Pause(key) {
+				again++
+			}
+		}
+		if paused += again; again == 0 {
+			break
+		}
+		startRunning(q)
+	}
+	if paused != maxPaused || len(q.running) != maxConcurrent {
+		t.Errorf("%d repairs are paused, and %d in progress", paused, len(q.running))
+	}
+	for key := range maps.Clone(q.paused) {
+		q.Add(key, ownServer(key), stream(0, 0, 0))
+		q.Resume(key)
+	}
+	endAll(q)
+	if n := startRunning(q); n != maxConcurrent {
+		t.Errorf("%d repairs start after the end of all", n)
+	}
+}
+
 // TestQueueOfSilentServers checks the bounds of first servers that do not respond to moves.
 func TestQueueOfSilentServers(t *testing.T) {
 	t.Run("first servers found silent leave half of the repairs to others", func(t *testing.T) {
--- a/repair/queue.go
+++ b/repair/queue.go
@@ -18,6 +18,8 @@
 	// maxConcurrentSilent bounds those of streams whose first servers are known not to respond to
 	// moves, together.
 	maxConcurrentSilent = maxConcurrent / 2
+	// maxPaused bounds the repairs that have left their turns to others meanwhile.
+	maxPaused = 16
 	// silenceTTL is how long a first server that is not asked any more counts as silent. Streams
 	// that were to leave a server at that time have ended.
 	silenceTTL = 10 * time.Second
@@ -31,6 +33,8 @@
 	ordered bool
 	// running maps the streams under repair to their first servers.
 	running map[K]slatebridge.ServerID
+	// paused maps those that have left their turns to others for a while.
+	paused map[K]slatebridge.ServerID
 	// silent maps the first servers that have not responded to the last move to the time of that.
 	silent map[slatebridge.ServerID]time.Time
 }
@@ -94,7 +98,7 @@
 // mayStart reports whether the stream is not under repair, and fewer streams of its first server
 // are than allowed.
 func (q *Queue[K]) mayStart(w waitingStream[K]) bool {
-	if _, running := q.running[w.key]; running {
+	if q.underRepair(w.key) {
 		return false
 	}
 	n := q.runningAt(w.first)
@@ -163,15 +167,48 @@
 	return false
 }
 
-// Has reports whether the stream waits or is under repair.
-func (q *Queue[K]) Has(key K) bool {
+// Pause leaves the turn of a stream under repair to others until Resume, and reports whether it did.
+// It does not if too many have done so.
+func (q *Queue[K]) Pause(key K) bool {
+	first, running := q.running[key]
+	if !running || len(q.paused) >= maxPaused {
+		return false
+	}
+	if q.paused == nil {
+		q.paused = make(map[K]slatebridge.ServerID, maxPaused)
+	}
+	q.paused[key] = first
+	delete(q.running, key)
+
+	return true
+}
+
+// Resume continues a paused repair at once, also if that makes more repairs than otherwise run at a
+// time.
+func (q *Queue[K]) Resume(key K) {
+	if first, paused := q.paused[key]; paused {
+		q.running[key] = first
+		delete(q.paused, key)
+	}
+}
+
+func (q *Queue[K]) underRepair(key K) bool {
 	_, running := q.running[key]
+	_, paused := q.paused[key]
 
-	return running || slices.ContainsFunc(q.waiting, func(w waitingStream[K]) bool { return w.key == key })
+	return running || paused
+}
+
+// Has reports whether the stream waits or is under repair.
+func (q *Queue[K]) Has(key K) bool {
+	return q.underRepair(key) || slices.ContainsFunc(q.waiting, func(w waitingStream[K]) bool { return w.key == key })
 }
 
 // Done records that the repair of a stream has ended.
-func (q *Queue[K]) Done(key K) { delete(q.running, key) }
+func (q *Queue[K]) Done(key K) {
+	delete(q.running, key)
+	delete(q.paused, key)
+}
 
 // Clear drops the waiting streams. Repairs that have started go on.
 func (q *Queue[K]) Clear() { q.waiting = nil }
