Repairs in order: room is kept while streams of the box wait, for their service

Cause: room and raised limits ended 1.5 s after the first suspicion, also with streams still waiting, and the limit was raised for streams of all services. Ruled out: a longer fixed time, which takes room from others without need. Change: each round of retries refreshes the losses that streams of the box wait for; the limit is raised for streams of the lost server's service. Run: TestLimitsWhileStreamsWait failed before; go test ./fleet ./forward pass (forward 5 times).

--- a/fleet/loss.go
+++ b/fleet/loss.go
@@ -8,8 +8,8 @@
 	"github.com/slatebridge/slatebridge"
 )
 
-// maxLossAge is how long a lost server counts as recently lost. Streams that it served are repaired
-// by then, or their callers are about to give up.
+// maxLossAge is how long a lost server counts as recently lost (see also RefreshLosses). Most streams
+// that it served are repaired by then, or their callers are about to give up.
 const maxLossAge = 1500 * time.Millisecond
 
 // loss is a server that was recently lost. The member may have been removed from the fleet, but
@@ -66,6 +66,27 @@
 	return out
 }
 
+// RefreshLosses keeps the losses of the servers for as long as if they were lost just now, as streams
+// of this box still wait to leave them.
+func (f *Fleet) RefreshLosses(lost []slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range lost {
+		if l, ok := f.losses[id]; ok {
+			f.losses[id] = loss{member: l.member, at: f.now()}
+		}
+	}
+}
+
+// HasRecentLoss reports whether a server of the service was lost in the last moments and its streams
+// are still to be repaired.
+func (f *Fleet) HasRecentLoss(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.ContainsFunc(f.recentLosses(), func(l loss) bool { return l.member.Service == service })
+}
+
 // maxRepairRoom is the largest share of a server's memory that is kept for streams of lost servers.
 const maxRepairRoom = 0.5
 
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -816,6 +816,40 @@
 	})
 }
 
+// TestLimitsWhileStreamsWait checks that room is kept, and streams under way may fill servers further,
+// for as long as streams of this box wait for a lost server, and only at servers of its service.
+func TestLimitsWhileStreamsWait(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		rt.h.activity.begin()
+		ctx, cancel := context.WithCancel(rt.Context())
+		defer cancel()
+		go rt.h.WatchStreams(ctx)
+		a := rt.stream("r", 0)
+		_, other, _ := rt.h.fleet.FindPath(fleet.Query{Service: "llm", Tokens: 10, Exclude: []slatebridge.ServerID{"s2"}})
+		defer other.Release()
+		rt.answer = refusedBy("s2")
+		rt.lose(a)
+		raised := func(service string) bool {
+			return rt.h.runningLimits(&inboundRequest{route: a.request.route, service: service}).Memory == runningMemoryShare
+		}
+		var got []bool
+		for range 4 {
+			time.Sleep(time.Second)
+			rt.h.fleet.Suspect(lostServer, clock.Now().Add(suspicionTTL))
+			got = append(got, raised("llm"), raised("other"))
+		}
+		rt.h.monitor.remove(a)
+		for range 2 {
+			time.Sleep(time.Second)
+			rt.h.fleet.Suspect(lostServer, clock.Now().Add(suspicionTTL))
+		}
+		got = append(got, raised("llm"))
+		if diff := cmp.Diff([]bool{true, false, true, false, true, false, true, false, false}, got); diff != "" {
+			rt.Error(diff)
+		}
+	})
+}
+
 // TestStallLogIsBounded checks that a stream that is checked again and again with the same finding
 // is logged with doubling pauses.
 func TestStallLogIsBounded(t *testing.T) {
--- a/forward/repairretry.go
+++ b/forward/repairretry.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/repair"
 )
 
@@ -35,6 +36,7 @@
 			streams = append(streams, a.repairStream())
 		}
 	}
+	w.refreshLosses(attempts)
 	if len(waiting) == 0 {
 		return
 	}
@@ -55,6 +57,27 @@
 	}
 }
 
+// refreshLosses keeps room for the streams that wait to leave lost servers.
+func (w *watcher) refreshLosses(attempts []*streamAttempt) {
+	lost := w.h.fleet.RecentLosses()
+	if len(lost) == 0 {
+		return
+	}
+	var needed []slatebridge.ServerID
+	for _, a := range attempts {
+		if !a.waits() {
+			continue
+		}
+		path, _ := a.current()
+		for _, id := range lost {
+			if path.Contains(id) && !slices.Contains(needed, id) {
+				needed = append(needed, id)
+			}
+		}
+	}
+	w.h.fleet.RefreshLosses(needed)
+}
+
 // chooseRetried returns the streams of a round, of those that wait in the order of repair.
 func chooseRetried(waiting []*streamAttempt) []*streamAttempt {
 	n := min(len(waiting), maxRetriedRepairs)
--- a/forward/room.go
+++ b/forward/room.go
@@ -185,13 +185,14 @@
 const runningMemoryShare = 0.97
 
 // runningLimits returns how far a stream under way may fill the servers of another path. It leaves
-// no room to others; after servers were lost, new requests leave it the rest of the memory.
+// no room to others; after servers of its service were lost, new requests leave it the rest of the
+// memory.
 func (h *Handler) runningLimits(c *inboundRequest) fleet.Limits {
 	var limits fleet.Limits
 	if c.prioritized {
 		limits = fleet.LimitsWithReserve(0, 0)
 	}
-	if repairedInOrder(c.route) && len(h.fleet.RecentLosses()) > 0 {
+	if repairedInOrder(c.route) && h.fleet.HasRecentLoss(c.service) {
 		limits.Memory = runningMemoryShare
 	}
 
