Repairs in order: a stream that cannot be moved is restarted with a required retry

Cause: a response that the server does not have the stream (404), and a first server that accepts no calls, were treated like a lost answer: the move was sent again, the retry was an optional one, and the log named lack of room. Ruled out: 404 as a refusal, as no other path helps.

--- a/forward/notice.go
+++ b/forward/notice.go
@@ -19,6 +19,10 @@
 // does not accept any now.
 var ErrServerNotAccepting = errors.New("server is not accepting calls")
 
+// ErrNoSuchStream marks moves of a stream that its first server does not have, so that it does not
+// continue there.
+var ErrNoSuchStream = errors.New("the server does not have the stream")
+
 // exchangeTimes are when a message to a server was sent and when the head of the response was read.
 type exchangeTimes struct{ sent, read time.Time }
 
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -75,21 +75,19 @@
 
 		return
 	}
-	if r.repeat(ctx) || (r.next == nil && r.move(ctx)) {
+	if r.repeat(ctx) || (r.next == nil && r.immovable == nil && r.move(ctx)) {
 		return
 	}
-	if h.restartElsewhere(ctx, a, path, r.exclude) {
+	if h.restart(ctx, a, path, r.exclude, r.urgency()) {
 		r.reservation.Release()
 
 		return
 	}
-	if r.next != nil {
-		if !r.repeated && h.repairs.keep(a) && r.send(ctx) == nil {
-			return
-		}
-		r.leavePath()
+	if r.mayRepeat() && r.send(ctx) == nil {
+		return
 	}
-	h.logWaiting(a, r.exclude, r.shortage)
+	r.leavePath()
+	h.logWaiting(a, r)
 }
 
 // moveShare returns the share of the streams of lost servers that should be moved rather than
@@ -105,14 +103,18 @@
 }
 
 // logWaiting logs that a stream stays on its path although servers of it have failed.
-func (h *Handler) logWaiting(a *streamAttempt, exclude []slatebridge.ServerID, shortage fleet.Shortage) {
+func (h *Handler) logWaiting(a *streamAttempt, r *streamRepair) {
 	h.metrics.repairDone(repairWaits)
 	a.setWaits(repairedInOrder(a.request.route))
-	if !a.waitLog.due(shortage.String()) {
+	finding := r.shortage.String()
+	if r.immovable != nil {
+		finding = r.immovable.Error()
+	}
+	if !a.waitLog.due(finding) {
 		return
 	}
-	event.Log(h.logger, event.StreamWaits, zap.String("request", a.requestID), zap.Any("without", exclude),
-		zap.Stringer("repair", shortage), zap.Int("servers", len(a.ranOn)), zap.Int("most_servers", a.maxRuns), zap.Bool("last_attempt", a.mustNotReplace))
+	event.Log(h.logger, event.StreamWaits, zap.String("request", a.requestID), zap.Any("without", r.exclude), event.Error(r.immovable),
+		zap.Stringer("repair", r.shortage), zap.Int("servers", len(a.ranOn)), zap.Int("most_servers", a.maxRuns), zap.Bool("last_attempt", a.mustNotReplace))
 }
 
 // streamRepair is the repair of one stream.
@@ -130,6 +132,23 @@
 	// unanswered is set if the stream may have been moved to the next path, and repeated if that
 	// was so before this repair.
 	unanswered, repeated bool
+	// immovable is why the stream cannot be moved on any path, if that is so.
+	immovable error
+}
+
+// mayRepeat reports whether the move to the next path may be sent once more in this repair, after no
+// restart was possible.
+func (r *streamRepair) mayRepeat() bool {
+	return r.next != nil && !r.repeated && r.immovable == nil && r.h.repairs.keep(r.a)
+}
+
+// urgency returns how urgently the stream needs a retry.
+func (r *streamRepair) urgency() retry.Urgency {
+	if r.immovable != nil || slices.Contains(r.exclude, r.path[0].Server.ID) {
+		return retry.Required
+	}
+
+	return retry.Optional
 }
 
 // repeat repeats the last move of the stream if the response to it was lost, and reports whether it
@@ -188,6 +207,12 @@
 
 		return false
 	}
+	if errors.Is(err, ErrNoSuchStream) || errors.Is(err, ErrServerNotAccepting) {
+		r.immovable = err
+		r.leavePath()
+
+		return false
+	}
 	var refused *MoveRefusedError
 	if !errors.As(err, &refused) {
 		return false
@@ -216,6 +241,9 @@
 // leavePath leaves the next path to a later repair if the stream may have been moved there, and else
 // drops it.
 func (r *streamRepair) leavePath() {
+	if r.next == nil {
+		return
+	}
 	if r.unanswered && repairedInOrder(r.a.request.route) {
 		r.a.keepUnanswered(r.next, r.reservation)
 		r.reservation = nil
@@ -252,7 +280,7 @@
 		zap.Stringer("to", r.next), event.Error(err))
 	if err != nil {
 		var refused *MoveRefusedError
-		r.unanswered = !errors.As(err, &refused) && (r.unanswered || !notQueried(err))
+		r.unanswered = !errors.As(err, &refused) && !errors.Is(err, ErrNoSuchStream) && (r.unanswered || !notQueried(err))
 
 		return err
 	}
@@ -295,6 +323,17 @@
 // budget, and reports whether it did. Otherwise it is better to wait: the server may recover or be
 // wrongly suspected.
 func (h *Handler) restartElsewhere(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID) bool {
+	urgency := retry.Optional
+	if slices.Contains(failed, path[0].Server.ID) {
+		// The stream cannot continue where it is.
+		urgency = retry.Required
+	}
+
+	return h.restart(ctx, a, path, failed, urgency)
+}
+
+// restart is like restartElsewhere, for a retry of the given urgency.
+func (h *Handler) restart(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID, urgency retry.Urgency) bool {
 	if !a.replaceable() {
 		return false
 	}
@@ -308,11 +347,6 @@
 	if next == nil {
 		return false
 	}
-	urgency := retry.Optional
-	if slices.Contains(failed, path[0].Server.ID) {
-		// The stream cannot continue where it is.
-		urgency = retry.Required
-	}
 	if !h.takeRepairRetry(ctx, a, urgency) || !a.setNextPath(next, reservation) {
 		reservation.Release()
 
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -443,6 +443,47 @@
 	})
 }
 
+// TestStreamThatCannotBeMoved checks that a stream whose first server does not have it any more, or is
+// not to be called, is restarted with a required retry, and that the cause is logged if there is none.
+func TestStreamThatCannotBeMoved(t *testing.T) {
+	unknown := errors.Wrap(ErrNoSuchStream, "status 404")
+	for name, v := range map[string]struct {
+		cooldown time.Duration
+		moves    int
+		want     string
+	}{
+		"the stream is not known": {0, 1, unknown.Error()},
+		"the server cools down":   {time.Minute, 0, "move: " + ErrServerNotAccepting.Error()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+				var asked []retry.Urgency
+				rt.h.requestRetry = func(_ context.Context, _ string, u retry.Urgency) bool {
+					asked = append(asked, u)
+
+					return false
+				}
+				a := rt.stream("r", 0)
+				rt.answer = func(string, fleet.Path) error { return unknown }
+				rt.h.fleet.Set(catalog.Server{ID: "f2", Service: "llm", Hall: "a", Accelerator: "big", Address: "f2:80", Layers: slatebridge.LayerRange{To: 4}})
+				rt.h.fleet.ApplyNotice("first", fleet.Notice{Cooldown: v.cooldown})
+				rt.lose(a)
+				rt.settle()
+				if diff := cmp.Diff([]retry.Urgency{retry.Required}, asked); diff != "" || len(rt.moves) != v.moves {
+					rt.Errorf("moves %v, retries asked for: %s", rt.moves, diff)
+				}
+				wantServer(rt, a, lostServer)
+				wantEventCount(rt, event.StreamWaits, 1)
+				for _, l := range rt.logs.All() {
+					if f := l.ContextMap(); f["event"] == int64(event.StreamWaits) && f["error"] != v.want {
+						rt.Errorf("logged cause %v, want %s", f["error"], v.want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestRepairsInOrder replays the loss of a server that many streams of a box pass. It checks that
 // their moves are bounded, and that the most urgent ones come first.
 func TestRepairsInOrder(t *testing.T) {
