Repairs in order: the order costs less

Cause: with each added stream the queue was put in order again at the next start, under its lock, by planning stream by stream, which costs the square of their number. Ruled out: a coarser plan, which chooses worse. Change: if all streams are in time by their deadlines, none is planned one by one; the queue is put in order at most each 2 ms. Streams that are equal in all respects are now in the order found if all are in time. Run: TestQueueSortsSeldom failed without the pause; TestOrderIfAllAreInTime compares with the full plan; go test ./repair ./forward pass. Conclusion: a load that does not fit costs as much as before, but at most each 2 ms.

--- a/repair/order.go
+++ b/repair/order.go
@@ -39,14 +39,49 @@
 // can be repaired within the acceptable pause, as a few replacements prefill the tokens of all.
 // Ordered by deadline alone, the first streams are just too late, and each makes the next one late.
 func Order(streams []Stream, now time.Time) (order []int, inTime int) {
-	p := plan{streams: streams, now: now}
-	byPriority := indexes(len(streams))
+	p := newPlan(streams, now)
+	if !p.fits() {
+		p.addAll()
+	}
+
+	return p.result()
+}
+
+// plan is an order that is being made.
+type plan struct {
+	streams []Stream
+	now     time.Time
+	// inTime lists the streams that are expected to be in time, by deadline, and late the others.
+	inTime, late []int
+}
+
+func newPlan(streams []Stream, now time.Time) *plan { return &plan{streams: streams, now: now} }
+
+// fits reports whether all streams are in time in the order of their deadlines, and if so plans
+// them. It costs far less than addAll.
+func (p *plan) fits() bool {
+	byDeadline := indexes(len(p.streams))
+	slices.SortStableFunc(byDeadline, p.compareDeadlines)
+	if len(byDeadline) > maxPlanned || p.firstMissed(byDeadline) >= 0 {
+		return false
+	}
+	p.inTime = byDeadline
+
+	return true
+}
+
+// addAll adds all streams, the more urgent ones first.
+func (p *plan) addAll() {
+	byPriority := indexes(len(p.streams))
 	slices.SortStableFunc(byPriority, p.comparePriorities)
 	for _, i := range byPriority {
 		p.add(i)
 	}
-	slices.SortStableFunc(p.late, p.compareLate)
+}
 
+// result returns the planned order and the number of streams that are in time.
+func (p *plan) result() (order []int, inTime int) {
+	slices.SortStableFunc(p.late, p.compareLate)
 	urgentFirst := slices.Clone(p.inTime)
 	slices.SortStableFunc(urgentFirst, p.comparePriorities)
 	if p.firstMissed(urgentFirst) < 0 {
@@ -56,14 +91,6 @@
 	return append(p.inTime, p.late...), len(p.inTime)
 }
 
-// plan is an order that is being made.
-type plan struct {
-	streams []Stream
-	now     time.Time
-	// inTime lists the streams that are expected to be in time, by deadline, and late the others.
-	inTime, late []int
-}
-
 // add adds a stream to those that are in time. If they cannot all be, the one with the longest turn
 // among the least urgent ones is left out. Streams are added by priority and deadline.
 func (p *plan) add(i int) {
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -332,9 +332,61 @@
 	}
 }
 
+// TestQueueSortsSeldom checks that streams that are added shortly after the queue was put in order wait
+// for the next time.
+func TestQueueSortsSeldom(t *testing.T) {
+	q := &Queue[string]{}
+	for _, key := range []string{"a", "b", "c"} {
+		q.Add(key, "s", stream(1, time.Second, 0))
+	}
+	q.Sort(lostAt)
+	q.Add("urgent", "s", stream(0, time.Second, 0))
+	var got []bool
+	for _, after := range []time.Duration{0, sortInterval - 1, sortInterval} {
+		key, _ := q.Next(lostAt.Add(after))
+		got = append(got, key == "urgent")
+	}
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestOrderIfAllAreInTime checks the order against the one that is made stream by stream, for loads
+// that fit in the order of priorities, only in that of deadlines, or not at all.
+func TestOrderIfAllAreInTime(t *testing.T) {
+	late, fitting, byDeadline := 0, 0, 0
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		var streams []Stream
+		for range 2 + rng.IntN(30) {
+			s := stream(rng.IntN(3), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
+			s.Turn = time.Duration(rng.Int64N(int64(12 * time.Millisecond)))
+			streams = append(streams, s)
+		}
+		p := newPlan(streams, lostAt)
+		p.addAll()
+		want, wantInTime := p.result()
+		got, inTime := Order(streams, lostAt)
+		if diff := cmp.Diff(want, got); diff != "" || inTime != wantInTime {
+			t.Errorf("seed %d: %d in time, want %d: %s", seed, inTime, wantInTime, diff)
+		}
+		switch {
+		case inTime < len(streams):
+			late++
+		case slices.IsSortedFunc(got, p.comparePriorities):
+			fitting++
+		default:
+			byDeadline++
+		}
+	}
+	if min(late, fitting, byDeadline) == 0 {
+		t.Errorf("%d loads do not fit, %d do, %d only in the order of deadlines", late, fitting, byDeadline)
+	}
+}
+
 // BenchmarkOrder measures the order of very many streams whose turns are not known.
 func BenchmarkOrder(b *testing.B) {
-	for _, n := range []int{30, 300, 5000} {
+	for _, n := range []int{30, 300, 500, 5000} {
 		b.Run(fmt.Sprint("streams=", n), func(b *testing.B) {
 			rng := rand.New(rand.NewPCG(1, 1))
 			streams := make([]Stream, 0, n)
--- a/repair/queue.go
+++ b/repair/queue.go
@@ -20,6 +20,9 @@
 	maxConcurrentSilent = maxConcurrent / 2
 	// maxPaused bounds the repairs that have left their turns to others meanwhile.
 	maxPaused = 16
+	// sortInterval is the pause between two times at which the waiting streams are put in order, which
+	// costs a core much if there are hundreds.
+	sortInterval = 2 * time.Millisecond
 	// silenceTTL is how long a first server that is not asked any more counts as silent. Streams
 	// that were to leave a server at that time have ended.
 	silenceTTL = 10 * time.Second
@@ -31,6 +34,8 @@
 	waiting []waitingStream[K]
 	// ordered is set while waiting is in the order of repair.
 	ordered bool
+	// sortedAt is when it was last put in that order.
+	sortedAt time.Time
 	// running maps the streams under repair to their first servers.
 	running map[K]slatebridge.ServerID
 	// paused maps those that have left their turns to others for a while.
@@ -66,7 +71,7 @@
 	for _, i := range order {
 		sorted = append(sorted, q.waiting[i])
 	}
-	q.waiting, q.ordered = sorted, true
+	q.waiting, q.ordered, q.sortedAt = sorted, true, now
 
 	return len(sorted), inTime
 }
@@ -78,7 +83,7 @@
 	if silent, others := q.countRunning(); min(silent, maxConcurrentSilent)+others >= maxConcurrent {
 		return none, false
 	}
-	if !q.ordered {
+	if !q.ordered && now.Sub(q.sortedAt) >= sortInterval {
 		q.Sort(now)
 	}
 	i := slices.IndexFunc(q.waiting, q.mayStart)
