Repairs in order: ended streams, counts of moves, log of kept room, wording

Ruled out: a check of all waiting streams at each start, which costs more than the turn it saves. Run: TestEndedStreamsAreNotOrdered, TestLogOfKeptRoom and the case of a stream that ends during its move in TestRepairOfOneStream failed before; go test ./catalog ./repair ./forward ./fleet pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -247,6 +247,20 @@
 	return c.byService[name]
 }
 
+// HasRoute reports whether a route to the service has the property.
+func (c *Catalog) HasRoute(service string, has func(*Route) bool) bool {
+	for _, routes := range c.byHost {
+		for _, r := range routes {
+			to := func(s WeightedService) bool { return s.Service == service }
+			if slices.ContainsFunc(r.TrafficSplit, to) && has(r) {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
 // ChooseService returns the service for a request. The fraction, from 0 to 1,
 // selects a target in proportion to the weights of the traffic split.
 func (r *Route) ChooseService(fraction float64) string {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -69,3 +69,16 @@
 		t.Error("an accelerator without free memory has a capacity above zero")
 	}
 }
+
+func TestHasRoute(t *testing.T) {
+	routes := []Route{
+		{Host: "a", Resumable: true, TrafficSplit: []WeightedService{{Service: "llm", Weight: 1}, {Service: "new", Weight: 1}}},
+		{Host: "b", TrafficSplit: []WeightedService{{Service: "till", Weight: 1}}},
+	}
+	c := New(1, Limits{}, routes, nil, nil, false)
+	for service, want := range map[string]bool{"llm": true, "new": true, "till": false, "none": false} {
+		if got := c.HasRoute(service, func(r *Route) bool { return r.Resumable }); got != want {
+			t.Errorf("%s: %t, want %t", service, got, want)
+		}
+	}
+}
--- a/fleet/loss.go
+++ b/fleet/loss.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// ServiceOfLost returns the service of a server that is in the fleet or was lost recently; empty if it
+// is neither.
+func (f *Fleet) ServiceOfLost(id slatebridge.ServerID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.lostMember(id); m != nil {
+		return m.Service
+	}
+
+	return ""
+}
+
 // HasRecentLoss reports whether a server of the service was lost in the last moments and its streams
 // are still to be repaired.
 func (f *Fleet) HasRecentLoss(service string) bool {
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -200,14 +200,14 @@
 }
 
 // switchPath records that the attempt continues on another path, and its identity in the quarantine
-// ledger there. If the attempt has ended, only the reservation is released.
-func (a *streamAttempt) switchPath(p fleet.Path, ledgerAttempt quarantine.Attempt, reservation *fleet.Reservation) {
+// ledger there. If the attempt has ended, it returns false and only releases the reservation.
+func (a *streamAttempt) switchPath(p fleet.Path, ledgerAttempt quarantine.Attempt, reservation *fleet.Reservation) bool {
 	a.mu.Lock()
 	if a.ended {
 		a.mu.Unlock()
 		reservation.Release()
 
-		return
+		return false
 	}
 	previous, unanswered := a.reservation, a.unansweredReservation
 	a.unansweredPath, a.unansweredReservation = nil, nil
@@ -215,6 +215,8 @@
 	a.mu.Unlock()
 	previous.Release()
 	unanswered.Release()
+
+	return true
 }
 
 // keepUnanswered keeps the path of a move to which the response was lost, and its reservation, until
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -288,7 +288,11 @@
 	_, previous := a.current()
 	h.unanswered.add(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: previous, servers: serverIDs(r.path), endedAt: clock.Now(), requestDone: a.request.done})
 	_, streak := h.ledger.Verdict(a.request.fingerprint(), clock.Now())
-	a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, r.reservation)
+	if !a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, r.reservation) {
+		h.metrics.repairDone(repairNotNeeded)
+
+		return nil
+	}
 	h.metrics.streamMoved("moved")
 	h.metrics.repairDone(repairMoved)
 
--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -40,6 +40,7 @@
 	moves            []string
 	inProgress, most int
 	model            *catalog.Model
+	registry         *prometheus.Registry
 	// report is the response of a server to a query.
 	report func(id slatebridge.ServerID) error
 }
@@ -55,8 +56,9 @@
 			Layers: 8, LayerMB: 1000, KVBytesPerToken: 2e6, MeanOutputTokens: 40,
 			Accelerators: []catalog.Accelerator{{Name: "big", MemoryMB: 5000}},
 		}
-		rt.model = model
-		c := catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: model}}, nil, false)
+		rt.model, rt.registry = model, prometheus.NewRegistry()
+		routes := []catalog.Route{{Kind: catalog.Stream, MaxEventInterval: 250 * time.Millisecond, Resumable: true, TrafficSplit: []catalog.WeightedService{{Service: "llm", Weight: 1}}}}
+		c := catalog.New(1, catalog.Limits{}, routes, []catalog.Service{{Name: "llm", Model: model}}, nil, false)
 		f := fleet.New("a", clock.Now, fleet.WithRandom(func() float64 { return 0.5 }))
 		f.SetCatalog(c)
 		set := func(id string, from, to int) {
@@ -67,7 +69,7 @@
 			set(id, 4, 8)
 		}
 		rt.h = New(Config{
-			Fleet: f, Logger: zap.New(core), Metrics: NewMetrics(prometheus.NewRegistry()), Ledger: quarantine.New(), OnSuspect: func() {},
+			Fleet: f, Logger: zap.New(core), Metrics: NewMetrics(rt.registry), Ledger: quarantine.New(), OnSuspect: func() {},
 			State:  func() State { return State{Catalog: c, BoxCount: 1, Synced: true} },
 			Random: func() float64 { return 0.5 }, Bounds: Bounds{Retry: retry.Bounds{Extra: retries, Window: 10 * time.Second}},
 			ServerClient: ServerClient{
@@ -195,6 +197,27 @@
 	}
 }
 
+// wantRepairs checks the number of repairs by their outcomes.
+func wantRepairs(rt *repairTest, want map[string]float64) {
+	rt.Helper()
+	families, err := rt.registry.Gather()
+	if err != nil {
+		rt.Fatal(err)
+	}
+	got := make(map[string]float64)
+	for _, f := range families {
+		if f.GetName() != "slatebridge_stream_repairs_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			got[m.GetLabel()[0].GetValue()] = m.GetCounter().GetValue()
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		rt.Error(diff)
+	}
+}
+
 // refusedBy returns a response by which the server refuses moves to it.
 func refusedBy(ids ...slatebridge.ServerID) func(string, fleet.Path) error {
 	return func(_ string, p fleet.Path) error {
@@ -289,6 +312,7 @@
 			}
 			rt.lose(a)
 			rt.settle()
+			wantRepairs(rt, map[string]float64{repairNotNeeded: 1})
 			for id, l := range rt.h.fleet.OwnLoads() {
 				if l.Requests > 0 {
 					rt.Errorf("%s has %v", id, l)
@@ -538,6 +562,65 @@
 	}
 }
 
+// TestEndedStreamsAreNotOrdered checks that streams that have ended while the first repair waits for
+// others are dropped from the order.
+func TestEndedStreamsAreNotOrdered(t *testing.T) {
+	withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+		var all []*streamAttempt
+		for i := range 32 {
+			all = append(all, rt.stream(fmt.Sprint("r", i), 0))
+		}
+		rt.lose(all...)
+		time.Sleep(repairGatherTime / 2)
+		for _, a := range all[2:] {
+			rt.h.monitor.remove(a)
+		}
+		rt.settle()
+		for _, l := range rt.logs.All() {
+			if f := l.ContextMap(); f["event"] == int64(event.RepairsQueued) && f["streams"] != int64(2) {
+				rt.Errorf("%v streams are put in order", f["streams"])
+			}
+		}
+		wantEventCount(rt, event.RepairsQueued, 1)
+		wantRepairs(rt, map[string]float64{repairMoved: 2, repairNotNeeded: 30})
+	})
+}
+
+// TestLogOfKeptRoom checks that each lost server is logged once, also if the number of lost servers
+// stays the same, and none where no route is repaired in order.
+func TestLogOfKeptRoom(t *testing.T) {
+	for name, v := range map[string]struct {
+		routes []catalog.Route
+		want   int
+	}{
+		"repaired in order": {nil, 2},
+		"other routes":      {[]catalog.Route{{Kind: catalog.Stream, Resumable: true, TrafficSplit: []catalog.WeightedService{{Service: "llm", Weight: 1}}}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRepairs(t, 0, []string{"s1", "s2"}, func(rt *repairTest) {
+				if v.routes != nil {
+					c := catalog.New(2, catalog.Limits{}, v.routes, []catalog.Service{{Name: "llm", Model: rt.model}}, nil, false)
+					rt.h.state = func() State { return State{Catalog: c} }
+				}
+				rt.stream("r", 0)
+				w := &watcher{h: rt.h}
+				for _, id := range []slatebridge.ServerID{lostServer, lostServer, "first"} {
+					rt.h.fleet.Suspect(id, clock.Now().Add(suspicionTTL))
+					w.logLosses()
+					if id == lostServer {
+						w.logLosses()
+					}
+					rt.h.fleet.Trust(id)
+				}
+				wantEventCount(rt, event.RepairRoomKept, v.want)
+				rt.h.fleet.RetireIncarnation(lostServer)
+				w.logLosses()
+				wantEventCount(rt, event.RepairRoomKept, v.want*3/2)
+			})
+		})
+	}
+}
+
 // TestSilentFirstServers checks that streams whose first servers do not respond do not hold up those
 // of other first servers, even if they are more urgent and have come before.
 func TestSilentFirstServers(t *testing.T) {
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -140,13 +140,24 @@
 	return true
 }
 
-// endGather returns the number of waiting streams, and how many of them are expected to be in time.
-func (q *repairQueue) endGather(now time.Time) (total, inTime int) {
+// endGather drops the streams that have ended, and returns their number, that of the others, and how
+// many of these are expected to be in time.
+func (q *repairQueue) endGather(now time.Time) (ended, total, inTime int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.gathering = false
+	q.queue.DropWaiting(func(a *streamAttempt) bool {
+		if !a.hasEnded() {
+			return false
+		}
+		ended++
+		delete(q.found, a)
+
+		return true
+	})
+	total, inTime = q.queue.Sort(now)
 
-	return q.queue.Sort(now)
+	return ended, total, inTime
 }
 
 // queueRepair queues a stream that lost servers of its path, and starts its repair when it is its
@@ -159,7 +170,11 @@
 		return
 	}
 	time.Sleep(repairGatherTime)
-	if total, inTime := h.repairs.endGather(clock.Now()); total > 1 {
+	ended, total, inTime := h.repairs.endGather(clock.Now())
+	for range ended {
+		h.metrics.repairDone(repairNotNeeded)
+	}
+	if total > 1 {
 		event.Log(h.logger, event.RepairsQueued, zap.Int("streams", total), zap.Int("late", total-inTime))
 	}
 	h.startRepairs(ctx)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -133,17 +133,25 @@
 	ticks          int
 	// nextRetryAt is the earliest time of the next round of repairs of streams that wait.
 	nextRetryAt time.Time
-	// lossCount is the number of recently lost servers as of the last check.
-	lossCount int
+	// losses lists the recently lost servers as of the last check.
+	losses []slatebridge.ServerID
 }
 
 // logLosses logs when new requests begin to leave room for the streams of more lost servers.
 func (w *watcher) logLosses() {
 	lost := w.h.fleet.RecentLosses()
-	if len(lost) > w.lossCount {
+	isNew := func(id slatebridge.ServerID) bool { return !slices.Contains(w.losses, id) && w.keepsRoom(id) }
+	if slices.ContainsFunc(lost, isNew) {
 		event.Log(w.h.logger, event.RepairRoomKept, zap.Any("without", lost))
 	}
-	w.lossCount = len(lost)
+	w.losses = lost
+}
+
+// keepsRoom reports whether streams of a route to the service of a lost server are repaired in order.
+func (w *watcher) keepsRoom(id slatebridge.ServerID) bool {
+	c := w.h.state().Catalog
+
+	return c != nil && c.HasRoute(w.h.fleet.ServiceOfLost(id), repairedInOrder)
 }
 
 // adjustInterval sets the interval according to the current activity, and reports whether it
--- a/repair/queue.go
+++ b/repair/queue.go
@@ -215,5 +215,10 @@
 	delete(q.paused, key)
 }
 
+// DropWaiting drops the waiting streams for which drop returns true.
+func (q *Queue[K]) DropWaiting(drop func(K) bool) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w waitingStream[K]) bool { return drop(w.key) })
+}
+
 // Clear drops the waiting streams. Repairs that have started go on.
 func (q *Queue[K]) Clear() { q.waiting = nil }
