Repairs in order: test of silent first servers reads the moves under its lock

Cause: the race detector found the test reading the list of moves while the fake server added to it.

--- a/forward/repair_test.go
+++ b/forward/repair_test.go
@@ -152,6 +152,13 @@
 	synctest.Wait()
 }
 
+func (rt *repairTest) moveCount() int {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+
+	return len(rt.moves)
+}
+
 func wantMoves(rt *repairTest, want ...string) {
 	rt.Helper()
 	if diff := cmp.Diff(want, rt.moves); diff != "" {
@@ -642,10 +649,10 @@
 				rt.Errorf("%s has not been moved", a.requestID)
 			}
 		}
-		before := len(rt.moves)
+		before := rt.moveCount()
 		time.Sleep(10 * reportTimeout)
 		// Each silent first server is asked for one stream at a time.
-		if n := len(rt.moves) - before; n > 2*10 {
+		if n := rt.moveCount() - before; n > 2*10 {
 			rt.Errorf("%d further moves", n)
 		}
 		rt.h.repairs.clear()
