--- a/fleet/loss.go
+++ b/fleet/loss.go
@@ -8,8 +8,8 @@
 	"github.com/slatebridge/slatebridge"
 )
 
-// maxLossAge is how long a lost server counts as recently lost. Streams that it served are repaired
-// by then, or their callers are about to give up.
+// maxLossAge is how long a lost server counts as recently lost (see also RefreshLosses). Most streams
+// that it served are repaired by then, or their callers are about to give up.
 const maxLossAge = 1500 * time.Millisecond
 
 // loss is a server that was recently lost. The member may have been removed from the fleet, but
@@ -35,6 +35,10 @@
 	now := f.now()
 	var out []loss
 	for id, l := range f.losses {
+		if l.member.removed {
+			// It is in no index, so that reports of other boxes do not reach it.
+			l.member.peerLoad = f.peerLoadAt(l.member.shortID)
+		}
 		switch {
 		case now.Sub(l.at) > maxLossAge:
 			delete(f.losses, id)
@@ -62,6 +66,39 @@
 	return out
 }
 
+// RefreshLosses keeps the losses of the servers for as long as if they were lost just now, as streams
+// of this box still wait to leave them.
+func (f *Fleet) RefreshLosses(lost []slatebridge.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range lost {
+		if l, ok := f.losses[id]; ok {
+			f.losses[id] = loss{member: l.member, at: f.now()}
+		}
+	}
+}
+
+// ServiceOfLost returns the service of a server that is in the fleet or was lost recently; empty if it
+// is neither.
+func (f *Fleet) ServiceOfLost(id slatebridge.ServerID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := f.lostMember(id); m != nil {
+		return m.Service
+	}
+
+	return ""
+}
+
+// HasRecentLoss reports whether a server of the service was lost in the last moments and its streams
+// are still to be repaired.
+func (f *Fleet) HasRecentLoss(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.ContainsFunc(f.recentLosses(), func(l loss) bool { return l.member.Service == service })
+}
+
 // maxRepairRoom is the largest share of a server's memory that is kept for streams of lost servers.
 const maxRepairRoom = 0.5
 
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -30,6 +30,8 @@
 	// mustNotReplace is set if the attempt must not be ended in favor of another one.
 	mustNotReplace bool
 	request        *inboundRequest
+	// retriedAt is when the watcher, which alone uses it, last retried the repair.
+	retriedAt time.Time
 
 	mu   sync.Mutex
 	path fleet.Path
@@ -53,7 +55,11 @@
 	// nextPath is the path of the next attempt, if it has been chosen.
 	nextPath        fleet.Path
 	nextReservation *fleet.Reservation
-	ended           bool
+	// unansweredPath is the path of a move to which the response was lost, if any, and
+	// unansweredReservation its reservation.
+	unansweredPath        fleet.Path
+	unansweredReservation *fleet.Reservation
+	ended                 bool
 	// checkedAt is the time of the last check, nextCheckAt the earliest time of the next one, and
 	// checkBackoff the pause after that.
 	checkedAt    time.Time
@@ -194,19 +200,56 @@
 }
 
 // switchPath records that the attempt continues on another path, and its identity in the quarantine
-// ledger there. If the attempt has ended, only the reservation is released.
-func (a *streamAttempt) switchPath(p fleet.Path, ledgerAttempt quarantine.Attempt, reservation *fleet.Reservation) {
+// ledger there. If the attempt has ended, it returns false and only releases the reservation.
+func (a *streamAttempt) switchPath(p fleet.Path, ledgerAttempt quarantine.Attempt, reservation *fleet.Reservation) bool {
 	a.mu.Lock()
 	if a.ended {
 		a.mu.Unlock()
 		reservation.Release()
 
-		return
+		return false
 	}
-	previous := a.reservation
+	previous, unanswered := a.reservation, a.unansweredReservation
+	a.unansweredPath, a.unansweredReservation = nil, nil
 	a.path, a.ledgerAttempt, a.reservation, a.lastEventAt, a.waitsForRepair = p, ledgerAttempt, reservation, clock.Now(), false
 	a.mu.Unlock()
 	previous.Release()
+	unanswered.Release()
+
+	return true
+}
+
+// keepUnanswered keeps the path of a move to which the response was lost, and its reservation, until
+// the next confirmed move or the end of the attempt.
+func (a *streamAttempt) keepUnanswered(p fleet.Path, reservation *fleet.Reservation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		reservation.Release()
+
+		return
+	}
+	a.unansweredReservation.Release()
+	a.unansweredPath, a.unansweredReservation = p, reservation
+}
+
+// takeUnanswered returns the path of a move to which the response was lost, and its reservation,
+// which the caller has to release or keep again.
+func (a *streamAttempt) takeUnanswered() (fleet.Path, *fleet.Reservation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, reservation := a.unansweredPath, a.unansweredReservation
+	a.unansweredPath, a.unansweredReservation = nil, nil
+
+	return p, reservation
+}
+
+// mayHaveMoved reports whether the response to the last move was lost.
+func (a *streamAttempt) mayHaveMoved() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.unansweredPath != nil
 }
 
 // monitor holds the stream attempts in flight at this box, and what the box itself has found out
@@ -320,6 +363,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.reservation.Release()
+	a.unansweredReservation.Release()
 	a.ended = true
 
 	return a.nextPath, a.nextReservation
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -22,6 +23,10 @@
 // takes a round trip to the first server, and a hall rarely has more servers with the same layers.
 const maxMoves = 3
 
+// moveSilence is the time without a response to a move after which the first server counts as
+// silent, so that its streams hold up fewer others. A response usually takes one round trip.
+const moveSilence = 25 * time.Millisecond
+
 // MoveRefusedError says that the first server of a stream refused to move it, as a server of the new
 // path has no room or does not hold its layers. The stream continues on its path.
 type MoveRefusedError struct {
@@ -63,28 +68,26 @@
 
 		return
 	}
-	if t, share := h.moveShare(a, path, exclude); h.random() > share && h.restartElsewhere(ctx, a, path, exclude) {
+	r := &streamRepair{h: h, a: a, path: path, exclude: slices.Clone(exclude)}
+	if t, share := h.moveShare(a, path, exclude); !a.mayHaveMoved() && h.random() > share && h.restartElsewhere(ctx, a, path, exclude) {
 		event.Log(h.logger, event.RestartPreferred, zap.String("request", a.requestID), zap.Float64("streams", t.Streams),
 			zap.Duration("move_ms", t.MoveQueue), zap.Duration("restart_ms", t.RestartQueue), zap.Float64("move_share", share))
 
 		return
 	}
-	r := &streamRepair{h: h, a: a, path: path, exclude: slices.Clone(exclude)}
-	if r.move(ctx) {
+	if r.repeat(ctx) || (r.next == nil && r.immovable == nil && r.move(ctx)) {
 		return
 	}
-	if h.restartElsewhere(ctx, a, path, r.exclude) {
+	if h.restart(ctx, a, path, r.exclude, r.urgency()) {
 		r.reservation.Release()
 
 		return
 	}
-	if r.next != nil {
-		if r.send(ctx) == nil {
-			return
-		}
-		r.dropPath()
+	if r.mayRepeat() && r.send(ctx) == nil {
+		return
 	}
-	h.logWaiting(a, r.exclude, r.shortage)
+	r.leavePath()
+	h.logWaiting(a, r)
 }
 
 // moveShare returns the share of the streams of lost servers that should be moved rather than
@@ -100,14 +103,18 @@
 }
 
 // logWaiting logs that a stream stays on its path although servers of it have failed.
-func (h *Handler) logWaiting(a *streamAttempt, exclude []slatebridge.ServerID, shortage fleet.Shortage) {
+func (h *Handler) logWaiting(a *streamAttempt, r *streamRepair) {
 	h.metrics.repairDone(repairWaits)
 	a.setWaits(repairedInOrder(a.request.route))
-	if !a.waitLog.due(shortage.String()) {
+	finding := r.shortage.String()
+	if r.immovable != nil {
+		finding = r.immovable.Error()
+	}
+	if !a.waitLog.due(finding) {
 		return
 	}
-	event.Log(h.logger, event.StreamWaits, zap.String("request", a.requestID), zap.Any("without", exclude),
-		zap.Stringer("repair", shortage), zap.Int("servers", len(a.ranOn)), zap.Int("most_servers", a.maxRuns), zap.Bool("last_attempt", a.mustNotReplace))
+	event.Log(h.logger, event.StreamWaits, zap.String("request", a.requestID), zap.Any("without", r.exclude), event.Error(r.immovable),
+		zap.Stringer("repair", r.shortage), zap.Int("servers", len(a.ranOn)), zap.Int("most_servers", a.maxRuns), zap.Bool("last_attempt", a.mustNotReplace))
 }
 
 // streamRepair is the repair of one stream.
@@ -122,6 +129,47 @@
 	next        fleet.Path
 	reservation *fleet.Reservation
 	shortage    fleet.Shortage
+	// unanswered is set if the stream may have been moved to the next path, and repeated if that
+	// was so before this repair.
+	unanswered, repeated bool
+	// immovable is why the stream cannot be moved on any path, if that is so.
+	immovable error
+}
+
+// mayRepeat reports whether the move to the next path may be sent once more in this repair, after no
+// restart was possible.
+func (r *streamRepair) mayRepeat() bool {
+	return r.next != nil && !r.repeated && r.immovable == nil && r.h.repairs.keep(r.a)
+}
+
+// urgency returns how urgently the stream needs a retry.
+func (r *streamRepair) urgency() retry.Urgency {
+	if r.immovable != nil || slices.Contains(r.exclude, r.path[0].Server.ID) {
+		return retry.Required
+	}
+
+	return retry.Optional
+}
+
+// repeat repeats the last move of the stream if the response to it was lost, and reports whether it
+// succeeded.
+func (r *streamRepair) repeat(ctx context.Context) bool {
+	next, reservation := r.a.takeUnanswered()
+	if next == nil {
+		return false
+	}
+	if slices.ContainsFunc(r.exclude, next.Contains) || len(r.h.stillFailed(next, nil)) > 0 {
+		r.a.keepUnanswered(next, reservation)
+
+		return false
+	}
+	r.next, r.reservation, r.unanswered, r.repeated = next, reservation, true, true
+	err := r.send(ctx)
+	if err != nil {
+		r.excludeRefusing(err)
+	}
+
+	return err == nil
 }
 
 // move moves the stream to other servers, and reports whether it succeeded. If a server of the new
@@ -159,6 +207,12 @@
 
 		return false
 	}
+	if errors.Is(err, ErrNoSuchStream) || errors.Is(err, ErrServerNotAccepting) {
+		r.immovable = err
+		r.leavePath()
+
+		return false
+	}
 	var refused *MoveRefusedError
 	if !errors.As(err, &refused) {
 		return false
@@ -168,7 +222,7 @@
 	if len(faulty) == 0 {
 		return false
 	}
-	if len(faulty) == 1 {
+	if len(faulty) == 1 && r.h.refusals.add(faulty[0], r.a.requestID, clock.Now()) {
 		r.h.fleet.RecordRejection(faulty[0])
 	}
 	r.exclude = append(r.exclude, faulty...)
@@ -181,7 +235,20 @@
 // dropPath drops the next path, which has no room for the stream.
 func (r *streamRepair) dropPath() {
 	r.reservation.Release()
-	r.next, r.reservation, r.shortage = nil, nil, fleet.NoCapacity
+	r.next, r.reservation, r.shortage, r.unanswered, r.repeated = nil, nil, fleet.NoCapacity, false, false
+}
+
+// leavePath leaves the next path to a later repair if the stream may have been moved there, and else
+// drops it.
+func (r *streamRepair) leavePath() {
+	if r.next == nil {
+		return
+	}
+	if r.unanswered && repairedInOrder(r.a.request.route) {
+		r.a.keepUnanswered(r.next, r.reservation)
+		r.reservation = nil
+	}
+	r.dropPath()
 }
 
 // refusingServers returns the server of the next path with the address. If no server of the path has
@@ -208,26 +275,69 @@
 // again.
 func (r *streamRepair) send(ctx context.Context) error {
 	h, a := r.h, r.a
-	err := h.sendMove(ctx, r.path[0].Server, a.requestID, r.next)
+	err := r.sendInTime(ctx)
 	event.Log(h.logger, event.StreamMoved, zap.String("request", a.requestID), zap.Stringer("from", r.path),
 		zap.Stringer("to", r.next), event.Error(err))
 	if err != nil {
+		var refused *MoveRefusedError
+		r.unanswered = !errors.As(err, &refused) && !errors.Is(err, ErrNoSuchStream) && (r.unanswered || !notQueried(err))
+
 		return err
 	}
+	h.refusals.forget(r.next)
 	_, previous := a.current()
 	h.unanswered.add(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: previous, servers: serverIDs(r.path), endedAt: clock.Now(), requestDone: a.request.done})
 	_, streak := h.ledger.Verdict(a.request.fingerprint(), clock.Now())
-	a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, r.reservation)
+	if !a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, r.reservation) {
+		h.metrics.repairDone(repairNotNeeded)
+
+		return nil
+	}
 	h.metrics.streamMoved("moved")
 	h.metrics.repairDone(repairMoved)
 
 	return nil
 }
 
+// sendInTime moves the stream to the next path, and records whether its first server responds.
+func (r *streamRepair) sendInTime(ctx context.Context) error {
+	h, first := r.h, r.path[0].Server
+	if !repairedInOrder(r.a.request.route) {
+		return h.sendMove(ctx, first, r.a.requestID, r.next)
+	}
+	silence := time.AfterFunc(moveSilence, func() {
+		h.repairs.recordMove(first.ID, false)
+		h.startRepairs(ctx)
+	})
+	err := h.sendMove(ctx, first, r.a.requestID, r.next)
+	silence.Stop()
+	switch {
+	case errors.Is(err, ErrServerNotAccepting), errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded):
+		h.repairs.recordMove(first.ID, false)
+		h.enqueueLivenessCheck(first.ID)
+	default:
+		h.repairs.recordMove(first.ID, true)
+	}
+
+	return err
+}
+
 // restartElsewhere ends the attempt if there is a path for another one and a retry for it in the
 // budget, and reports whether it did. Otherwise it is better to wait: the server may recover or be
 // wrongly suspected.
 func (h *Handler) restartElsewhere(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID) bool {
+	urgency := retry.Optional
+	if slices.Contains(failed, path[0].Server.ID) {
+		// The stream cannot continue where it is.
+		urgency = retry.Required
+	}
+
+	return h.restart(ctx, a, path, failed, urgency)
+}
+
+// restart is like restartElsewhere, for a retry of the given urgency.
+func (h *Handler) restart(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID, urgency retry.Urgency) bool {
 	if !a.replaceable() {
 		return false
 	}
@@ -241,12 +351,7 @@
 	if next == nil {
 		return false
 	}
-	urgency := retry.Optional
-	if slices.Contains(failed, path[0].Server.ID) {
-		// The stream cannot continue where it is.
-		urgency = retry.Required
-	}
-	if !h.takeRetry(ctx, a.service, urgency) || !a.setNextPath(next, reservation) {
+	if !h.takeRepairRetry(ctx, a, urgency) || !a.setNextPath(next, reservation) {
 		reservation.Release()
 
 		return false
@@ -257,6 +362,23 @@
 	return true
 }
 
+// takeRepairRetry takes a retry for a stream under way. While it waits for one of other boxes, its
+// turn in the order of repairs is left to others.
+func (h *Handler) takeRepairRetry(ctx context.Context, a *streamAttempt, u retry.Urgency) bool {
+	if h.takeOwnRetry(a.service, u) {
+		return true
+	}
+	if h.requestRetry == nil {
+		return false
+	}
+	if h.repairs.pause(a) {
+		defer h.repairs.resume(a)
+		h.startRepairs(ctx)
+	}
+
+	return h.takePoolRetry(ctx, a.service, u)
+}
+
 // sendMove asks the first server of a stream to continue it over another path.
 func (h *Handler) sendMove(ctx context.Context, first catalog.Server, id string, next fleet.Path) error {
 	if h.fleet.Eligibility(first.ID) == fleet.IneligibleCoolingDown {
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -63,10 +63,14 @@
 	q.queue.Add(a, first, s)
 }
 
-// next returns the stream whose repair starts now.
-func (q *repairQueue) next(now time.Time) (*streamAttempt, repairFinding, bool) {
+// next returns the stream whose repair starts now. Suspects are not asked to move streams, which
+// are restarted instead.
+func (q *repairQueue) next(now time.Time, suspects []slatebridge.ServerID) (*streamAttempt, repairFinding, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, id := range suspects {
+		q.queue.RecordAnswer(id)
+	}
 	a, ok := q.queue.Next(now)
 	if !ok {
 		return nil, repairFinding{}, false
@@ -83,6 +87,47 @@
 	q.queue.Done(a)
 }
 
+// recordMove records whether a first server responded to a move.
+func (q *repairQueue) recordMove(first slatebridge.ServerID, answered bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if answered {
+		q.queue.RecordAnswer(first)
+	} else {
+		q.queue.RecordSilence(first, clock.Now())
+	}
+}
+
+// keep reports whether the repair of the stream may go on after its first server has not responded.
+func (q *repairQueue) keep(a *streamAttempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.Keep(a)
+}
+
+// pause leaves the turn of the stream to others until resume, and reports whether it did.
+func (q *repairQueue) pause(a *streamAttempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.Pause(a)
+}
+
+func (q *repairQueue) resume(a *streamAttempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.Resume(a)
+}
+
+// has reports whether the stream waits for its turn or is under repair.
+func (q *repairQueue) has(a *streamAttempt) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.queue.Has(a)
+}
+
 // beginGather reports whether the caller is to start the repairs after repairGatherTime.
 func (q *repairQueue) beginGather() bool {
 	q.mu.Lock()
@@ -95,13 +140,24 @@
 	return true
 }
 
-// endGather returns the number of waiting streams, and how many of them are expected to be in time.
-func (q *repairQueue) endGather(now time.Time) (total, inTime int) {
+// endGather drops the streams that have ended, and returns their number, that of the others, and how
+// many of these are expected to be in time.
+func (q *repairQueue) endGather(now time.Time) (ended, total, inTime int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.gathering = false
+	q.queue.DropWaiting(func(a *streamAttempt) bool {
+		if !a.hasEnded() {
+			return false
+		}
+		ended++
+		delete(q.found, a)
 
-	return q.queue.Sort(now)
+		return true
+	})
+	total, inTime = q.queue.Sort(now)
+
+	return ended, total, inTime
 }
 
 // queueRepair queues a stream that lost servers of its path, and starts its repair when it is its
@@ -114,7 +170,11 @@
 		return
 	}
 	time.Sleep(repairGatherTime)
-	if total, inTime := h.repairs.endGather(clock.Now()); total > 1 {
+	ended, total, inTime := h.repairs.endGather(clock.Now())
+	for range ended {
+		h.metrics.repairDone(repairNotNeeded)
+	}
+	if total > 1 {
 		event.Log(h.logger, event.RepairsQueued, zap.Int("streams", total), zap.Int("late", total-inTime))
 	}
 	h.startRepairs(ctx)
@@ -124,7 +184,7 @@
 func (h *Handler) startRepairs(ctx context.Context) {
 	for {
 		now := clock.Now()
-		a, found, ok := h.repairs.next(now)
+		a, found, ok := h.repairs.next(now, h.fleet.Suspects())
 		if !ok {
 			return
 		}
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -67,39 +68,43 @@
 	}
 }
 
-func TestQueue(t *testing.T) {
-	fill := func(n int, first func(i int) slatebridge.ServerID) *Queue[int] {
-		q := &Queue[int]{}
-		for i := range n {
-			q.Add(i, first(i), stream(0, time.Second, i))
-		}
-
-		return q
+// fillQueue returns a queue of n streams with the given first servers.
+func fillQueue(n int, first func(i int) slatebridge.ServerID) *Queue[int] {
+	q := &Queue[int]{}
+	for i := range n {
+		q.Add(i, first(i), stream(0, time.Second, i))
 	}
-	running := func(q *Queue[int]) int {
-		n := 0
-		for {
-			if _, ok := q.Next(lostAt); !ok {
-				return n
-			}
-			n++
+
+	return q
+}
+
+// startRunning starts all repairs that may start, and returns their number.
+func startRunning(q *Queue[int]) int {
+	n := 0
+	for {
+		if _, ok := q.Next(lostAt); !ok {
+			return n
 		}
+		n++
 	}
+}
+
+func TestQueue(t *testing.T) {
 	t.Run("bounds the repairs at a time", func(t *testing.T) {
-		q := fill(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
-		if n := running(q); n != maxConcurrent {
+		q := fillQueue(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
+		if n := startRunning(q); n != maxConcurrent {
 			t.Errorf("%d streams under repair, want %d", n, maxConcurrent)
 		}
 	})
 	t.Run("streams of a silent first server do not hold up others", func(t *testing.T) {
-		q := fill(50, func(i int) slatebridge.ServerID {
+		q := fillQueue(50, func(i int) slatebridge.ServerID {
 			if i < 40 {
 				return "silent"
 			}
 
 			return "other"
 		})
-		running(q)
+		startRunning(q)
 		started := make(map[slatebridge.ServerID]int)
 		for _, first := range q.running {
 			started[first]++
@@ -109,14 +114,14 @@
 		}
 	})
 	t.Run("a stream under repair that loses another server waits for its end", func(t *testing.T) {
-		q := fill(1, func(int) slatebridge.ServerID { return "s" })
-		running(q)
+		q := fillQueue(1, func(int) slatebridge.ServerID { return "s" })
+		startRunning(q)
 		q.Add(0, "s", stream(0, time.Second, 0))
-		if n := running(q); n != 0 {
+		if n := startRunning(q); n != 0 {
 			t.Error("the stream is repaired twice at a time")
 		}
 		q.Done(0)
-		if n := running(q); n != 1 {
+		if n := startRunning(q); n != 1 {
 			t.Error("the second repair does not start")
 		}
 	})
@@ -128,18 +133,116 @@
 		wantOrder(t, q, "a", "b")
 	})
 	t.Run("cleared streams are not repaired", func(t *testing.T) {
-		q := fill(20, func(int) slatebridge.ServerID { return "s" })
-		n := running(q)
+		q := fillQueue(20, func(int) slatebridge.ServerID { return "s" })
+		n := startRunning(q)
 		q.Clear()
 		for i := range n {
 			q.Done(i)
 		}
-		if n := running(q); n != 0 {
+		if n := startRunning(q); n != 0 {
 			t.Errorf("%d streams are repaired", n)
 		}
 	})
 }
 
+// TestQueueOfPausedRepairs checks that repairs that wait for a retry leave their turns to others.
+func TestQueueOfPausedRepairs(t *testing.T) {
+	ownServer := func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) }
+	q := fillQueue(50, ownServer)
+	startRunning(q)
+	paused := 0
+	for {
+		again := 0
+		for key := range maps.Clone(q.running) {
+			if q.Pause(key) {
+				again++
+			}
+		}
+		if paused += again; again == 0 {
+			break
+		}
+		startRunning(q)
+	}
+	if paused != maxPaused || len(q.running) != maxConcurrent {
+		t.Errorf("%d repairs are paused, and %d in progress", paused, len(q.running))
+	}
+	for key := range maps.Clone(q.paused) {
+		q.Add(key, ownServer(key), stream(0, 0, 0))
+		q.Resume(key)
+	}
+	endAll(q)
+	if n := startRunning(q); n != maxConcurrent {
+		t.Errorf("%d repairs start after the end of all", n)
+	}
+}
+
+// TestQueueOfSilentServers checks the bounds of first servers that do not respond to moves.
+func TestQueueOfSilentServers(t *testing.T) {
+	t.Run("first servers found silent leave half of the repairs to others", func(t *testing.T) {
+		q := fillQueue(50, func(i int) slatebridge.ServerID {
+			return []slatebridge.ServerID{"silent1", "silent2", "other"}[min(i/20, 2)]
+		})
+		startRunning(q)
+		for _, first := range []slatebridge.ServerID{"silent1", "silent2"} {
+			q.RecordSilence(first, lostAt)
+		}
+		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 4, "other": 4})
+		endAll(q)
+		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 1, "silent2": 1, "other": 4})
+		q.RecordAnswer("silent1")
+		endAll(q)
+		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 1, "other": 2})
+	})
+	t.Run("many silent first servers hold half of the repairs", func(t *testing.T) {
+		q := fillQueue(50, func(i int) slatebridge.ServerID { return slatebridge.ServerID(fmt.Sprint(i)) })
+		for i := range 40 {
+			q.RecordSilence(slatebridge.ServerID(fmt.Sprint(i)), lostAt)
+		}
+		startRunning(q)
+		silent := 0
+		for key := range q.running {
+			if key < 40 {
+				silent++
+			}
+		}
+		if silent != maxConcurrentSilent || len(q.running) != maxConcurrent {
+			t.Errorf("%d of %d streams under repair are of silent first servers", silent, len(q.running))
+		}
+	})
+	t.Run("a repair of a silent first server goes on only alone", func(t *testing.T) {
+		q := fillQueue(3, func(int) slatebridge.ServerID { return "silent" })
+		startRunning(q)
+		kept := []bool{q.Keep(0)}
+		q.RecordSilence("silent", lostAt)
+		for i := range 3 {
+			kept = append(kept, q.Keep(i))
+		}
+		if diff := cmp.Diff([]bool{true, false, false, true}, kept); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// wantStarted starts all repairs that may start, and checks the first servers of those in progress.
+func wantStarted(t *testing.T, q *Queue[int], want map[slatebridge.ServerID]int) {
+	t.Helper()
+	startRunning(q)
+	started := make(map[slatebridge.ServerID]int)
+	for _, first := range q.running {
+		started[first]++
+	}
+	if diff := cmp.Diff(want, started); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// endAll ends all repairs in progress.
+func endAll(q *Queue[int]) {
+	for key := range q.running {
+		q.Done(key)
+	}
+}
+
 // lostStream is a stream of the replayed load.
 type lostStream struct {
 	box    int
@@ -229,9 +332,61 @@
 	}
 }
 
+// TestQueueSortsSeldom checks that streams that are added shortly after the queue was put in order wait
+// for the next time.
+func TestQueueSortsSeldom(t *testing.T) {
+	q := &Queue[string]{}
+	for _, key := range []string{"a", "b", "c"} {
+		q.Add(key, "s", stream(1, time.Second, 0))
+	}
+	q.Sort(lostAt)
+	q.Add("urgent", "s", stream(0, time.Second, 0))
+	var got []bool
+	for _, after := range []time.Duration{0, sortInterval - 1, sortInterval} {
+		key, _ := q.Next(lostAt.Add(after))
+		got = append(got, key == "urgent")
+	}
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestOrderIfAllAreInTime checks the order against the one that is made stream by stream, for loads
+// that fit in the order of priorities, only in that of deadlines, or not at all.
+func TestOrderIfAllAreInTime(t *testing.T) {
+	late, fitting, byDeadline := 0, 0, 0
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		var streams []Stream
+		for range 2 + rng.IntN(30) {
+			s := stream(rng.IntN(3), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
+			s.Turn = time.Duration(rng.Int64N(int64(12 * time.Millisecond)))
+			streams = append(streams, s)
+		}
+		p := newPlan(streams, lostAt)
+		p.addAll()
+		want, wantInTime := p.result()
+		got, inTime := Order(streams, lostAt)
+		if diff := cmp.Diff(want, got); diff != "" || inTime != wantInTime {
+			t.Errorf("seed %d: %d in time, want %d: %s", seed, inTime, wantInTime, diff)
+		}
+		switch {
+		case inTime < len(streams):
+			late++
+		case slices.IsSortedFunc(got, p.comparePriorities):
+			fitting++
+		default:
+			byDeadline++
+		}
+	}
+	if min(late, fitting, byDeadline) == 0 {
+		t.Errorf("%d loads do not fit, %d do, %d only in the order of deadlines", late, fitting, byDeadline)
+	}
+}
+
 // BenchmarkOrder measures the order of very many streams whose turns are not known.
 func BenchmarkOrder(b *testing.B) {
-	for _, n := range []int{30, 300, 5000} {
+	for _, n := range []int{30, 300, 500, 5000} {
 		b.Run(fmt.Sprint("streams=", n), func(b *testing.B) {
 			rng := rand.New(rand.NewPCG(1, 1))
 			streams := make([]Stream, 0, n)
