Notes about full servers keep the size of the refused request

Cause: a refusal of one large request closed all servers that it named to small ones for 250 ms, and a note about a missing slot replaced one about missing memory. Change: a note covers requests that are at least as large; a server has several notes if none covers the others, at most 8. Run: TestRecordFullBySize fails with one note for any size; go test ./fleet ./forward pass. Existing test: TestRecordFull passes the size.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -34,8 +34,8 @@
 	// length of the last such backoff.
 	rejectingUntil   time.Time
 	rejectionBackoff time.Duration
-	// full is what the ledger of the hall last said about missing room.
-	full fullNote
+	// full is what the ledger of the hall recently said about missing room.
+	full []fullNote
 	// progressAt is when a stream through the server last made progress.
 	progressAt time.Time
 	// connectionFailedUntil is the end of the raised cost after a connection failure.
--- a/fleet/shared_room.go
+++ b/fleet/shared_room.go
@@ -16,42 +16,78 @@
 	fullNoteTTL = 250 * time.Millisecond
 )
 
-// fullNote records that a server had no room for requests with the limits or lower ones.
+// maxFullNotes is the number of notes about one server that are kept at the same time.
+const maxFullNotes = 8
+
+// fullNote records that a server had no room for a request. It holds for all requests that are at
+// least as large and may not fill the server further.
 type fullNote struct {
 	until time.Time
-	// memoryShare is the share of the memory that was allowed to be in use before the request.
+	// memoryShare is the share of the memory that was allowed to be in use before the request, and
+	// tokens the size of the request. They do not matter if a slot was missing.
 	memoryShare float64
-	// slotShare is the limit of the slots; zero if they were not limited.
+	tokens      float64
+	// slotShare is the limit of the slots if a slot was missing, otherwise zero.
 	slotShare float64
 }
 
+// newFullNote returns the note about a refused request. Limits that bound the slots say that only a
+// slot was missing.
+func newFullNote(l Limits, tokens float64, now time.Time) fullNote {
+	memory, _ := l.MemoryShares()
+
+	return fullNote{until: now.Add(fullNoteTTL), memoryShare: memory, tokens: tokens, slotShare: l.Slots}
+}
+
+// covers reports whether a request with the limits and size finds no room either. A request without
+// a limit of the slots may wait for one.
+func (n fullNote) covers(l Limits, tokens float64) bool {
+	if n.slotShare > 0 {
+		return l.Slots > 0 && l.Slots <= n.slotShare
+	}
+	memory, _ := l.MemoryShares()
+
+	return memory <= n.memoryShare && tokens >= n.tokens
+}
+
+// replaces reports whether n covers all requests that the older note o covers.
+func (n fullNote) replaces(o fullNote) bool {
+	if n.slotShare > 0 || o.slotShare > 0 {
+		return o.slotShare > 0 && o.slotShare <= n.slotShare
+	}
+
+	return o.memoryShare <= n.memoryShare && o.tokens >= n.tokens
+}
+
 // foundFull reports whether the ledger of the hall has recently found the server full.
 func (m *member) foundFull(q Query, now time.Time) bool {
-	if !now.Before(m.full.until) {
-		return false
+	for _, n := range m.full {
+		if now.Before(n.until) && n.covers(q.Limits, q.Tokens) {
+			return true
+		}
 	}
-	memory, _ := q.Limits.MemoryShares()
-	// Without a limit of their own, requests may wait for a slot.
-	bySlots := m.full.slotShare == 0 || (q.Limits.Slots > 0 && q.Limits.Slots <= m.full.slotShare)
 
-	return memory <= m.full.memoryShare && bySlots
+	return false
 }
 
-// RecordFull records that the servers have no memory for requests with the limits, or no slot if the
-// limits bound the slots. Requests that may not fill them further pass them over for a short time.
-func (f *Fleet) RecordFull(ids []slatebridge.ServerID, l Limits) {
+// RecordFull records that the servers have no memory for a request of the size with the limits, or
+// no slot if the limits bound the slots. Queries with AvoidFull pass them over for a short time, if
+// they are for requests that are at least as large and may not fill the servers further.
+func (f *Fleet) RecordFull(ids []slatebridge.ServerID, l Limits, tokens float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	share, _ := l.MemoryShares()
+	note := newFullNote(l, tokens, now)
 	for _, id := range ids {
 		m, ok := f.members[id]
 		if !ok {
 			continue
 		}
-		if !now.Before(m.full.until) || share >= m.full.memoryShare {
-			m.full = fullNote{until: now.Add(fullNoteTTL), memoryShare: share, slotShare: l.Slots}
+		m.full = slices.DeleteFunc(m.full, func(o fullNote) bool { return !now.Before(o.until) || note.replaces(o) })
+		if len(m.full) >= maxFullNotes {
+			m.full = slices.Delete(m.full, 0, 1)
 		}
+		m.full = append(m.full, note)
 	}
 }
 
--- a/fleet/shared_room_test.go
+++ b/fleet/shared_room_test.go
@@ -66,8 +66,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newSharedFleet(20)
 		urgent, usual, lower := Limits{Memory: 0.97}, Limits{Memory: 0.9}, Limits{Memory: 0.8}
-		f.RecordFull([]slatebridge.ServerID{"a", "unknown"}, usual)
-		f.RecordFull([]slatebridge.ServerID{"a"}, lower)
+		f.RecordFull([]slatebridge.ServerID{"a", "unknown"}, usual, 10)
+		f.RecordFull([]slatebridge.ServerID{"a"}, lower, 10)
 		const path = "a[0,4)>b[4,8)"
 		wantPath(t, f, Query{Tokens: 10, Limits: urgent}, path)
 		wantPath(t, f, Query{Tokens: 10, Limits: usual}, "none: "+NoCapacity.String())
@@ -75,7 +75,7 @@
 		time.Sleep(fullNoteTTL)
 		wantPath(t, f, Query{Tokens: 10, Limits: lower}, path)
 		withSlots := Limits{Memory: 0.9, Slots: 1}
-		f.RecordFull([]slatebridge.ServerID{"a"}, withSlots)
+		f.RecordFull([]slatebridge.ServerID{"a"}, withSlots, 10)
 		wantPath(t, f, Query{Tokens: 10, Limits: withSlots}, "none: "+NoCapacity.String())
 		wantPath(t, f, Query{Tokens: 10, Limits: usual}, path)
 	})
@@ -99,3 +99,41 @@
 		})
 	}
 }
+
+// TestRecordFullBySize checks that a refused request closes a server only to requests that are at
+// least as large, and that a missing slot does not hide missing memory.
+func TestRecordFullBySize(t *testing.T) {
+	const path, none = "a[0,4)>b[4,8)", "none: no capacity left on servers or links"
+	a, usual, lower := []slatebridge.ServerID{"a"}, Limits{Memory: 0.9}, Limits{Memory: 0.8}
+	withSlots := Limits{Memory: 0.9, Slots: 1}
+	query := func(l Limits, tokens float64) Query { return Query{Tokens: tokens, Limits: l} }
+	run := func(name string, test func(t *testing.T, f *Fleet)) {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { test(t, newSharedFleet(20)) }) })
+	}
+	run("a large request", func(t *testing.T, f *Fleet) {
+		f.RecordFull(a, usual, 500)
+		wantPath(t, f, query(usual, 10), path)
+		wantPath(t, f, query(usual, 500), none)
+	})
+	run("a small one with lower limits does not hide it", func(t *testing.T, f *Fleet) {
+		f.RecordFull(a, usual, 500)
+		f.RecordFull(a, lower, 10)
+		wantPath(t, f, query(usual, 10), path)
+		wantPath(t, f, query(usual, 500), none)
+		wantPath(t, f, query(lower, 10), none)
+	})
+	run("a missing slot does not hide missing memory", func(t *testing.T, f *Fleet) {
+		f.RecordFull(a, usual, 10)
+		f.RecordFull(a, withSlots, 10)
+		wantPath(t, f, query(usual, 10), none)
+		wantPath(t, f, query(withSlots, 1), none)
+	})
+	run("the number of notes is bounded", func(t *testing.T, f *Fleet) {
+		for i := range 3 * maxFullNotes {
+			f.RecordFull(a, Limits{Memory: 0.9 - 0.01*float64(i)}, float64(100-i))
+		}
+		if n := len(f.members["a"].full); n != maxFullNotes {
+			t.Errorf("%d notes", n)
+		}
+	})
+}
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -101,7 +101,7 @@
 	if !answer.OnlySlots {
 		limits.Slots = 0
 	}
-	h.fleet.RecordFull(answer.Full, limits)
+	h.fleet.RecordFull(answer.Full, limits, q.Tokens)
 
 	return false
 }
