Only new requests pass over servers found full

Cause: notes about full servers bound each search that needs room, also moves of streams under way. Change: Query.AvoidFull, set by findPathWithRoom and for the error after it. Run: the subtests 'other queries do not heed it' and 'a stream moves to the server' of TestRecordFullBySize fail without the condition; go test ./fleet ./forward.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -88,7 +88,7 @@
 		return candidate{}, false
 	}
 	kept := Load{TokenLayers: q.repairRoom.at(m)}
-	if needRoom && (!m.hasRoom(q, m.load().Add(kept)) || m.foundFull(q, now)) {
+	if needRoom && (!m.hasRoom(q, m.load().Add(kept)) || (q.AvoidFull && m.foundFull(q, now))) {
 		return candidate{}, false
 	}
 	used, capacity := m.load().TokenLayers, m.capacity()
--- a/fleet/path.go
+++ b/fleet/path.go
@@ -65,6 +65,9 @@
 	Isolated bool
 	// Limits bounds how far the request may fill the servers of the path.
 	Limits Limits
+	// AvoidFull says that servers which the ledger of their hall found full for such a request are
+	// passed over; see RecordFull.
+	AvoidFull bool
 	// WaitForGrant says that the request may wait for a grant if its first server is rate-limited.
 	WaitForGrant bool
 	// ignoreAdmission makes servers in a cooldown, in the slow start after one, or without a grant
--- a/fleet/shared_room_test.go
+++ b/fleet/shared_room_test.go
@@ -69,15 +69,15 @@
 		f.RecordFull([]slatebridge.ServerID{"a", "unknown"}, usual, 10)
 		f.RecordFull([]slatebridge.ServerID{"a"}, lower, 10)
 		const path = "a[0,4)>b[4,8)"
-		wantPath(t, f, Query{Tokens: 10, Limits: urgent}, path)
-		wantPath(t, f, Query{Tokens: 10, Limits: usual}, "none: "+NoCapacity.String())
-		wantPath(t, f, Query{Tokens: 10, Limits: lower}, "none: "+NoCapacity.String())
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: urgent}, path)
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: usual}, "none: "+NoCapacity.String())
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: lower}, "none: "+NoCapacity.String())
 		time.Sleep(fullNoteTTL)
-		wantPath(t, f, Query{Tokens: 10, Limits: lower}, path)
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: lower}, path)
 		withSlots := Limits{Memory: 0.9, Slots: 1}
 		f.RecordFull([]slatebridge.ServerID{"a"}, withSlots, 10)
-		wantPath(t, f, Query{Tokens: 10, Limits: withSlots}, "none: "+NoCapacity.String())
-		wantPath(t, f, Query{Tokens: 10, Limits: usual}, path)
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: withSlots}, "none: "+NoCapacity.String())
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: usual}, path)
 	})
 }
 
@@ -106,7 +106,7 @@
 	const path, none = "a[0,4)>b[4,8)", "none: no capacity left on servers or links"
 	a, usual, lower := []slatebridge.ServerID{"a"}, Limits{Memory: 0.9}, Limits{Memory: 0.8}
 	withSlots := Limits{Memory: 0.9, Slots: 1}
-	query := func(l Limits, tokens float64) Query { return Query{Tokens: tokens, Limits: l} }
+	query := func(l Limits, tokens float64) Query { return Query{Tokens: tokens, Limits: l, AvoidFull: true} }
 	run := func(name string, test func(t *testing.T, f *Fleet)) {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { test(t, newSharedFleet(20)) }) })
 	}
@@ -128,6 +128,19 @@
 		wantPath(t, f, query(usual, 10), none)
 		wantPath(t, f, query(withSlots, 1), none)
 	})
+	run("other queries do not heed it", func(t *testing.T, f *Fleet) {
+		f.RecordFull(a, usual, 10)
+		wantPath(t, f, Query{Tokens: 10, Limits: usual}, path)
+	})
+	run("a stream moves to the server", func(t *testing.T, f *Fleet) {
+		f.Set(catalog.Server{ID: "c", Service: "llm", Hall: "b", Layers: slatebridge.LayerRange{From: 4, To: 8}, Accelerator: f.members["b"].Accelerator})
+		f.RecordFull([]slatebridge.ServerID{"c"}, usual, 10)
+		before := Path{{Server: f.members["a"].Server, Layers: f.members["a"].Layers}, {Server: f.members["b"].Server, Layers: f.members["b"].Layers}}
+		got, _, _ := f.Repair(Query{Service: "llm", Tokens: 10, Limits: usual, Exclude: []slatebridge.ServerID{"b"}}, before)
+		if want := "a[0,4)>c[4,8)"; got.String() != want {
+			t.Errorf("moved to %s, want %s", got, want)
+		}
+	})
 	run("the number of notes is bounded", func(t *testing.T, f *Fleet) {
 		for i := range 3 * maxFullNotes {
 			f.RecordFull(a, Limits{Memory: 0.9 - 0.01*float64(i)}, float64(100-i))
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -50,6 +50,7 @@
 // Load pattern: servers are nearly full, and the boxes of the hall choose the same ones by reports
 // that are as old as several requests.
 func (h *Handler) findPathWithRoom(ctx context.Context, requestID string, q fleet.Query, firsts []slatebridge.ServerID) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
+	q.AvoidFull = true
 	if q.Limits.Slots == 0 && h.requestRoom != nil && h.fleet.SharesRoom(q.Service) {
 		free := q
 		free.Limits.Slots = 1
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -209,6 +209,8 @@
 		path, reservation, shortage = t.h.findPathWithRoom(t.ctx, t.c.ID, query, firstServers)
 	}
 	if path == nil {
+		query.AvoidFull = true
+
 		return nil, nil, t.h.noRoomError(t.c, query, firstServers, shortage)
 	}
 
