Claims of boxes of other halls end with the work of their hall

Cause: the holder has no reports of single boxes of other halls, so that their claims counted beside the work of their hall until 2 s had passed. Change: a claim from another hall ends once all shards of the work of that hall are valid 500 ms later than the grant. Run: the subtest 'the work of another hall ends its claims' of TestDecideOnClaims fails without the removal; go test ./box ./room. Existing tests: decide takes the claimant as one value.

--- a/box/room.go
+++ b/box/room.go
@@ -169,7 +169,7 @@
 func (r *rooms) ask(ctx context.Context, to relay.Candidate, m mesh.RoomMessage) (mesh.RoomMessage, error) {
 	now := clock.Now()
 	if to.Box == r.box.settings.Box {
-		return r.decide(r.box.bootID, m, true, now), nil
+		return r.decide(claimant{process: r.box.bootID, reported: true}, m, now), nil
 	}
 	if !r.takeClaimToken(now) {
 		return mesh.RoomMessage{}, errors.Wrap(errNoLedger, "too many claims")
@@ -206,10 +206,18 @@
 	return true
 }
 
-// decide decides on a claim of the process, or names the holder of the ledger if it is another box.
-// The answer is neither granted nor refused if this box cannot decide. reported says that the work
-// that this box knows of contains the request.
-func (r *rooms) decide(process string, m mesh.RoomMessage, reported bool, now time.Time) mesh.RoomMessage {
+// claimant is a box that claims room.
+type claimant struct {
+	process string
+	// hall is empty for boxes of this hall.
+	hall slatebridge.HallID
+	// reported says that the work that this box knows of contains the request.
+	reported bool
+}
+
+// decide decides on a claim, or names the holder of the ledger if it is another box. The answer is
+// neither granted nor refused if this box cannot decide.
+func (r *rooms) decide(from claimant, m mesh.RoomMessage, now time.Time) mesh.RoomMessage {
 	out := mesh.RoomMessage{ID: m.ID}
 	if !r.holdsLedger(m.Service, m.Hall) {
 		if other, ok := r.box.grants.current.Load().roomHolder(m.Service, m.Hall); ok && other.Box != r.box.settings.Box {
@@ -226,7 +234,7 @@
 	if now.Sub(r.reportsAsOf) > maxRoomViewAge {
 		return out
 	}
-	l, claim, view := r.ledger(m.Service, now), ledgerClaim(process, m, reported), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
+	l, claim, view := r.ledger(m.Service, now), r.ledgerClaim(from, m), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
 	d := l.Decide(claim, view, now)
 	r.box.metrics.roomAnswered(m.Service, d)
 	if out.Granted, out.Full, out.OnlySlots = d.Granted, d.Full, d.OnlySlots; len(d.Full) > 0 {
@@ -269,13 +277,16 @@
 	return l
 }
 
-// ledgerClaim converts a message to a claim of the process.
-func ledgerClaim(process string, m mesh.RoomMessage, reported bool) room.Claim {
+// ledgerClaim converts a message to a claim.
+func (r *rooms) ledgerClaim(from claimant, m mesh.RoomMessage) room.Claim {
 	before, with := fleet.Limits{Memory: mesh.DecodeShare(m.MemoryLimit)}.MemoryShares()
 	c := room.Claim{
-		Process: process, ID: m.ID, SentAt: m.SentAt, Reported: reported,
+		Process: from.process, ID: m.ID, SentAt: m.SentAt, Reported: from.reported,
 		Limits: room.Limits{Memory: with, MemoryBefore: before, Slots: mesh.DecodeShare(m.SlotLimit)},
 	}
+	if from.hall != r.box.settings.Hall {
+		c.Group = string(from.hall)
+	}
 	for i, s := range m.Stages {
 		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers)}
 		if m.First && i == 0 {
@@ -317,6 +328,15 @@
 	}
 }
 
+// setRemoteReports sets when the known work of other halls was valid, by hall.
+func (r *rooms) setRemoteReports(validAt map[string]time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.ledgers {
+		l.SetGroupsReported(validAt)
+	}
+}
+
 // release ends an unused claim.
 func (r *rooms) release(a claimedRoom) {
 	if a.holder.Box == r.box.settings.Box {
@@ -338,7 +358,7 @@
 	m.Room.Hall = cmp.Or(m.Room.Hall, m.Hall)
 	switch m.Kind {
 	case mesh.RoomRequest:
-		r.send(mesh.RoomResponse, r.decide(m.Boot, *m.Room, false, clock.Now()), m.Address)
+		r.send(mesh.RoomResponse, r.decide(claimant{process: m.Boot, hall: m.Hall}, *m.Room, clock.Now()), m.Address)
 	case mesh.RoomResponse:
 		r.asked.deliver(m.Room.ID, *m.Room)
 	case mesh.RoomRelease:
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -19,6 +19,7 @@
 	"github.com/slatebridge/slatebridge/internal/standin/memnet"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/relay"
+	"github.com/slatebridge/slatebridge/room"
 )
 
 // roomServer has memory for 1,000 tokens, of which 920 may be reserved.
@@ -177,48 +178,67 @@
 func TestDecideOnClaims(t *testing.T) {
 	t.Run("doubled claims count once", func(t *testing.T) {
 		_, r := newRoomHolder(t)
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 500), false, clock.Now()))
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 500), false, clock.Now()))
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(2, 420), false, clock.Now()))
-		wantRoomAnswer(t, roomRefused, r.decide("p", roomRequest(3, 1), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 500), clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 500), clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(2, 420), clock.Now()))
+		wantRoomAnswer(t, roomRefused, r.decide(claimant{process: "p"}, roomRequest(3, 1), clock.Now()))
 	})
 	t.Run("released claims leave their room", func(t *testing.T) {
 		_, r := newRoomHolder(t)
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 920), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 920), clock.Now()))
 		for range 2 {
 			r.receive(mesh.ReceivedMessage{Message: mesh.Message{Kind: mesh.RoomRelease, Boot: "p", Hall: "a", Room: &mesh.RoomMessage{ID: 1, Service: "llm"}}})
 		}
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(2, 920), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(2, 920), clock.Now()))
 	})
 	t.Run("a box that is lost leaves its room", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			_, r := newRoomHolder(t)
-			wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 920), false, clock.Now()))
+			wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 920), clock.Now()))
 			time.Sleep(2 * time.Second)
 			r.setReports(nil, 1, clock.Now())
-			wantRoomAnswer(t, roomGranted, r.decide("q", roomRequest(1, 920), false, clock.Now()))
+			wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "q"}, roomRequest(1, 920), clock.Now()))
 		})
 	})
 	t.Run("boxes that are not heard keep their part", func(t *testing.T) {
 		_, r := newRoomHolder(t)
 		r.setReports(nil, 0.5, clock.Now())
-		wantRoomAnswer(t, roomRefused, r.decide("p", roomRequest(1, 500), false, clock.Now()))
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(2, 450), false, clock.Now()))
+		wantRoomAnswer(t, roomRefused, r.decide(claimant{process: "p"}, roomRequest(1, 500), clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(2, 450), clock.Now()))
+	})
+	t.Run("the work of another hall ends its claims", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		now := clock.Now()
+		work := func(after time.Duration, shard uint32) {
+			c.applyRemoteWork("b", mesh.Work{LiveBoxes: 3, ShardCount: 2, ShardIndex: shard}, now.Add(after))
+			r.setRemoteReports(c.remoteReports())
+		}
+		ask := func(id uint64, from slatebridge.HallID) mesh.RoomMessage {
+			return r.decide(claimant{process: "p", hall: from}, roomRequest(id, 460), now)
+		}
+		wantRoomAnswer(t, roomGranted, ask(1, "b"))
+		wantRoomAnswer(t, roomGranted, ask(2, "a"))
+		work(room.GroupMargin-time.Millisecond, 0)
+		work(room.GroupMargin, 1)
+		wantRoomAnswer(t, roomRefused, ask(3, "b"))
+		work(room.GroupMargin+time.Millisecond, 0)
+		wantRoomAnswer(t, roomGranted, ask(4, "b"))
+		wantRoomAnswer(t, roomRefused, ask(5, "a"))
 	})
 	t.Run("unknown services are not decided on", func(t *testing.T) {
 		_, r := newRoomHolder(t)
 		m := roomRequest(1, 1)
 		m.Service = "till"
-		wantRoomAnswer(t, roomUndecided, r.decide("p", m, false, clock.Now()))
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, m, clock.Now()))
 		if len(r.ledgers) != 0 {
 			t.Errorf("%d ledgers", len(r.ledgers))
 		}
 	})
 	t.Run("another box of the hall holds the ledger", func(t *testing.T) {
 		c, r := newRoomHolder(t)
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 1), false, clock.Now()))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), clock.Now()))
 		c.box.grants.setAllocators(newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-2"}}))
-		wantRoomAnswer(t, mesh.RoomMessage{Holder: &relay.Candidate{Box: "box-2", Address: "box-2:1"}}, r.decide("p", roomRequest(2, 1), false, clock.Now()))
+		wantRoomAnswer(t, mesh.RoomMessage{Holder: &relay.Candidate{Box: "box-2", Address: "box-2:1"}}, r.decide(claimant{process: "p"}, roomRequest(2, 1), clock.Now()))
 		r.setReports(nil, 1, clock.Now())
 		if len(r.ledgers) != 0 {
 			t.Error("the ledger of another box is kept")
@@ -243,8 +263,8 @@
 		after.asOf = now
 		c.box.grants.setAllocators(before)
 		c.box.grants.setAllocators(after)
-		wantRoomAnswer(t, roomUndecided, r.decide("p", roomRequest(1, 1), false, now.Add(handoverDelay-time.Millisecond)))
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 1), false, now.Add(handoverDelay)))
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 1), now.Add(handoverDelay-time.Millisecond)))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), now.Add(handoverDelay)))
 	})
 	t.Run("a holder that has noticed its suspension", func(t *testing.T) {
 		c, r := newRoomHolder(t)
@@ -252,12 +272,12 @@
 		resumed := newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}})
 		resumed.asOf, resumed.resumedAt = now, now
 		c.box.grants.setAllocators(resumed)
-		wantRoomAnswer(t, roomUndecided, r.decide("p", roomRequest(1, 1), false, now))
-		wantRoomAnswer(t, roomGranted, r.decide("p", roomRequest(1, 1), false, now.Add(handoverDelay)))
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 1), now))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), now.Add(handoverDelay)))
 	})
 	t.Run("a holder whose reports are old", func(t *testing.T) {
 		_, r := newRoomHolder(t)
-		wantRoomAnswer(t, roomUndecided, r.decide("p", roomRequest(1, 1), false, clock.Now().Add(maxRoomViewAge+time.Second)))
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 1), clock.Now().Add(maxRoomViewAge+time.Second)))
 	})
 }
 
--- a/box/work.go
+++ b/box/work.go
@@ -29,6 +29,47 @@
 	// loads is the work in flight by short server ID.
 	loads map[uint32]fleet.Load
 	usage map[string]retry.Usage
+	// shards are when the shards of the loads were valid, and completeAsOf is the time of the oldest
+	// one; zero until all are known.
+	shards       shardTimes
+	completeAsOf time.Time
+}
+
+// maxShards is the number of shards up to which their times are kept. It exceeds the shards for
+// the servers of the largest fleet.
+const maxShards = 128
+
+// shardTimes are the times of the last shards of a work that arrives in shards.
+type shardTimes struct {
+	at    []time.Time
+	known int
+}
+
+// record records the time of a shard, and returns the time of the oldest shard if all are known. A
+// new number of shards begins anew.
+func (s *shardTimes) record(m mesh.Work, at time.Time) time.Time {
+	if m.ShardCount <= 1 {
+		*s = shardTimes{}
+
+		return at
+	}
+	if m.ShardIndex >= m.ShardCount || m.ShardCount > maxShards {
+		*s = shardTimes{}
+
+		return time.Time{}
+	}
+	if len(s.at) != int(m.ShardCount) {
+		*s = shardTimes{at: make([]time.Time, m.ShardCount)}
+	}
+	if s.at[m.ShardIndex].IsZero() {
+		s.known++
+	}
+	s.at[m.ShardIndex] = at
+	if s.known < len(s.at) {
+		return time.Time{}
+	}
+
+	return slices.MinFunc(s.at, time.Time.Compare)
 }
 
 // sumWork returns the sum of the work.
@@ -85,6 +126,7 @@
 		w.loads[l.ShortID] = fleet.Load{Requests: float64(l.Requests), FirstStage: float64(l.FirstStage), TokenLayers: float64(l.TokenLayers)}
 	}
 	w.asOf = measuredAt(m, at)
+	w.completeAsOf = w.shards.record(m, w.asOf)
 	w.live, w.budgetBoxes, w.usage = m.LiveBoxes, m.BudgetBoxes, m.Usage
 }
 
@@ -202,6 +244,7 @@
 	c.box.fleet.SetPeerCounts(others.live, c.liveBoxes()-1)
 	c.box.hallPeers.Store(int64(others.live))
 	c.box.rooms.setReports(reportedAt, c.hallShare(now), now)
+	c.box.rooms.setRemoteReports(c.remoteReports())
 }
 
 // reportClockMargin is how far the timestamps of a box may run ahead of its clock, in microseconds,
@@ -221,6 +264,18 @@
 	return out
 }
 
+// remoteReports returns the time at which all work known of each other hall was valid.
+func (c *control) remoteReports() map[string]time.Time {
+	out := make(map[string]time.Time, len(c.remoteWork))
+	for hall, w := range c.remoteWork {
+		if !w.completeAsOf.IsZero() {
+			out[string(hall)] = w.completeAsOf
+		}
+	}
+
+	return out
+}
+
 // hallShare returns the share of the boxes of the hall that are heard, of those that were heard
 // within roomShareMemory.
 func (c *control) hallShare(now time.Time) float64 {
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -13,6 +13,9 @@
 	// MaxClaims is the number of claims that a ledger counts at the same time. It bounds the memory
 	// of the ledger.
 	MaxClaims = 8192
+	// GroupMargin is how much later than a claim the reported work of a group has to be valid to
+	// contain it. It covers one lost report of the box; the transit of the claim is part of it.
+	GroupMargin = 500 * time.Millisecond
 )
 
 // Use is an amount of the capacity of a server.
@@ -67,6 +70,9 @@
 	// SentAt is when the claim was made, in microseconds on the clock of the process. The process
 	// reports the work of the request from then on.
 	SentAt int64
+	// Group names the processes whose work is known only as a sum; empty if the work of the process
+	// is known. See SetGroupsReported.
+	Group  string
 	Stages []Stage
 	Limits Limits
 	// Reported says that the reported work contains the request already.
@@ -101,6 +107,7 @@
 // grantedClaim is a claim whose use is not contained in reports yet.
 type grantedClaim struct {
 	sentAt    int64
+	group     string
 	grantedAt time.Time
 	stages    []Stage
 }
@@ -155,7 +162,7 @@
 	if len(l.claims) == 0 {
 		l.oldest = now
 	}
-	l.claims[key] = grantedClaim{sentAt: c.SentAt, grantedAt: now, stages: slices.Clone(c.Stages)}
+	l.claims[key] = grantedClaim{sentAt: c.SentAt, group: c.Group, grantedAt: now, stages: slices.Clone(c.Stages)}
 	for _, s := range c.Stages {
 		p := l.pending[s.ShortID]
 		l.pending[s.ShortID] = pendingUse{p.Add(s.Need), p.claims + 1}
@@ -220,6 +227,16 @@
 	l.expire(now)
 }
 
+// SetGroupsReported removes the claims that are contained in the work of groups, which is valid at
+// the given times.
+func (l *Ledger) SetGroupsReported(validAt map[string]time.Time) {
+	for key, c := range l.claims {
+		if at, ok := validAt[c.group]; ok && c.group != "" && at.Sub(c.grantedAt) >= GroupMargin {
+			l.remove(key)
+		}
+	}
+}
+
 func (l *Ledger) reported(process string, sentAt int64) bool {
 	at, ok := l.reportedAt[process]
 
