A new holder waits its whole pause, whatever else changes

Cause: the pause of a new holder compared with the allocators before the last change only; a second change within 0.6 s ended it. Ruled out: the same for grants and retry pools; their decisions are left as they are. Change: for ledgers, the allocators of the last 0.6 s are kept, and the pause counts from the change that made this box the holder. Run: the new subtest of TestLedgerHandover fails if only the last change counts; go test ./box.

--- a/box/grants.go
+++ b/box/grants.go
@@ -48,10 +48,18 @@
 	// previous are the allocators before the last change, at changedAt.
 	previous  *allocators
 	changedAt time.Time
+	// recent are the allocators before each change in the last handoverDelay.
+	recent []supersededAllocators
 	// emptyUntil is, by service, until when no retry is requested because its retry pool was empty.
 	emptyUntil map[string]time.Time
 }
 
+// supersededAllocators are allocators and when they were replaced.
+type supersededAllocators struct {
+	*allocators
+	replacedAt time.Time
+}
+
 func newGrants(b *Box) *grants {
 	g := &grants{
 		box: b, allocator: allowance.NewAllocator(), asked: newExchanges[mesh.GrantMessage](grantTimeout), emptyUntil: make(map[string]time.Time),
@@ -73,6 +81,8 @@
 		return
 	}
 	g.previous, g.changedAt = previous, v.asOf
+	g.recent = slices.DeleteFunc(g.recent, func(s supersededAllocators) bool { return v.asOf.Sub(s.replacedAt) >= handoverDelay })
+	g.recent = append(g.recent, supersededAllocators{previous, v.asOf})
 }
 
 // request asks the allocator of a rate-limited server for a grant.
@@ -183,6 +193,21 @@
 	return max(0, g.changedAt.Add(delay).Sub(now))
 }
 
+// ledgerPauseRemaining returns the rest of the time in which this box, as the new holder of a ledger,
+// does not decide. Unlike handoverRemaining, it counts from the change that made it the holder, also
+// if others have followed.
+func (g *grants) ledgerPauseRemaining(service string, hall slatebridge.HallID, now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range slices.Backward(g.recent) {
+		if !s.isAllocator(g.box.settings.Box, roomPlaceholder(service, hall)) {
+			return max(0, s.replacedAt.Add(handoverDelay).Sub(now))
+		}
+	}
+
+	return 0
+}
+
 // release returns an unused grant to its allocator.
 func (g *grants) release(from relay.Candidate, s catalog.Server, answer mesh.GrantMessage) {
 	if from.Box == g.box.settings.Box {
--- a/box/room.go
+++ b/box/room.go
@@ -226,7 +226,7 @@
 
 		return out
 	}
-	if !r.box.fleet.SharesRoom(m.Service) || r.box.grants.handoverRemaining(roomPlaceholder(m.Service, m.Hall), handoverDelay, now) > 0 {
+	if !r.box.fleet.SharesRoom(m.Service) || r.box.grants.ledgerPauseRemaining(m.Service, m.Hall, now) > 0 {
 		return out
 	}
 	r.mu.Lock()
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -266,6 +266,18 @@
 		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 1), now.Add(handoverDelay-time.Millisecond)))
 		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), now.Add(handoverDelay)))
 	})
+	t.Run("a new holder, and another change right after", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		now := clock.Now()
+		for i, halls := range []map[slatebridge.HallID][]slatebridge.BoxID{{"a": {"box-2"}}, {"a": {"box-1"}}, {"a": {"box-1"}, "b": {"box-3"}}, {"a": {"box-1"}}} {
+			v := newAllocators(halls)
+			v.asOf = now.Add(time.Duration(i) * tickInterval)
+			c.box.grants.setAllocators(v)
+		}
+		since := now.Add(tickInterval)
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 1), since.Add(handoverDelay-time.Millisecond)))
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), since.Add(handoverDelay)))
+	})
 	t.Run("a holder that has noticed its suspension", func(t *testing.T) {
 		c, r := newRoomHolder(t)
 		now := clock.Now()
