A holder that knows reports only by a digest does not decide

Cause: the digest of another relay does not say which reports it contains, but claims went on ending by the times of this box's own reports, and decisions by the digest, which may be older: the sum was too low. Change: the ledgers do not decide while the work of the hall is from a digest. Run: the new subtest of TestDecideOnClaims fails if a digest counts as reports; go test ./box. Existing tests: setReports gets an empty map instead of nil where reports are current.

--- a/box/room.go
+++ b/box/room.go
@@ -308,15 +308,15 @@
 func roomUse(l fleet.Load) room.Use { return room.Use{Memory: l.TokenLayers, Slots: l.FirstStage} }
 
 // setReports sets which claims are contained in the reports that the fleet knows of, and the share
-// of the boxes of the hall whose reports they are. A nil map keeps the claims set before. It drops
-// the ledgers that this box no longer holds.
+// of the boxes of the hall whose reports they are. With a nil map, which says that the reports are
+// not known one by one, the ledgers do not decide. It drops the ledgers that this box no longer holds.
 func (r *rooms) setReports(reportedAt map[string]int64, liveShare float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.liveShare, r.reportsAsOf = liveShare, time.Time{}
 	if reportedAt != nil {
-		r.reportedAt = reportedAt
+		r.reportedAt, r.reportsAsOf = reportedAt, now
 	}
-	r.liveShare, r.reportsAsOf = liveShare, now
 	for service, l := range r.ledgers {
 		if !r.holdsLedger(service, r.box.settings.Hall) {
 			delete(r.ledgers, service)
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -138,6 +138,9 @@
 	})
 }
 
+// reported says that the work of no process contains claims.
+var reported = map[string]int64{}
+
 // newRoomHolder returns the rooms of a box that holds the ledger of the service, with current
 // reports.
 func newRoomHolder(t *testing.T) (*control, *rooms) {
@@ -148,7 +151,7 @@
 	v := newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}})
 	c.box.grants.setAllocators(v)
 	c.box.grants.setAllocators(newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-1"}}))
-	c.box.rooms.setReports(nil, 1, clock.Now())
+	c.box.rooms.setReports(reported, 1, clock.Now())
 
 	return c, c.box.rooms
 }
@@ -196,13 +199,13 @@
 			_, r := newRoomHolder(t)
 			wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 920), clock.Now()))
 			time.Sleep(2 * time.Second)
-			r.setReports(nil, 1, clock.Now())
+			r.setReports(reported, 1, clock.Now())
 			wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "q"}, roomRequest(1, 920), clock.Now()))
 		})
 	})
 	t.Run("boxes that are not heard keep their part", func(t *testing.T) {
 		_, r := newRoomHolder(t)
-		r.setReports(nil, 0.5, clock.Now())
+		r.setReports(reported, 0.5, clock.Now())
 		wantRoomAnswer(t, roomRefused, r.decide(claimant{process: "p"}, roomRequest(1, 500), clock.Now()))
 		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(2, 450), clock.Now()))
 	})
@@ -225,6 +228,13 @@
 		wantRoomAnswer(t, roomGranted, ask(4, "b"))
 		wantRoomAnswer(t, roomRefused, ask(5, "a"))
 	})
+	t.Run("reports that are known only as a sum", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		r.setReports(nil, 1, clock.Now())
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 1), clock.Now()))
+		r.setReports(reported, 1, clock.Now())
+		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), clock.Now()))
+	})
 	t.Run("unknown services are not decided on", func(t *testing.T) {
 		_, r := newRoomHolder(t)
 		m := roomRequest(1, 1)
@@ -239,7 +249,7 @@
 		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), clock.Now()))
 		c.box.grants.setAllocators(newAllocators(map[slatebridge.HallID][]slatebridge.BoxID{"a": {"box-2"}}))
 		wantRoomAnswer(t, mesh.RoomMessage{Holder: &relay.Candidate{Box: "box-2", Address: "box-2:1"}}, r.decide(claimant{process: "p"}, roomRequest(2, 1), clock.Now()))
-		r.setReports(nil, 1, clock.Now())
+		r.setReports(reported, 1, clock.Now())
 		if len(r.ledgers) != 0 {
 			t.Error("the ledger of another box is kept")
 		}
