A holder that hears less than half of its hall does not decide

Cause: a holder that hears few boxes gave only their part of the room, and refused for the whole hall; boxes that left as announced counted as lost for 5 s. Change: below half of the boxes the answer is undecided; a box that announces that it leaves no longer counts. Run: the new subtest of TestDecideOnClaims and TestHallShareWithoutLeavers fail without the conditions; go test ./box.

--- a/box/control.go
+++ b/box/control.go
@@ -87,7 +87,8 @@
 	// known at hallBudgetBoxesAt.
 	hallBudgetBoxes   int
 	hallBudgetBoxesAt time.Time
-	// recentHallBoxes is the number of boxes of the hall that were heard at recentHallBoxesAt.
+	// recentHallBoxes is the number of boxes of the hall that were heard at recentHallBoxesAt,
+	// without those that have announced that they leave.
 	recentHallBoxes   int
 	recentHallBoxesAt time.Time
 	// sentReports are the last reports of this box, and lastSentTimestamp the timestamp of its last
--- a/box/peers.go
+++ b/box/peers.go
@@ -185,6 +185,9 @@
 	if o.bootID != msg.Boot {
 		o.lastReport, o.hallDigest, o.storeReader, o.messageInterval, o.completeReportAt = work{}, work{}, "", tickInterval, 0
 	}
+	if msg.Leaving && !o.lastMessage.Leaving && o.isReporting(at) && o.inHall(c.settings.Hall) {
+		c.recentHallBoxes--
+	}
 	o.bootID, o.lastTimestamp, o.address, o.hall, o.linkRate, o.canLead = msg.Boot, msg.SentAt, msg.Address, msg.Hall, msg.LinkRate, msg.CanLead
 	o.lastSeenAt, o.lastMessage, o.lost, o.unansweredSince = at, msg, false, time.Time{}
 }
--- a/box/room.go
+++ b/box/room.go
@@ -37,6 +37,9 @@
 	minClaimBurst = 4
 	// maxFullServers is the number of full servers that an answer names.
 	maxFullServers = 32
+	// minLiveShare is the part of the boxes of the hall below which a ledger does not decide. A box that
+	// hears so few may itself be the one that is not heard.
+	minLiveShare = 0.5
 	// roomShareMemory is how long a lost box of the hall counts as using its part of the room.
 	roomShareMemory = 5 * time.Second
 )
@@ -231,7 +234,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.reportsAsOf) > maxRoomViewAge {
+	if now.Sub(r.reportsAsOf) > maxRoomViewAge || r.liveShare < minLiveShare {
 		return out
 	}
 	l, claim, view := r.ledger(m.Service, now), r.ledgerClaim(from, m), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -209,6 +209,12 @@
 		wantRoomAnswer(t, roomRefused, r.decide(claimant{process: "p"}, roomRequest(1, 500), clock.Now()))
 		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(2, 450), clock.Now()))
 	})
+	t.Run("a holder that hears less than half of the boxes", func(t *testing.T) {
+		_, r := newRoomHolder(t)
+		r.setReports(reported, 0.49, clock.Now())
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(1, 900), clock.Now()))
+		wantRoomAnswer(t, roomUndecided, r.decide(claimant{process: "p"}, roomRequest(2, 1), clock.Now()))
+	})
 	t.Run("the work of another hall ends its claims", func(t *testing.T) {
 		c, r := newRoomHolder(t)
 		now := clock.Now()
@@ -358,6 +364,35 @@
 	}
 }
 
+// TestHallShareWithoutLeavers checks that a box that has announced that it leaves is not missed.
+func TestHallShareWithoutLeavers(t *testing.T) {
+	c := newTestControl(t)
+	now := clock.Now()
+	hear := func(box slatebridge.BoxID, leaving bool) {
+		o := c.ensurePeer(box)
+		o.lastReport.asOf = now
+		c.updatePeer(o, mesh.Message{Box: box, Boot: "boot", Hall: c.settings.Hall, Leaving: leaving}, now)
+		o.lastReport.asOf = now
+	}
+	want := func(live int, want float64) {
+		t.Helper()
+		c.hallWork.live = live
+		if got := c.hallShare(now); got != want {
+			t.Errorf("share %.2f, want %.2f", got, want)
+		}
+	}
+	hear("box-2", false)
+	hear("box-3", false)
+	want(3, 1)
+	hear("box-2", true)
+	want(3, 1)
+	hear("box-2", true)
+	want(3, 1)
+	c.peers["box-2"].lost = true
+	want(2, 1)
+	want(1, 0.5)
+}
+
 // TestClaimInTwoHalls checks that room claimed in one hall is released if another hall has none.
 func TestClaimInTwoHalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/box/work.go
+++ b/box/work.go
@@ -277,13 +277,19 @@
 }
 
 // hallShare returns the share of the boxes of the hall that are heard, of those that were heard
-// within roomShareMemory.
+// within roomShareMemory. Boxes that have announced that they leave do not count.
 func (c *control) hallShare(now time.Time) float64 {
-	if c.hallWork.live >= c.recentHallBoxes || now.Sub(c.recentHallBoxesAt) > roomShareMemory {
-		c.recentHallBoxes, c.recentHallBoxesAt = c.hallWork.live, now
+	staying := c.hallWork.live
+	for _, o := range c.peers {
+		if o.inHall(c.settings.Hall) && o.lastMessage.Leaving && o.isReporting(now) {
+			staying--
+		}
+	}
+	if staying >= c.recentHallBoxes || now.Sub(c.recentHallBoxesAt) > roomShareMemory {
+		c.recentHallBoxes, c.recentHallBoxesAt = staying, now
 	}
 
-	return float64(c.hallWork.live) / float64(max(1, c.recentHallBoxes))
+	return float64(max(0, staying)) / float64(max(1, c.recentHallBoxes))
 }
 
 // setHallPeerWork passes the work of the other boxes of a hall to the fleet and the retry budget.
