One deadline over all claims for one choice of a path

Cause: each of three paths waited up to 30 ms for the holder of each hall, and twice that with grants, before the first event of a request. Change: claims for one choice of a path end 40 ms after the first one began; later the box decides by its own view. After a holder that did not answer, the holders of other halls are not asked. Run: TestClaimDeadline and the silent holders in TestClaimInTwoHalls fail without the deadline and the end; go test ./forward ./box. Existing tests: claims of TestClaimRoom and TestSharedRoom run in virtual time, since there is a deadline now.

--- a/box/room.go
+++ b/box/room.go
@@ -96,13 +96,15 @@
 }
 
 // claim claims room for a request in each of the halls. It fails if no server was found full and
-// the ledger of some hall did not decide.
+// the ledger of some hall did not decide. After one that did not answer in time no other is asked.
 func (r *rooms) claim(ctx context.Context, c forward.RoomClaim) (forward.RoomAnswer, error) {
 	var granted []claimedRoom
 	var undecided error
 	for _, hall := range c.Halls {
 		a, err := r.claimInHall(ctx, c, hall)
 		switch {
+		case errors.Is(err, errUnanswered), err != nil && ctx.Err() != nil:
+			return forward.RoomAnswer{}, err
 		case err != nil:
 			undecided = err
 		case a.message.Granted:
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -393,10 +393,12 @@
 	want(1, 0.5)
 }
 
-// TestClaimInTwoHalls checks that room claimed in one hall is released if another hall has none.
+// TestClaimInTwoHalls checks that room claimed in one hall is released if another hall has none, and
+// that a request waits for one silent holder only.
 func TestClaimInTwoHalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		boxes := startBoxesInHalls(t, memnet.New(), map[slatebridge.HallID]int{"a": 1, "b": 2}, 4, Bounds{MaxStaleness: 2 * time.Second, MaxRevocationDelay: 5 * time.Second, RetryWindow: time.Second})
+		network := memnet.New()
+		boxes := startBoxesInHalls(t, network, map[slatebridge.HallID]int{"a": 1, "b": 2}, 4, Bounds{MaxStaleness: 2 * time.Second, MaxRevocationDelay: 5 * time.Second, RetryWindow: time.Second})
 		first, second := roomServer, roomServer
 		first.Layers, second.ID, second.Hall, second.Layers = slatebridge.LayerRange{To: 2}, "b1", "b", slatebridge.LayerRange{From: 2, To: 4}
 		for _, b := range boxes {
@@ -406,11 +408,14 @@
 		}
 		time.Sleep(6*time.Second + tickInterval/2)
 		claimer := boxes[slices.IndexFunc(boxes, func(b *Box) bool { return b.settings.Hall == "a" && !holdsRoomLedger(b) })]
-		claim := func(tokens float64) forward.RoomAnswer {
-			answer, err := claimer.rooms.claim(t.Context(), forward.RoomClaim{
+		roomClaim := func(tokens float64) forward.RoomClaim {
+			return forward.RoomClaim{
 				Service: "llm", Path: fleet.Path{{Server: first, Layers: first.Layers}, {Server: second, Layers: second.Layers}},
 				Tokens: tokens, Halls: []slatebridge.HallID{"a", "b"},
-			})
+			}
+		}
+		claim := func(tokens float64) forward.RoomAnswer {
+			answer, err := claimer.rooms.claim(t.Context(), roomClaim(tokens))
 			if err != nil {
 				t.Error(err)
 			}
@@ -436,5 +441,16 @@
 		if diff := cmp.Diff([]slatebridge.ServerID{"b1"}, a.Full); diff != "" || pending() != 1 {
 			t.Errorf("%d claims count, full: %s", pending(), diff)
 		}
+		for _, b := range boxes {
+			if b != claimer {
+				host, _, _ := net.SplitHostPort(b.settings.Listen.Mesh)
+				network.Freeze(host)
+				defer network.Thaw(host)
+			}
+		}
+		began := time.Now()
+		if _, err := claimer.rooms.claim(t.Context(), roomClaim(10)); err == nil || time.Since(began) > roomTimeout {
+			t.Errorf("%v after %s", err, time.Since(began))
+		}
 	})
 }
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
 )
@@ -35,6 +37,31 @@
 // takes the time of a message and its answer.
 const maxRoomSearches = 3
 
+// maxRoomWait bounds the time that all claims for one choice of a path take together, which is taken
+// from the time in which the caller expects its first event.
+const maxRoomWait = 40 * time.Millisecond
+
+// pathChoice is one choice of a path for a request, which may take several searches and claims.
+type pathChoice struct {
+	requestID string
+	// claimsUntil is the end of the wait for claims; zero before the first one.
+	claimsUntil time.Time
+}
+
+// claimContext returns the context of the next claim, or false if the time for claims is over.
+func (c *pathChoice) claimContext(ctx context.Context) (context.Context, context.CancelFunc, bool) {
+	now := clock.Now()
+	if c.claimsUntil.IsZero() {
+		c.claimsUntil = now.Add(maxRoomWait)
+	}
+	if !now.Before(c.claimsUntil) {
+		return nil, nil, false
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.claimsUntil)
+
+	return ctx, cancel, true
+}
+
 // Outcomes of claims of room in metrics.
 const (
 	roomGranted    = "granted"
@@ -44,31 +71,31 @@
 
 // findPathWithRoom finds a path like Fleet.FindPathFrom, and claims room for the request if servers
 // of the path are nearly full. If the ledger of a hall refuses it, other paths are searched. While
-// no ledger decides, the view of this box does. Unless the limits of the query bound the slots,
+// no ledger decides, or once the time for claims is over, the view of this box does. Unless the limits of the query bound the slots,
 // first servers with a free slot are preferred; the others let the request wait.
 //
 // Load pattern: servers are nearly full, and the boxes of the hall choose the same ones by reports
 // that are as old as several requests.
-func (h *Handler) findPathWithRoom(ctx context.Context, requestID string, q fleet.Query, firsts []slatebridge.ServerID) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
+func (h *Handler) findPathWithRoom(ctx context.Context, choice *pathChoice, q fleet.Query, firsts []slatebridge.ServerID) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
 	q.AvoidFull = true
 	if q.Limits.Slots == 0 && h.requestRoom != nil && h.fleet.SharesRoom(q.Service) {
 		free := q
 		free.Limits.Slots = 1
-		if path, reservation, shortage := h.findClaimedPath(ctx, requestID, free, firsts, maxRoomSearches-1); shortage != fleet.NoCapacity {
+		if path, reservation, shortage := h.findClaimedPath(ctx, choice, free, firsts, maxRoomSearches-1); shortage != fleet.NoCapacity {
 			return path, reservation, shortage
 		}
 
-		return h.findClaimedPath(ctx, requestID, q, firsts, 1)
+		return h.findClaimedPath(ctx, choice, q, firsts, 1)
 	}
 
-	return h.findClaimedPath(ctx, requestID, q, firsts, maxRoomSearches)
+	return h.findClaimedPath(ctx, choice, q, firsts, maxRoomSearches)
 }
 
 // findClaimedPath is findPathWithRoom for one query and at most the given number of paths.
-func (h *Handler) findClaimedPath(ctx context.Context, requestID string, q fleet.Query, firsts []slatebridge.ServerID, searches int) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
+func (h *Handler) findClaimedPath(ctx context.Context, choice *pathChoice, q fleet.Query, firsts []slatebridge.ServerID, searches int) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
 	for range searches {
 		path, reservation, shortage := h.fleet.FindPathFrom(q, firsts)
-		if path == nil || h.claimRoom(ctx, requestID, q, path, reservation) {
+		if path == nil || h.claimRoom(ctx, choice, q, path, reservation) {
 			return path, reservation, shortage
 		}
 		reservation.Release()
@@ -79,16 +106,23 @@
 
 // claimRoom reports whether the path may be used. Servers that the ledger finds full are recorded,
 // so that the next search passes them over.
-func (h *Handler) claimRoom(ctx context.Context, requestID string, q fleet.Query, path fleet.Path, r *fleet.Reservation) bool {
+func (h *Handler) claimRoom(ctx context.Context, choice *pathChoice, q fleet.Query, path fleet.Path, r *fleet.Reservation) bool {
 	halls := r.TightHalls()
 	if len(halls) == 0 || h.requestRoom == nil {
 		return true
 	}
-	answer, err := h.requestRoom(ctx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls})
+	claimCtx, cancel, ok := choice.claimContext(ctx)
+	if !ok {
+		h.metrics.roomClaimed(roomUnanswered)
+
+		return true
+	}
+	defer cancel()
+	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls})
 	switch {
 	case err != nil:
 		h.metrics.roomClaimed(roomUnanswered)
-		event.Log(h.logger, event.RoomUnanswered, zap.String("request", requestID), zap.Stringer("path", path), event.Error(err))
+		event.Log(h.logger, event.RoomUnanswered, zap.String("request", choice.requestID), zap.Stringer("path", path), event.Error(err))
 
 		return true
 	case len(answer.Full) == 0:
@@ -97,7 +131,7 @@
 		return true
 	}
 	h.metrics.roomClaimed(roomRefused)
-	event.Log(h.logger, event.RoomRefused, zap.String("request", requestID), zap.Stringer("path", path), zap.Any("full", answer.Full), zap.Bool("only_slots", answer.OnlySlots))
+	event.Log(h.logger, event.RoomRefused, zap.String("request", choice.requestID), zap.Stringer("path", path), zap.Any("full", answer.Full), zap.Bool("only_slots", answer.OnlySlots))
 	limits := q.Limits
 	if !answer.OnlySlots {
 		limits.Slots = 0
--- a/forward/claim_room_test.go
+++ b/forward/claim_room_test.go
@@ -70,7 +70,7 @@
 	servers := roomServers(2)
 	// find searches a path while servers are filled to the share, and returns its first server, why
 	// there is none, and the number of claims.
-	find := func(share float64, f func(n int, c RoomClaim) (RoomAnswer, error)) (fleet.Path, fleet.Shortage, int) {
+	find := func(t *testing.T, share float64, f func(n int, c RoomClaim) (RoomAnswer, error)) (fleet.Path, fleet.Shortage, int) {
 		claims := 0
 		h := newRoomHandler(servers, 20, time.Now, func(_ context.Context, c RoomClaim) (RoomAnswer, error) {
 			claims++
@@ -78,17 +78,19 @@
 			return f(claims, c)
 		})
 		fillTo(h, servers, share)
-		path, reservation, shortage := h.findPathWithRoom(t.Context(), "r", roomQuery(100), nil)
+		path, reservation, shortage := h.findPathWithRoom(t.Context(), &pathChoice{}, roomQuery(100), nil)
 		reservation.Release()
 
 		return path, shortage, claims
 	}
 	check := func(t *testing.T, share float64, f func(n int, c RoomClaim) (RoomAnswer, error), found bool, wantClaims int) {
 		t.Helper()
-		path, shortage, claims := find(share, f)
-		if (path != nil) != found || (shortage == fleet.NoShortage) != found || claims != wantClaims {
-			t.Errorf("path %s, shortage %s, %d claims; want %d", path, shortage, claims, wantClaims)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			path, shortage, claims := find(t, share, f)
+			if (path != nil) != found || (shortage == fleet.NoShortage) != found || claims != wantClaims {
+				t.Errorf("path %s, shortage %s, %d claims; want %d", path, shortage, claims, wantClaims)
+			}
+		})
 	}
 	grant := func(int, RoomClaim) (RoomAnswer, error) { return RoomAnswer{}, nil }
 	t.Run("no claim with plenty of room", func(t *testing.T) { check(t, 0.3, grant, true, 0) })
@@ -133,6 +135,49 @@
 	})
 }
 
+// TestClaimDeadline checks that all claims for one choice of a path take at most maxRoomWait, and that
+// the box then decides by its own view.
+func TestClaimDeadline(t *testing.T) {
+	slowly := func(d time.Duration, refuse bool) RoomFunc {
+		return func(ctx context.Context, c RoomClaim) (RoomAnswer, error) {
+			select {
+			case <-ctx.Done():
+				return RoomAnswer{}, context.Cause(ctx)
+			case <-time.After(d):
+			}
+			if refuse {
+				return RoomAnswer{Full: []slatebridge.ServerID{c.Path[0].Server.ID}}, nil
+			}
+
+			return RoomAnswer{}, errors.New("silence")
+		}
+	}
+	for name, f := range map[string]RoomFunc{
+		"slow refusals": slowly(25*time.Millisecond, true),
+		"silence":       slowly(30*time.Millisecond, false),
+		"very slow":     slowly(time.Second, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				servers := roomServers(8)
+				h := newRoomHandler(servers, 20, time.Now, f)
+				fillTo(h, servers, 0.91)
+				began, choice := time.Now(), &pathChoice{}
+				for range 2 {
+					if path, reservation, _ := h.findPathWithRoom(t.Context(), choice, roomQuery(100), nil); path == nil {
+						t.Error("no path")
+					} else {
+						reservation.Release()
+					}
+				}
+				if took := time.Since(began); took > maxRoomWait {
+					t.Errorf("%s, want at most %s", took, maxRoomWait)
+				}
+			})
+		})
+	}
+}
+
 // TestRoomNotShared checks that decisions are the same without a ledger, in a hall with one box, and
 // for a model whose limits are unknown.
 func TestRoomNotShared(t *testing.T) {
@@ -147,7 +192,7 @@
 	paths := func(h *Handler) []string {
 		var out []string
 		for i := range 1200 {
-			path, _, shortage := h.findPathWithRoom(t.Context(), "r", roomQuery(float64(100+37*(i%11))), nil)
+			path, _, shortage := h.findPathWithRoom(t.Context(), &pathChoice{}, roomQuery(float64(100+37*(i%11))), nil)
 			out = append(out, path.String()+" "+shortage.String())
 		}
 
@@ -333,7 +378,7 @@
 	const meanDuration = 2500 * time.Millisecond
 	r.requests++
 	q := runningRequest{tokens: 450 + 1800*r.random.Float64(), end: r.now.Add(time.Duration((0.5 + r.random.Float64()) * float64(meanDuration)))}
-	q.path, q.reservation, _ = h.findPathWithRoom(context.Background(), "r", roomQuery(q.tokens), nil)
+	q.path, q.reservation, _ = h.findPathWithRoom(context.Background(), &pathChoice{}, roomQuery(q.tokens), nil)
 	if q.path == nil {
 		r.noRoom++
 
@@ -367,7 +412,8 @@
 	)
 	for _, boxes := range []int{7, 20, 60, 340} {
 		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
-			before, after := replayHall(boxes, false), replayHall(boxes, true)
+			var before, after *hallReplay
+			synctest.Test(t, func(*testing.T) { before, after = replayHall(boxes, false), replayHall(boxes, true) })
 			for name, r := range map[string]*hallReplay{"without": before, "with": after} {
 				t.Logf("%s: %d requests, %d admitted, %d rejected, %d without room, %d claims", name, r.requests, r.admitted, r.rejected, r.noRoom, r.claims)
 			}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -203,10 +203,11 @@
 	}
 	firstServers := t.h.allowedFirstServers(t.possiblyRunningOn(), t.c.route.MaxServers)
 	query := fleet.Query{Service: t.c.service, Tokens: t.kvTokens(), Exclude: slices.Concat(t.exclude, reserved), Isolated: trialOnly, Limits: t.h.roomLimits(t.c, len(t.ranOn) > 0)}
-	path, reservation, shortage := t.h.findPathWithRoom(t.ctx, t.c.ID, query, firstServers)
+	choice := &pathChoice{requestID: t.c.ID}
+	path, reservation, shortage := t.h.findPathWithRoom(t.ctx, choice, query, firstServers)
 	if path == nil && t.mayWaitForGrant() {
 		query.WaitForGrant, t.queuesForGrant = true, true
-		path, reservation, shortage = t.h.findPathWithRoom(t.ctx, t.c.ID, query, firstServers)
+		path, reservation, shortage = t.h.findPathWithRoom(t.ctx, choice, query, firstServers)
 	}
 	if path == nil {
 		query.AvoidFull = true
