Fewer claims under overload, and some left to urgent requests

Cause: each poll of a waiting stream, every 100 ms, claimed up to three paths, six with grants, and used up the claims of its box for all priorities. Change: one choice of a path takes three claims, with grants too, and each poll after the first one; a quarter of the claims that a box may send at once is left to requests of the most urgent priority. Run: TestWaitingStreamClaims fails with three claims a poll, TestClaimRate without the part for urgent requests; go test ./forward ./box. Existing tests: the number of claims belongs to the choice; TestStreamClaimsRoom compares Urgent too.

--- a/box/room.go
+++ b/box/room.go
@@ -35,6 +35,8 @@
 	maxHallClaims = 85
 	// minClaimBurst is the number of claims that a box may send at once.
 	minClaimBurst = 4
+	// urgentClaimShare is the share of the claims at once that is left to the most urgent requests.
+	urgentClaimShare = 0.25
 	// maxFullServers is the number of full servers that an answer names.
 	maxFullServers = 32
 	// minLiveShare is the part of the boxes of the hall below which a ledger does not decide. A box that
@@ -137,7 +139,7 @@
 		if !ok || r.asked.isSkipped(to.Box) {
 			break
 		}
-		answer, err := r.ask(ctx, to, m)
+		answer, err := r.ask(ctx, to, m, c.Urgent)
 		switch {
 		case err != nil:
 			return claimedRoom{}, err
@@ -171,12 +173,12 @@
 }
 
 // ask sends a claim to one box, or decides on it locally.
-func (r *rooms) ask(ctx context.Context, to relay.Candidate, m mesh.RoomMessage) (mesh.RoomMessage, error) {
+func (r *rooms) ask(ctx context.Context, to relay.Candidate, m mesh.RoomMessage, urgent bool) (mesh.RoomMessage, error) {
 	now := clock.Now()
 	if to.Box == r.box.settings.Box {
 		return r.decide(claimant{process: r.box.bootID, reported: true}, m, now), nil
 	}
-	if !r.takeClaimToken(now) {
+	if !r.takeClaimToken(urgent, now) {
 		return mesh.RoomMessage{}, errors.Wrap(errNoLedger, "too many claims")
 	}
 	m.SentAt, m.Hall = now.Sub(r.box.startedAt).Microseconds(), r.wireHall(m.Hall)
@@ -196,14 +198,19 @@
 	return hall
 }
 
-// takeClaimToken reports whether this box may send a claim within its part of maxHallClaims.
-func (r *rooms) takeClaimToken(now time.Time) bool {
+// takeClaimToken reports whether this box may send a claim within its part of maxHallClaims. Claims
+// that are not urgent leave urgentClaimShare to others.
+func (r *rooms) takeClaimToken(urgent bool, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rate := maxHallClaims / float64(1+r.box.hallPeers.Load())
-	r.claimTokens = min(max(minClaimBurst, rate), r.claimTokens+rate*now.Sub(r.claimTokensAt).Seconds())
+	burst, left := max(minClaimBurst, rate), 0.0
+	if !urgent {
+		left = urgentClaimShare * burst
+	}
+	r.claimTokens = min(burst, r.claimTokens+rate*now.Sub(r.claimTokensAt).Seconds())
 	r.claimTokensAt = now
-	if r.claimTokens < 1 {
+	if r.claimTokens < 1+left {
 		return false
 	}
 	r.claimTokens--
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -338,13 +338,16 @@
 		sent := 0
 		for range 1000 {
 			time.Sleep(10 * time.Millisecond)
-			if r.takeClaimToken(clock.Now()) {
+			if r.takeClaimToken(false, clock.Now()) {
 				sent++
 			}
 		}
 		if want := 10 * maxHallClaims / boxes; sent < want || sent > want+minClaimBurst+1 {
 			t.Errorf("%d claims in 10 s, want about %d", sent, want)
 		}
+		if !r.takeClaimToken(true, clock.Now()) {
+			t.Error("no claim is left to urgent requests")
+		}
 	})
 }
 
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -21,6 +21,8 @@
 	Limits fleet.Limits
 	// Halls are those with nearly full servers, whose ledgers are asked.
 	Halls []slatebridge.HallID
+	// Urgent says that no class of requests is more urgent.
+	Urgent bool
 }
 
 // RoomAnswer is the decision on a claim, which is granted if no server is full.
@@ -33,9 +35,9 @@
 // RoomFunc claims room from the ledgers of halls. It fails if no ledger decides.
 type RoomFunc func(ctx context.Context, c RoomClaim) (RoomAnswer, error)
 
-// maxRoomSearches is the number of paths that are claimed for one attempt of a request. Each claim
-// takes the time of a message and its answer.
-const maxRoomSearches = 3
+// maxRoomClaims is the number of paths that are claimed for one choice of a path. Each claim takes
+// the time of a message and its answer.
+const maxRoomClaims = 3
 
 // maxRoomWait bounds the time that all claims for one choice of a path take together, which is taken
 // from the time in which the caller expects its first event.
@@ -44,6 +46,10 @@
 // pathChoice is one choice of a path for a request, which may take several searches and claims.
 type pathChoice struct {
 	requestID string
+	// claims is the number of paths that may still be claimed.
+	claims int
+	// urgent is RoomClaim.Urgent.
+	urgent bool
 	// claimsUntil is the end of the wait for claims; zero before the first one.
 	claimsUntil time.Time
 }
@@ -81,19 +87,18 @@
 	if q.Limits.Slots == 0 && h.requestRoom != nil && h.fleet.SharesRoom(q.Service) {
 		free := q
 		free.Limits.Slots = 1
-		if path, reservation, shortage := h.findClaimedPath(ctx, choice, free, firsts, maxRoomSearches-1); shortage != fleet.NoCapacity {
+		left := max(0, min(1, choice.claims-1))
+		if path, reservation, shortage := h.findClaimedPath(ctx, choice, free, firsts, left); shortage != fleet.NoCapacity {
 			return path, reservation, shortage
 		}
-
-		return h.findClaimedPath(ctx, choice, q, firsts, 1)
 	}
 
-	return h.findClaimedPath(ctx, choice, q, firsts, maxRoomSearches)
+	return h.findClaimedPath(ctx, choice, q, firsts, 0)
 }
 
-// findClaimedPath is findPathWithRoom for one query and at most the given number of paths.
-func (h *Handler) findClaimedPath(ctx context.Context, choice *pathChoice, q fleet.Query, firsts []slatebridge.ServerID, searches int) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
-	for range searches {
+// findClaimedPath is findPathWithRoom for one query. It leaves a number of claims.
+func (h *Handler) findClaimedPath(ctx context.Context, choice *pathChoice, q fleet.Query, firsts []slatebridge.ServerID, left int) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
+	for first := true; first || choice.claims > left; first = false {
 		path, reservation, shortage := h.fleet.FindPathFrom(q, firsts)
 		if path == nil || h.claimRoom(ctx, choice, q, path, reservation) {
 			return path, reservation, shortage
@@ -111,6 +116,10 @@
 	if len(halls) == 0 || h.requestRoom == nil {
 		return true
 	}
+	if choice.claims <= 0 {
+		return false
+	}
+	choice.claims--
 	claimCtx, cancel, ok := choice.claimContext(ctx)
 	if !ok {
 		h.metrics.roomClaimed(roomUnanswered)
@@ -118,7 +127,7 @@
 		return true
 	}
 	defer cancel()
-	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls})
+	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls, Urgent: choice.urgent})
 	switch {
 	case err != nil:
 		h.metrics.roomClaimed(roomUnanswered)
--- a/forward/claim_room_test.go
+++ b/forward/claim_room_test.go
@@ -78,7 +78,7 @@
 			return f(claims, c)
 		})
 		fillTo(h, servers, share)
-		path, reservation, shortage := h.findPathWithRoom(t.Context(), &pathChoice{}, roomQuery(100), nil)
+		path, reservation, shortage := h.findPathWithRoom(t.Context(), &pathChoice{claims: maxRoomClaims}, roomQuery(100), nil)
 		reservation.Release()
 
 		return path, shortage, claims
@@ -131,7 +131,7 @@
 		servers = roomServers(8)
 		check(t, 0.91, func(_ int, c RoomClaim) (RoomAnswer, error) {
 			return RoomAnswer{Full: []slatebridge.ServerID{c.Path[0].Server.ID}}, nil
-		}, false, maxRoomSearches)
+		}, false, maxRoomClaims)
 	})
 }
 
@@ -162,7 +162,7 @@
 				servers := roomServers(8)
 				h := newRoomHandler(servers, 20, time.Now, f)
 				fillTo(h, servers, 0.91)
-				began, choice := time.Now(), &pathChoice{}
+				began, choice := time.Now(), &pathChoice{claims: maxRoomClaims}
 				for range 2 {
 					if path, reservation, _ := h.findPathWithRoom(t.Context(), choice, roomQuery(100), nil); path == nil {
 						t.Error("no path")
@@ -192,7 +192,7 @@
 	paths := func(h *Handler) []string {
 		var out []string
 		for i := range 1200 {
-			path, _, shortage := h.findPathWithRoom(t.Context(), &pathChoice{}, roomQuery(float64(100+37*(i%11))), nil)
+			path, _, shortage := h.findPathWithRoom(t.Context(), &pathChoice{claims: maxRoomClaims}, roomQuery(float64(100+37*(i%11))), nil)
 			out = append(out, path.String()+" "+shortage.String())
 		}
 
@@ -378,7 +378,7 @@
 	const meanDuration = 2500 * time.Millisecond
 	r.requests++
 	q := runningRequest{tokens: 450 + 1800*r.random.Float64(), end: r.now.Add(time.Duration((0.5 + r.random.Float64()) * float64(meanDuration)))}
-	q.path, q.reservation, _ = h.findPathWithRoom(context.Background(), &pathChoice{}, roomQuery(q.tokens), nil)
+	q.path, q.reservation, _ = h.findPathWithRoom(context.Background(), &pathChoice{claims: maxRoomClaims}, roomQuery(q.tokens), nil)
 	if q.path == nil {
 		r.noRoom++
 
@@ -451,7 +451,7 @@
 				s := f.stream(0, 50)
 				s.ctx = t.Context()
 				wantRefusal(t, s, v.want)
-				want := RoomClaim{Service: "llm", Path: fleet.Path{{Server: f.server(), Layers: f.server().Layers}}, Tokens: s.kvTokens(), Limits: fleet.LimitsWithReserve(0, 0), Halls: []slatebridge.HallID{"a"}}
+				want := RoomClaim{Service: "llm", Path: fleet.Path{{Server: f.server(), Layers: f.server().Layers}}, Tokens: s.kvTokens(), Limits: fleet.LimitsWithReserve(0, 0), Halls: []slatebridge.HallID{"a"}, Urgent: true}
 				if diff := cmp.Diff([]RoomClaim{want}, claims); diff != "" {
 					t.Error(diff)
 				}
@@ -460,6 +460,38 @@
 	}
 }
 
+// TestWaitingStreamClaims checks that a stream that waits for a path claims at most one at a time.
+func TestWaitingStreamClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		claims := make(map[time.Duration]int)
+		began := time.Now()
+		h := newRoomHandler(roomServers(8), 20, time.Now, func(_ context.Context, c RoomClaim) (RoomAnswer, error) {
+			claims[time.Since(began)]++
+
+			return RoomAnswer{Full: []slatebridge.ServerID{c.Path[0].Server.ID, c.Path[1].Server.ID, c.Path[2].Server.ID}}, nil
+		})
+		fillTo(h, roomServers(8), 0.91)
+		ctx, cancel := context.WithTimeout(t.Context(), 9*pathPollInterval+time.Millisecond)
+		defer cancel()
+		f := newRoomFixture(0)
+		f.handler.fleet, f.handler.requestRoom = h.fleet, h.requestRoom
+		s := f.stream(0, 50)
+		s.ctx, s.lastEventAt, s.headWritten = ctx, began, true
+		_, reservation, _ := s.awaitPath()
+		reservation.Release()
+		first := claims[0]
+		delete(claims, 0)
+		if first != maxRoomClaims || len(claims) == 0 {
+			t.Errorf("%d claims first, then %v", first, claims)
+		}
+		for at, n := range claims {
+			if n > 1 {
+				t.Errorf("%d claims after %s", n, at)
+			}
+		}
+	})
+}
+
 // server returns the entry of the only server.
 func (f *roomFixture) server() catalog.Server {
 	s, _ := f.handler.fleet.Server("s")
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -237,7 +237,7 @@
 			exclude = append(exclude, s.Server.ID)
 		}
 	}
-	next, reservation, _ := h.findPathWithRoom(ctx, &pathChoice{requestID: a.requestID}, h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
+	next, reservation, _ := h.findPathWithRoom(ctx, &pathChoice{requestID: a.requestID, claims: maxRoomClaims, urgent: true}, h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
 	if next == nil {
 		return false
 	}
--- a/forward/room.go
+++ b/forward/room.go
@@ -92,6 +92,9 @@
 	return priority.Request{Class: c.priority, Account: c.account}
 }
 
+// urgent reports whether no class of requests is more urgent.
+func (c *inboundRequest) urgent() bool { return !c.prioritized || priority.ClassIndex(c.priority) == 0 }
+
 // recordOffered records a stream for the decisions by priority.
 func (t *streamRequest) recordOffered() {
 	c := t.c
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -78,7 +78,7 @@
 // it finds one.
 func wantRefusal(t *testing.T, s *streamRequest, want string) {
 	t.Helper()
-	_, reservation, e := s.choosePath()
+	_, reservation, e := s.choosePath(maxRoomClaims)
 	reservation.Release()
 	got := ""
 	if e != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -170,11 +170,12 @@
 // pathPollInterval is the pause between two searches of a stream that waits for a path or a retry.
 const pathPollInterval = 100 * time.Millisecond
 
-// awaitPath chooses a path for the next attempt. A request that may wait for one does so; after a
+// awaitPath chooses a path for the next attempt. A request that may wait for one does so, and then
+// claims room for one path at a time; after a
 // pause, the servers that failed it before are allowed again.
 func (t *streamRequest) awaitPath() (fleet.Path, *fleet.Reservation, *result.Error) {
-	for {
-		path, reservation, e := t.choosePath()
+	for claims := maxRoomClaims; ; claims = 1 {
+		path, reservation, e := t.choosePath(claims)
 		waiting := overload.PathWait{Started: t.headWritten, SinceLastEvent: clock.Since(t.lastEventAt), HasExcluded: len(t.exclude) > 0}
 		if e == nil || !waiting.MayWait() {
 			return path, reservation, e
@@ -188,8 +189,8 @@
 	}
 }
 
-// choosePath chooses a path for the next attempt.
-func (t *streamRequest) choosePath() (fleet.Path, *fleet.Reservation, *result.Error) {
+// choosePath chooses a path for the next attempt, with at most the given number of claims of room.
+func (t *streamRequest) choosePath(claims int) (fleet.Path, *fleet.Reservation, *result.Error) {
 	reserved, trialOnly := t.h.trialState(t.c)
 	if t.nextPath != nil {
 		path, reservation := t.nextPath, t.nextReservation
@@ -203,7 +204,7 @@
 	}
 	firstServers := t.h.allowedFirstServers(t.possiblyRunningOn(), t.c.route.MaxServers)
 	query := fleet.Query{Service: t.c.service, Tokens: t.kvTokens(), Exclude: slices.Concat(t.exclude, reserved), Isolated: trialOnly, Limits: t.h.roomLimits(t.c, len(t.ranOn) > 0)}
-	choice := &pathChoice{requestID: t.c.ID}
+	choice := &pathChoice{requestID: t.c.ID, claims: claims, urgent: t.c.urgent()}
 	path, reservation, shortage := t.h.findPathWithRoom(t.ctx, choice, query, firstServers)
 	if path == nil && t.mayWaitForGrant() {
 		query.WaitForGrant, t.queuesForGrant = true, true
