One line a second about claims without an answer

Cause: under overload each claim that was too many left a line with a wrapped error; requests that may wait for a slot searched for one where no first server had any. Change: one line a second with the number of claims; a plain error for too many claims; the search for a free slot is left out if no first server has one. Run: TestUnansweredClaims fails with a line for each claim; TestNoFreeSlot (the same path with one search less); go test ./forward ./box ./fleet ./internal/docs ./event.

--- a/box/room.go
+++ b/box/room.go
@@ -49,6 +49,9 @@
 // errNoLedger reports that no ledger decided on a claim.
 var errNoLedger = errors.New("no ledger of the hall decides")
 
+// errTooManyClaims reports that this box has sent its part of the claims of its hall.
+var errTooManyClaims = errors.New("too many claims of room")
+
 // rooms claims room at nearly full servers for requests of this box, and decides on the claims of
 // other boxes for the services of which this box holds the ledger. It bypasses the control actor,
 // because requests wait for the answer.
@@ -179,7 +182,7 @@
 		return r.decide(claimant{process: r.box.bootID, reported: true}, m, now), nil
 	}
 	if !r.takeClaimToken(urgent, now) {
-		return mesh.RoomMessage{}, errors.Wrap(errNoLedger, "too many claims")
+		return mesh.RoomMessage{}, errTooManyClaims
 	}
 	m.SentAt, m.Hall = now.Sub(r.box.startedAt).Microseconds(), r.wireHall(m.Hall)
 
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -49,6 +49,20 @@
 	return used.FirstStage+1 <= q.Limits.Slots*float64(m.Slots)
 }
 
+// HasFirstServer reports whether some server that may be the first of a path has room for the request.
+func (f *Fleet) HasFirstServer(q Query) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for _, m := range f.membersOf(q.Service) {
+		if m.model != nil && m.Layers.From == 0 && m.offersLayers(q, now) && m.hasRoom(q, m.load()) && !m.foundFull(q, now) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // HasPath reports whether there is a path for the request that starts at one of the given first
 // servers; an empty list allows any. It reserves nothing.
 func (f *Fleet) HasPath(q Query, firsts []slatebridge.ServerID) bool {
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge"
@@ -43,6 +44,9 @@
 // from the time in which the caller expects its first event.
 const maxRoomWait = 40 * time.Millisecond
 
+// errRoomWait reports that the time for claims was over before a path was claimed.
+var errRoomWait = errors.New("the time for claims is over")
+
 // pathChoice is one choice of a path for a request, which may take several searches and claims.
 type pathChoice struct {
 	requestID string
@@ -87,6 +91,9 @@
 	if q.Limits.Slots == 0 && h.requestRoom != nil && h.fleet.SharesRoom(q.Service) {
 		free := q
 		free.Limits.Slots = 1
+		if !h.fleet.HasFirstServer(free) {
+			return h.findClaimedPath(ctx, choice, q, firsts, 0)
+		}
 		left := max(0, min(1, choice.claims-1))
 		if path, reservation, shortage := h.findClaimedPath(ctx, choice, free, firsts, left); shortage != fleet.NoCapacity {
 			return path, reservation, shortage
@@ -122,7 +129,7 @@
 	choice.claims--
 	claimCtx, cancel, ok := choice.claimContext(ctx)
 	if !ok {
-		h.metrics.roomClaimed(roomUnanswered)
+		h.recordRoomUnanswered(choice, path, errRoomWait)
 
 		return true
 	}
@@ -130,8 +137,7 @@
 	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls, Urgent: choice.urgent})
 	switch {
 	case err != nil:
-		h.metrics.roomClaimed(roomUnanswered)
-		event.Log(h.logger, event.RoomUnanswered, zap.String("request", choice.requestID), zap.Stringer("path", path), event.Error(err))
+		h.recordRoomUnanswered(choice, path, err)
 
 		return true
 	case len(answer.Full) == 0:
@@ -149,3 +155,11 @@
 
 	return false
 }
+
+// recordRoomUnanswered records that no ledger decided on the path.
+func (h *Handler) recordRoomUnanswered(choice *pathChoice, path fleet.Path, err error) {
+	h.metrics.roomClaimed(roomUnanswered)
+	if n := h.roomUnanswered.next(clock.Now()); n > 0 {
+		event.Log(h.logger, event.RoomUnanswered, zap.String("request", choice.requestID), zap.Stringer("path", path), zap.Int("claims", n), event.Error(err))
+	}
+}
--- a/forward/claim_room_test.go
+++ b/forward/claim_room_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
@@ -492,6 +493,50 @@
 	})
 }
 
+// TestUnansweredClaims checks that claims without an answer are logged once a second, with their number.
+func TestUnansweredClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newRoomHandler(roomServers(2), 20, time.Now, func(context.Context, RoomClaim) (RoomAnswer, error) {
+			return RoomAnswer{}, errors.New("silence")
+		})
+		core, logs := observer.New(zap.InfoLevel)
+		h.logger = zap.New(core)
+		fillTo(h, roomServers(2), 0.91)
+		for range 25 {
+			_, reservation, _ := h.findPathWithRoom(t.Context(), &pathChoice{claims: maxRoomClaims}, roomQuery(100), nil)
+			reservation.Release()
+			time.Sleep(priorityLogInterval / 10)
+		}
+		var claims []any
+		for _, l := range logs.All() {
+			claims = append(claims, l.ContextMap()["claims"])
+		}
+		if diff := cmp.Diff([]any{int64(1), int64(10), int64(10)}, claims); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// TestNoFreeSlot checks that a request which may wait for a slot is claimed at once without one if no
+// server has a slot.
+func TestNoFreeSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var limits []float64
+		h := newRoomHandler(roomServers(2), 20, time.Now, func(_ context.Context, c RoomClaim) (RoomAnswer, error) {
+			limits = append(limits, c.Limits.Slots)
+
+			return RoomAnswer{}, nil
+		})
+		fillTo(h, roomServers(2), 0.91)
+		loads := map[uint32]fleet.Load{fleet.ShortID("s000"): {Requests: 192, FirstStage: 192}, fleet.ShortID("s003"): {Requests: 192, FirstStage: 192}}
+		h.fleet.SetPeerGroupLoads("hall b", loads)
+		path, _, _ := h.findPathWithRoom(t.Context(), &pathChoice{claims: maxRoomClaims}, roomQuery(100), nil)
+		if diff := cmp.Diff([]float64{0}, limits); diff != "" || path == nil || h.fleet.HasFirstServer(fleet.Query{Service: "llm", Tokens: 10, Limits: fleet.Limits{Slots: 1}}) {
+			t.Errorf("path %s, limits of the slots: %s", path, diff)
+		}
+	})
+}
+
 // server returns the entry of the only server.
 func (f *roomFixture) server() catalog.Server {
 	s, _ := f.handler.fleet.Server("s")
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -150,8 +150,10 @@
 	requestGrant  GrantFunc
 	requestRetry  RetryGrantFunc
 	requestRoom   RoomFunc
-	onServerLimit func(id slatebridge.ServerID, limit allowance.Observation)
-	unanswered    unansweredAttempts
+	// roomUnanswered bounds the volume of the lines about claims that no ledger decided on.
+	roomUnanswered lineLimit
+	onServerLimit  func(id slatebridge.ServerID, limit allowance.Observation)
+	unanswered     unansweredAttempts
 	// lastInvalidLimit is the last rate limit of a server that could not be parsed.
 	lastInvalidLimit atomic.Pointer[invalidLimit]
 }
