A refused claim does not count as sent

Cause: a path that a ledger refused went on counting as recent work of this box, in the slow start of servers and at the links between halls, so that further requests found servers nearly full or not admitting. Change: Reservation.Withdraw undoes these; findPathWithRoom uses it for refused paths. Run: TestWithdraw fails without each of the three; go test ./fleet ./forward ./box.

--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -70,12 +70,36 @@
 
 // recordSend records that a request is sent to the server.
 func (a *admission) recordSend(now time.Time) {
-	if a != nil && !a.cooldownUntil.IsZero() {
+	if a.countsSends() {
 		a.sent++
 		a.sentAt = now
 	}
 }
 
+// countsSends reports whether the requests sent to the server are counted.
+func (a *admission) countsSends() bool { return a != nil && !a.cooldownUntil.IsZero() }
+
+// withdrawSend undoes recordSend for a request that was not sent, unless the cooldown was announced
+// again since. before is sentAt before it was recorded at the given time.
+func (a *admission) withdrawSend(at, before time.Time) {
+	if !a.countsSends() || a.sent == 0 {
+		return
+	}
+	a.sent--
+	if a.sentAt.Equal(at) {
+		a.sentAt = before
+	}
+}
+
+// lastSentAt returns sentAt, or zero without a state.
+func (a *admission) lastSentAt() time.Time {
+	if a == nil {
+		return time.Time{}
+	}
+
+	return a.sentAt
+}
+
 // admissions holds the admission states of a bounded number of incarnations.
 type admissions struct {
 	known map[slatebridge.ServerID]*admission
--- a/fleet/links.go
+++ b/fleet/links.go
@@ -79,18 +79,21 @@
 	return hallHopCost * (1 + used), !h.enforceMax || used < maxLinkUse
 }
 
-// recordHallHops adds the bytes that the tokens of a request send between the halls of the path.
-// The caller holds mu.
-func (f *Fleet) recordHallHops(p Path, m *catalog.Model, tokens float64) {
-	if m == nil {
-		return
-	}
+// recordHallHops adds the bytes that a request sends at each hop between the halls of the path. The
+// caller holds mu.
+func (f *Fleet) recordHallHops(p Path, bytes float64) {
 	now := f.now()
 	for i := 1; i < len(p); i++ {
 		a, b := p[i-1].Server.Hall, p[i].Server.Hall
 		if a != b {
 			l := newHallLink(a, b)
-			f.links[l] = linkUse{bytes: f.links[l].decayed(now) + tokens*m.ActivationBytesPerToken, updatedAt: now}
+			f.links[l] = linkUse{bytes: f.links[l].decayed(now) + bytes, updatedAt: now}
 		}
 	}
 }
+
+// withdrawHallHops undoes recordHallHops at a time. The caller holds mu.
+func (f *Fleet) withdrawHallHops(p Path, bytes float64, at time.Time) {
+	left := linkUse{bytes: bytes, updatedAt: at}.decayed(f.now())
+	f.recordHallHops(p, -left)
+}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -138,21 +139,30 @@
 	loads []reservedLoad
 	// tightHalls are the halls of servers that are nearly full; see TightHalls.
 	tightHalls []slatebridge.HallID
+	// at is when the capacity was reserved, and path and hopBytes are what each hop between halls
+	// was charged with.
+	at       time.Time
+	path     Path
+	hopBytes float64
 }
 
 // reservedLoad is the part of a Reservation at one server.
 type reservedLoad struct {
 	member *member
 	load   Load
+	// sentBefore is when the request before this one was sent to the server, as far as its admission
+	// state says, and counted whether that state counts this one.
+	sentBefore time.Time
+	counted    bool
 }
 
 // reserve reserves the capacity that the request needs on the path. The caller holds mu.
 func (f *Fleet) reserve(p Path, q Query) *Reservation {
-	if m, ok := f.members[p[0].Server.ID]; ok {
-		f.recordHallHops(p, m.model, q.Tokens)
-	}
-
 	r := f.reserveLoads(p.loads(q.Tokens))
+	if m, ok := f.members[p[0].Server.ID]; ok && m.model != nil {
+		r.path, r.hopBytes = p, q.Tokens*m.model.ActivationBytesPerToken
+		f.recordHallHops(p, r.hopBytes)
+	}
 	r.tightHalls = f.tightHalls(r.loads, q.Limits)
 
 	return r
@@ -160,14 +170,15 @@
 
 func (f *Fleet) reserveLoads(loads map[slatebridge.ServerID]Load) *Reservation {
 	now := f.now()
-	r := &Reservation{fleet: f, loads: make([]reservedLoad, 0, len(loads))}
+	r := &Reservation{fleet: f, at: now, loads: make([]reservedLoad, 0, len(loads))}
 	for id, l := range loads {
 		if m, ok := f.members[id]; ok {
 			m.ownLoad = m.ownLoad.Add(l)
 			f.index.busy.set(m, true)
 			m.recordRecentLoad(l, now)
+			before, counted := m.admission.lastSentAt(), m.admission.countsSends()
 			m.admission.recordSend(now)
-			r.loads = append(r.loads, reservedLoad{m, l})
+			r.loads = append(r.loads, reservedLoad{member: m, load: l, sentBefore: before, counted: counted})
 		}
 	}
 
@@ -190,6 +201,33 @@
 	r.loads = nil
 }
 
+// Withdraw releases the reserved capacity of a request that was not sent, and undoes that it counts
+// as sent.
+func (r *Reservation) Withdraw() {
+	if r == nil {
+		return
+	}
+	r.withdrawSends()
+	r.Release()
+}
+
+func (r *Reservation) withdrawSends() {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.loads == nil {
+		return
+	}
+	now := f.now()
+	for _, p := range r.loads {
+		p.member.withdrawRecentLoad(p.load, r.at, now)
+		if p.counted {
+			p.member.admission.withdrawSend(r.at, p.sentBefore)
+		}
+	}
+	f.withdrawHallHops(r.path, r.hopBytes, r.at)
+}
+
 // ResolveShortIDs returns the servers that have one of the short IDs.
 func (f *Fleet) ResolveShortIDs(shortIDs []uint32) []slatebridge.ServerID {
 	if len(shortIDs) == 0 {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -81,6 +81,12 @@
 	m.recentLoad, m.recentAt = m.decayedRecentLoad(now).Add(l), now
 }
 
+// withdrawRecentLoad undoes recordRecentLoad for work recorded at a time.
+func (m *member) withdrawRecentLoad(l Load, at, now time.Time) {
+	left := m.decayedRecentLoad(now).Sub(l.scaled(math.Exp(-float64(now.Sub(at)) / float64(gossipDelay))))
+	m.recentLoad, m.recentAt = Load{Requests: max(0, left.Requests), TokenLayers: max(0, left.TokenLayers), FirstStage: max(0, left.FirstStage)}, now
+}
+
 // expectedLoad estimates the current load on the server. It assumes that each of the peers recently
 // sent as much as this box, and that none of it has been reported yet.
 func (m *member) expectedLoad(others int, now time.Time) Load {
--- a/fleet/shared_room_test.go
+++ b/fleet/shared_room_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/catalog"
@@ -150,3 +151,37 @@
 		}
 	})
 }
+
+// TestWithdraw checks that a request which was not sent counts neither as recent work, nor in the slow
+// start of a server, nor at the links between halls; once withdrawn or released it counts no longer.
+func TestWithdraw(t *testing.T) {
+	for name, end := range map[string]func(r *Reservation){
+		"withdrawn":              func(r *Reservation) { r.Withdraw() },
+		"withdrawn twice":        func(r *Reservation) { r.Withdraw(); r.Withdraw() },
+		"withdrawn and released": func(r *Reservation) { r.Withdraw(); r.Release() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSharedFleet(20)
+				m := f.members["a"]
+				m.model.ActivationBytesPerToken = 10
+				m.admission = &admission{cooldownUntil: time.Now(), accepted: 1, sent: 1, sentAt: time.Now()}
+				link := newHallLink("a", "b")
+				f.links[link] = linkUse{bytes: 1000, updatedAt: time.Now()}
+				m.recordRecentLoad(Load{Requests: 1, TokenLayers: 40, FirstStage: 1}, time.Now())
+				want := []any{m.recentLoad, m.ownLoad, *m.admission, f.links[link].bytes}
+				for range 3 {
+					_, r, shortage := f.FindPath(Query{Service: "llm", Tokens: 10})
+					if shortage != NoShortage {
+						t.Fatal(shortage)
+					}
+					end(r)
+				}
+				got := []any{m.recentLoad, m.ownLoad, *m.admission, f.links[link].bytes}
+				if diff := cmp.Diff(want, got, cmp.AllowUnexported(admission{}), cmpopts.EquateApprox(0, 1e-6)); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -110,7 +110,7 @@
 		if path == nil || h.claimRoom(ctx, choice, q, path, reservation) {
 			return path, reservation, shortage
 		}
-		reservation.Release()
+		reservation.Withdraw()
 	}
 
 	return nil, nil, fleet.NoCapacity
