A request uses a path that no refusal named after its last claim

Cause: after three refusals a request was refused, although the last refusal named all full servers and others had room; among the 32 servers named were those that may receive no work. Change: one more search after the last refusal, whose path is used unclaimed; refusals name only servers that may receive work. Ruled out: a stall of polls: a stream that waits takes such a path too, after one claim.

--- a/box/room.go
+++ b/box/room.go
@@ -261,10 +261,10 @@
 }
 
 // otherStages returns what the request would need at the other servers of the hall. A refusal names
-// those that are full too, so that the box does not claim them next.
+// those that are full too, if they may receive work, so that the box does not claim them next.
 func (r *rooms) otherStages(m mesh.RoomMessage) []room.Stage {
 	var out []room.Stage
-	for _, s := range r.box.fleet.LocalServers(m.Service) {
+	for _, s := range r.box.fleet.AvailableLocalServers(m.Service) {
 		id := fleet.ShortID(s.ID)
 		if slices.ContainsFunc(m.Stages, func(v mesh.RoomStage) bool { return v.ShortID == id }) {
 			continue
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -241,6 +241,17 @@
 		r.setReports(reported, 1, clock.Now())
 		wantRoomAnswer(t, roomGranted, r.decide(claimant{process: "p"}, roomRequest(1, 1), clock.Now()))
 	})
+	t.Run("a refusal names other full servers that may receive work", func(t *testing.T) {
+		c, r := newRoomHolder(t)
+		for _, id := range []slatebridge.ServerID{"a2", "a3"} {
+			s := roomServer
+			s.ID, s.Leaving = id, id == "a3"
+			c.box.fleet.Set(s)
+			c.box.fleet.SetPeerGroupLoads(string(id), map[uint32]fleet.Load{fleet.ShortID(id): {Requests: 1, TokenLayers: 4000}})
+		}
+		want := mesh.RoomMessage{Full: []uint32{fleet.ShortID("a1"), fleet.ShortID("a2")}}
+		wantRoomAnswer(t, want, r.decide(claimant{process: "p"}, roomRequest(1, 921), clock.Now()))
+	})
 	t.Run("unknown services are not decided on", func(t *testing.T) {
 		_, r := newRoomHolder(t)
 		m := roomRequest(1, 1)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -222,3 +222,19 @@
 
 	return out
 }
+
+// AvailableLocalServers returns the servers of the service in the hall of this box that may receive
+// new work.
+func (f *Fleet) AvailableLocalServers(service string) []catalog.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	var out []catalog.Server
+	for _, m := range f.membersOf(service) {
+		if m.Hall == f.hall && m.available(now) {
+			out = append(out, m.Server)
+		}
+	}
+
+	return out
+}
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -103,29 +103,31 @@
 	return h.findClaimedPath(ctx, choice, q, firsts, 0)
 }
 
-// findClaimedPath is findPathWithRoom for one query. It leaves a number of claims.
+// findClaimedPath is findPathWithRoom for one query. It leaves a number of claims. With no claim left
+// after a refusal, a path without the servers named as full is used: the holder of the ledger knew of
+// room there a moment before.
 func (h *Handler) findClaimedPath(ctx context.Context, choice *pathChoice, q fleet.Query, firsts []slatebridge.ServerID, left int) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
-	for first := true; first || choice.claims > left; first = false {
+	for {
 		path, reservation, shortage := h.fleet.FindPathFrom(q, firsts)
-		if path == nil || h.claimRoom(ctx, choice, q, path, reservation) {
+		switch {
+		case path == nil || choice.claims <= 0 || len(reservation.TightHalls()) == 0:
+			return path, reservation, shortage
+		case choice.claims > left && h.claimRoom(ctx, choice, q, path, reservation):
 			return path, reservation, shortage
 		}
 		reservation.Withdraw()
+		if choice.claims <= left && left > 0 {
+			return nil, nil, fleet.NoCapacity
+		}
 	}
-
-	return nil, nil, fleet.NoCapacity
 }
 
 // claimRoom reports whether the path may be used. Servers that the ledger finds full are recorded,
 // so that the next search passes them over.
 func (h *Handler) claimRoom(ctx context.Context, choice *pathChoice, q fleet.Query, path fleet.Path, r *fleet.Reservation) bool {
-	halls := r.TightHalls()
-	if len(halls) == 0 || h.requestRoom == nil {
+	if h.requestRoom == nil {
 		return true
 	}
-	if choice.claims <= 0 {
-		return false
-	}
 	choice.claims--
 	claimCtx, cancel, ok := choice.claimContext(ctx)
 	if !ok {
@@ -134,7 +136,7 @@
 		return true
 	}
 	defer cancel()
-	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: halls, Urgent: choice.urgent})
+	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: r.TightHalls(), Urgent: choice.urgent})
 	switch {
 	case err != nil:
 		h.recordRoomUnanswered(choice, path, err)
