Limits near zero stay limits in claims

Cause: limits were rounded to per mille, and below half of one they became zero, which stands for none; others were rounded up. Change: rounded down, and at least 1. Run: TestEncodeShare fails with the rounding before; go test ./mesh ./box.

--- a/mesh/room.go
+++ b/mesh/room.go
@@ -64,8 +64,17 @@
 // perMille is the limit in a message that stands for the whole capacity.
 const perMille = 1000
 
-// EncodeShare converts a share of a capacity for a message.
-func EncodeShare(x float64) uint16 { return uint16(math.Round(min(max(0, x), 1) * perMille)) }
+// EncodeShare converts a share of a capacity for a message, rounded down. Zero stands for no limit, so
+// that the lowest other share is 1.
+func EncodeShare(x float64) uint16 {
+	if x <= 0 {
+		return 0
+	}
+	// tolerance keeps shares of whole per mille, which are not exact in binary.
+	const tolerance = 1e-6
+
+	return uint16(max(1, math.Floor(min(x, 1)*perMille+tolerance)))
+}
 
 // DecodeShare is the inverse of EncodeShare.
 func DecodeShare(n uint16) float64 { return float64(n) / perMille }
--- a/mesh/room_test.go
+++ b/mesh/room_test.go
@@ -61,3 +61,13 @@
 		})
 	}
 }
+
+// TestEncodeShare checks that limits are rounded down in messages, and that low ones do not become
+// none.
+func TestEncodeShare(t *testing.T) {
+	for x, want := range map[float64]uint16{0: 0, -1: 0, 0.0001: 1, 0.0015: 1, 0.57: 570, 0.9199: 919, 0.92: 920, 0.97: 970, 0.9999: 999, 1: 1000, 2: 1000} {
+		if got := EncodeShare(x); got != want {
+			t.Errorf("%g is sent as %d, want %d", x, got, want)
+		}
+	}
+}
