Test: all holders of a ledger together stay within the capacity

Cause: TestSumOfClaims compares each holder alone, and passed without the pause of a new one. Change: TestSumAcrossHolders adds up what holders granted while they were current, with at most one report in a row lost, over 300 seeds; TestSumOfClaims is as it was.

--- a/room/sum_test.go
+++ b/room/sum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,8 +14,11 @@
 	sumStep     = 10 * time.Millisecond
 	reportSteps = 25
 	// maxLostReports is the number of consecutive reports that a process may lose before it counts
-	// as stopped.
-	maxLostReports = 6
+	// as stopped, and handoverLostReports that for which the pause of a new holder suffices.
+	maxLostReports      = 6
+	handoverLostReports = 1
+	// handoverSteps is the pause of a new holder.
+	handoverSteps = 60
 	// sumCapacity is the memory of the only server.
 	sumCapacity = 100.0
 )
@@ -25,6 +29,8 @@
 	end  int
 	// holder is the holder that granted it, or -1 if the process sent it without an answer.
 	holder int
+	// grantedAt is the step at which it was sent.
+	grantedAt int
 }
 
 // sumProcess is a box that sends requests.
@@ -77,6 +83,10 @@
 	// faults says whether a fault with the given name happens now.
 	faults func(name string) bool
 	born   int
+	// maxLost is the number of consecutive reports that a process may lose.
+	maxLost int
+	// changedAt are the steps at which the holders after the first one became holders.
+	changedAt []int
 }
 
 func (s *sumSimulation) now() time.Time { return start.Add(time.Duration(s.step) * sumStep) }
@@ -107,9 +117,9 @@
 	}
 	switch {
 	case granted:
-		p.running = append(p.running, runningClaim{need, s.step + steps, number})
+		p.running = append(p.running, runningClaim{need, s.step + steps, number, s.step})
 	case !refused:
-		p.running = append(p.running, runningClaim{need, s.step + steps, -1})
+		p.running = append(p.running, runningClaim{need, s.step + steps, -1, s.step})
 	}
 }
 
@@ -117,7 +127,7 @@
 func (s *sumSimulation) report() {
 	for _, h := range s.holders {
 		for _, p := range s.processes {
-			if h.lost[p.name] < maxLostReports && s.faults("report lost") {
+			if h.lost[p.name] < s.maxLost && s.faults("report lost") {
 				h.lost[p.name]++
 
 				continue
@@ -153,8 +163,8 @@
 		s.addProcess()
 	}
 	if s.faults("holder changed") {
-		const handoverSteps = 60
 		s.holders = append(s.holders, newSumHolder(s.step+handoverSteps))
+		s.changedAt = append(s.changedAt, s.step)
 	}
 	s.report()
 }
@@ -174,8 +184,8 @@
 	return granted, all
 }
 
-func newSumSimulation(processes int, faults func(string) bool) *sumSimulation {
-	s := &sumSimulation{faults: faults, holders: []*sumHolder{newSumHolder(0)}}
+func newSumSimulation(processes, maxLost int, faults func(string) bool) *sumSimulation {
+	s := &sumSimulation{faults: faults, maxLost: maxLost, holders: []*sumHolder{newSumHolder(0)}}
 	for range processes {
 		s.addProcess()
 	}
@@ -188,7 +198,7 @@
 // an answer or granted by a holder before.
 func TestSumOfClaims(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSumSimulation(rapid.IntRange(1, 6).Draw(t, "processes"), func(name string) bool {
+		s := newSumSimulation(rapid.IntRange(1, 6).Draw(t, "processes"), maxLostReports, func(name string) bool {
 			return rapid.IntRange(0, 9).Draw(t, name) == 0
 		})
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
@@ -204,9 +214,42 @@
 	})
 }
 
+// grantedInTurn returns the sum of what all holders granted while they were the current one and is
+// still running.
+func (s *sumSimulation) grantedInTurn() float64 {
+	sum := 0.0
+	for _, p := range s.processes {
+		for _, q := range p.running {
+			if q.holder >= 0 && (q.holder == len(s.changedAt) || q.grantedAt < s.changedAt[q.holder]) {
+				sum += q.need
+			}
+		}
+	}
+
+	return sum
+}
+
+// TestSumAcrossHolders checks that all holders together grant no more than the capacity, except for
+// what a holder grants after another one has taken over, as long as no more than one report in a row
+// is lost.
+func TestSumAcrossHolders(t *testing.T) {
+	const runs, steps = 300, 300
+	for seed := range uint64(runs) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		s := newSumSimulation(1+r.IntN(6), handoverLostReports, func(string) bool { return r.IntN(3) == 0 })
+		for range steps {
+			s.advance()
+			s.request(s.processes[r.IntN(len(s.processes))], float64(1+r.IntN(20)), 1+r.IntN(300))
+			if granted := s.grantedInTurn(); granted > sumCapacity {
+				t.Fatalf("seed %d, step %d: %d holders granted %.0f of %.0f", seed, s.step, len(s.holders), granted, sumCapacity)
+			}
+		}
+	}
+}
+
 // TestSumWithoutFaults checks that requests fill the server and never exceed its capacity.
 func TestSumWithoutFaults(t *testing.T) {
-	s := newSumSimulation(20, func(string) bool { return false })
+	s := newSumSimulation(20, maxLostReports, func(string) bool { return false })
 	highest := 0.0
 	for i := range 2000 {
 		s.advance()
