Claims of boxes that report in shards end with a complete round

Cause: only reports with all loads ended claims; those of boxes that report in shards counted twice until 2 s had passed. Change: the time of the oldest shard counts once all shards are known. Run: TestReportedInShards fails on the code before; go test ./box.

--- a/box/peers.go
+++ b/box/peers.go
@@ -58,8 +58,10 @@
 	// report.
 	lastReport      work
 	reportTimestamp int64
-	// completeReportAt is the sender timestamp of its last report with the loads of all servers.
+	// completeReportAt is the sender timestamp of the oldest shard of its last report; zero until all
+	// are known.
 	completeReportAt int64
+	reportShards     shardTimes
 	// hallDigest is the work of its hall in its last digest, digestEcho the timestamp of this box's
 	// newest report included there, and storeReader the box that the digest names to read the
 	// store.
@@ -159,9 +161,7 @@
 	case mesh.Report:
 		o.lastReport.apply(msg.Work, m.receivedAt)
 		o.reportTimestamp = msg.SentAt
-		if msg.Work.ShardCount <= 1 {
-			o.completeReportAt = msg.SentAt
-		}
+		o.completeReportAt = max(0, o.reportShards.record(msg.Work, time.UnixMicro(msg.SentAt)).UnixMicro())
 		o.lastReport.live, o.lastReport.budgetBoxes = 1, 1
 		c.applySuspicions(msg.Message, m.receivedAt, true)
 	case mesh.RelayDigest:
@@ -183,7 +183,8 @@
 		o.messageInterval += time.Duration(intervalWeight * float64(interval-o.messageInterval))
 	}
 	if o.bootID != msg.Boot {
-		o.lastReport, o.hallDigest, o.storeReader, o.messageInterval, o.completeReportAt = work{}, work{}, "", tickInterval, 0
+		o.lastReport, o.hallDigest, o.storeReader, o.messageInterval = work{}, work{}, "", tickInterval
+		o.completeReportAt, o.reportShards = 0, shardTimes{}
 	}
 	if msg.Leaving && !o.lastMessage.Leaving && o.isReporting(at) && o.inHall(c.settings.Hall) {
 		c.recentHallBoxes--
--- a/box/room_test.go
+++ b/box/room_test.go
@@ -407,6 +407,31 @@
 	want(1, 0.5)
 }
 
+// TestReportedInShards checks that a claim counts as reported once all shards of the work of its box
+// were sent later.
+func TestReportedInShards(t *testing.T) {
+	c := newTestControl(t)
+	now := clock.Now()
+	report := func(sentAt int64, index, count uint32, want int64) {
+		t.Helper()
+		c.onPeerMessage(&peerMessage{receivedAt: now, message: mesh.ReceivedMessage{Message: mesh.Message{
+			Kind: mesh.Report, Box: "box-2", Hall: "a", Boot: "p", SentAt: sentAt, Work: mesh.Work{ShardIndex: index, ShardCount: count},
+		}}})
+		if got := c.peers["box-2"].completeReportAt; got != want {
+			t.Errorf("after the report of %d: %d, want %d", sentAt, got, want)
+		}
+	}
+	report(100, 0, 0, 100)
+	report(200, 0, 2, 0)
+	report(300, 1, 2, 200)
+	report(400, 0, 2, 300)
+	report(500, 2, 3, 0)
+	report(600, 0, 3, 0)
+	report(700, 1, 3, 500)
+	report(800, 7, 3, 0)
+	report(900, 0, 1, 900)
+}
+
 // TestClaimInTwoHalls checks that room claimed in one hall is released if another hall has none, and
 // that a request waits for one silent holder only.
 func TestClaimInTwoHalls(t *testing.T) {
