--- a/box/room.go
+++ b/box/room.go
@@ -35,8 +35,13 @@
 	maxHallClaims = 85
 	// minClaimBurst is the number of claims that a box may send at once.
 	minClaimBurst = 4
+	// urgentClaimShare is the share of the claims at once that is left to the most urgent requests.
+	urgentClaimShare = 0.25
 	// maxFullServers is the number of full servers that an answer names.
 	maxFullServers = 32
+	// minLiveShare is the part of the boxes of the hall below which a ledger does not decide. A box that
+	// hears so few may itself be the one that is not heard.
+	minLiveShare = 0.5
 	// roomShareMemory is how long a lost box of the hall counts as using its part of the room.
 	roomShareMemory = 5 * time.Second
 )
@@ -44,6 +49,9 @@
 // errNoLedger reports that no ledger decided on a claim.
 var errNoLedger = errors.New("no ledger of the hall decides")
 
+// errTooManyClaims reports that this box has sent its part of the claims of its hall.
+var errTooManyClaims = errors.New("too many claims of room")
+
 // rooms claims room at nearly full servers for requests of this box, and decides on the claims of
 // other boxes for the services of which this box holds the ledger. It bypasses the control actor,
 // because requests wait for the answer.
@@ -93,13 +101,15 @@
 }
 
 // claim claims room for a request in each of the halls. It fails if no server was found full and
-// the ledger of some hall did not decide.
+// the ledger of some hall did not decide. After one that did not answer in time no other is asked.
 func (r *rooms) claim(ctx context.Context, c forward.RoomClaim) (forward.RoomAnswer, error) {
 	var granted []claimedRoom
 	var undecided error
 	for _, hall := range c.Halls {
 		a, err := r.claimInHall(ctx, c, hall)
 		switch {
+		case errors.Is(err, errUnanswered), err != nil && ctx.Err() != nil:
+			return forward.RoomAnswer{}, err
 		case err != nil:
 			undecided = err
 		case a.message.Granted:
@@ -132,7 +142,7 @@
 		if !ok || r.asked.isSkipped(to.Box) {
 			break
 		}
-		answer, err := r.ask(ctx, to, m)
+		answer, err := r.ask(ctx, to, m, c.Urgent)
 		switch {
 		case err != nil:
 			return claimedRoom{}, err
@@ -166,13 +176,13 @@
 }
 
 // ask sends a claim to one box, or decides on it locally.
-func (r *rooms) ask(ctx context.Context, to relay.Candidate, m mesh.RoomMessage) (mesh.RoomMessage, error) {
+func (r *rooms) ask(ctx context.Context, to relay.Candidate, m mesh.RoomMessage, urgent bool) (mesh.RoomMessage, error) {
 	now := clock.Now()
 	if to.Box == r.box.settings.Box {
-		return r.decide(r.box.bootID, m, true, now), nil
+		return r.decide(claimant{process: r.box.bootID, reported: true}, m, now), nil
 	}
-	if !r.takeClaimToken(now) {
-		return mesh.RoomMessage{}, errors.Wrap(errNoLedger, "too many claims")
+	if !r.takeClaimToken(urgent, now) {
+		return mesh.RoomMessage{}, errTooManyClaims
 	}
 	m.SentAt, m.Hall = now.Sub(r.box.startedAt).Microseconds(), r.wireHall(m.Hall)
 
@@ -191,14 +201,19 @@
 	return hall
 }
 
-// takeClaimToken reports whether this box may send a claim within its part of maxHallClaims.
-func (r *rooms) takeClaimToken(now time.Time) bool {
+// takeClaimToken reports whether this box may send a claim within its part of maxHallClaims. Claims
+// that are not urgent leave urgentClaimShare to others.
+func (r *rooms) takeClaimToken(urgent bool, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rate := maxHallClaims / float64(1+r.box.hallPeers.Load())
-	r.claimTokens = min(max(minClaimBurst, rate), r.claimTokens+rate*now.Sub(r.claimTokensAt).Seconds())
+	burst, left := max(minClaimBurst, rate), 0.0
+	if !urgent {
+		left = urgentClaimShare * burst
+	}
+	r.claimTokens = min(burst, r.claimTokens+rate*now.Sub(r.claimTokensAt).Seconds())
 	r.claimTokensAt = now
-	if r.claimTokens < 1 {
+	if r.claimTokens < 1+left {
 		return false
 	}
 	r.claimTokens--
@@ -206,10 +221,18 @@
 	return true
 }
 
-// decide decides on a claim of the process, or names the holder of the ledger if it is another box.
-// The answer is neither granted nor refused if this box cannot decide. reported says that the work
-// that this box knows of contains the request.
-func (r *rooms) decide(process string, m mesh.RoomMessage, reported bool, now time.Time) mesh.RoomMessage {
+// claimant is a box that claims room.
+type claimant struct {
+	process string
+	// hall is empty for boxes of this hall.
+	hall slatebridge.HallID
+	// reported says that the work that this box knows of contains the request.
+	reported bool
+}
+
+// decide decides on a claim, or names the holder of the ledger if it is another box. The answer is
+// neither granted nor refused if this box cannot decide.
+func (r *rooms) decide(from claimant, m mesh.RoomMessage, now time.Time) mesh.RoomMessage {
 	out := mesh.RoomMessage{ID: m.ID}
 	if !r.holdsLedger(m.Service, m.Hall) {
 		if other, ok := r.box.grants.current.Load().roomHolder(m.Service, m.Hall); ok && other.Box != r.box.settings.Box {
@@ -223,10 +246,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.reportsAsOf) > maxRoomViewAge {
+	if now.Sub(r.reportsAsOf) > maxRoomViewAge || r.liveShare < minLiveShare {
 		return out
 	}
-	l, claim, view := r.ledger(m.Service, now), ledgerClaim(process, m, reported), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
+	l, claim, view := r.ledger(m.Service, now), r.ledgerClaim(from, m), room.View{Server: r.serverRoom, LiveShare: r.liveShare}
 	d := l.Decide(claim, view, now)
 	r.box.metrics.roomAnswered(m.Service, d)
 	if out.Granted, out.Full, out.OnlySlots = d.Granted, d.Full, d.OnlySlots; len(d.Full) > 0 {
@@ -238,10 +261,10 @@
 }
 
 // otherStages returns what the request would need at the other servers of the hall. A refusal names
-// those that are full too, so that the box does not claim them next.
+// those that are full too, if they may receive work, so that the box does not claim them next.
 func (r *rooms) otherStages(m mesh.RoomMessage) []room.Stage {
 	var out []room.Stage
-	for _, s := range r.box.fleet.LocalServers(m.Service) {
+	for _, s := range r.box.fleet.AvailableLocalServers(m.Service) {
 		id := fleet.ShortID(s.ID)
 		if slices.ContainsFunc(m.Stages, func(v mesh.RoomStage) bool { return v.ShortID == id }) {
 			continue
@@ -269,13 +292,16 @@
 	return l
 }
 
-// ledgerClaim converts a message to a claim of the process.
-func ledgerClaim(process string, m mesh.RoomMessage, reported bool) room.Claim {
+// ledgerClaim converts a message to a claim.
+func (r *rooms) ledgerClaim(from claimant, m mesh.RoomMessage) room.Claim {
 	before, with := fleet.Limits{Memory: mesh.DecodeShare(m.MemoryLimit)}.MemoryShares()
 	c := room.Claim{
-		Process: process, ID: m.ID, SentAt: m.SentAt, Reported: reported,
+		Process: from.process, ID: m.ID, SentAt: m.SentAt, Reported: from.reported,
 		Limits: room.Limits{Memory: with, MemoryBefore: before, Slots: mesh.DecodeShare(m.SlotLimit)},
 	}
+	if from.hall != r.box.settings.Hall {
+		c.Group = string(from.hall)
+	}
 	for i, s := range m.Stages {
 		need := room.Use{Memory: float64(m.Tokens) * float64(s.Layers)}
 		if m.First && i == 0 {
@@ -297,15 +323,15 @@
 func roomUse(l fleet.Load) room.Use { return room.Use{Memory: l.TokenLayers, Slots: l.FirstStage} }
 
 // setReports sets which claims are contained in the reports that the fleet knows of, and the share
-// of the boxes of the hall whose reports they are. A nil map keeps the claims set before. It drops
-// the ledgers that this box no longer holds.
+// of the boxes of the hall whose reports they are. With a nil map, which says that the reports are
+// not known one by one, the ledgers do not decide. It drops the ledgers that this box no longer holds.
 func (r *rooms) setReports(reportedAt map[string]int64, liveShare float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.liveShare, r.reportsAsOf = liveShare, time.Time{}
 	if reportedAt != nil {
-		r.reportedAt = reportedAt
+		r.reportedAt, r.reportsAsOf = reportedAt, now
 	}
-	r.liveShare, r.reportsAsOf = liveShare, now
 	for service, l := range r.ledgers {
 		if !r.holdsLedger(service, r.box.settings.Hall) {
 			delete(r.ledgers, service)
@@ -317,6 +343,15 @@
 	}
 }
 
+// setRemoteReports sets when the known work of other halls was valid, by hall.
+func (r *rooms) setRemoteReports(validAt map[string]time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.ledgers {
+		l.SetGroupsReported(validAt)
+	}
+}
+
 // release ends an unused claim.
 func (r *rooms) release(a claimedRoom) {
 	if a.holder.Box == r.box.settings.Box {
@@ -338,7 +373,7 @@
 	m.Room.Hall = cmp.Or(m.Room.Hall, m.Hall)
 	switch m.Kind {
 	case mesh.RoomRequest:
-		r.send(mesh.RoomResponse, r.decide(m.Boot, *m.Room, false, clock.Now()), m.Address)
+		r.send(mesh.RoomResponse, r.decide(claimant{process: m.Boot, hall: m.Hall}, *m.Room, clock.Now()), m.Address)
 	case mesh.RoomResponse:
 		r.asked.deliver(m.Room.ID, *m.Room)
 	case mesh.RoomRelease:
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -347,7 +347,7 @@
 			exclude = append(exclude, s.Server.ID)
 		}
 	}
-	next, reservation, _ := h.findPathWithRoom(ctx, a.requestID, h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
+	next, reservation, _ := h.findPathWithRoom(ctx, &pathChoice{requestID: a.requestID, claims: maxRoomClaims, urgent: true}, h.repairQuery(a, exclude), h.allowedFirstServers(a.ranOn, a.maxRuns))
 	if next == nil {
 		return false
 	}
--- a/forward/room.go
+++ b/forward/room.go
@@ -116,6 +116,9 @@
 	return priority.Request{Class: c.class, Account: c.account}
 }
 
+// urgent reports whether no class of requests is more urgent.
+func (c *inboundRequest) urgent() bool { return !c.hasClasses || priority.ClassIndex(c.class) == 0 }
+
 // recordOffered records the arrival of a stream for the decisions by priority.
 func (t *streamRequest) recordOffered() {
 	c := t.c
