Tests of full servers: a missing slot is told apart from room that is kept

TestRecordFull and TestRecordFullBySize expected one text for both; a server whose slots are all in use has no capacity for any request with a bound on slots. Run: go test ./fleet ./box ./forward.

--- a/fleet/shared_room_test.go
+++ b/fleet/shared_room_test.go
@@ -77,7 +77,7 @@
 		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: lower}, path)
 		withSlots := Limits{Memory: 0.9, Slots: 1}
 		f.RecordFull([]slatebridge.ServerID{"a"}, withSlots, 10)
-		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: withSlots}, "none: "+RoomKept.String())
+		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: withSlots}, "none: "+NoCapacity.String())
 		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: usual}, path)
 	})
 }
@@ -127,7 +127,7 @@
 		f.RecordFull(a, usual, 10)
 		f.RecordFull(a, withSlots, 10)
 		wantPath(t, f, query(usual, 10), none)
-		wantPath(t, f, query(withSlots, 1), none)
+		wantPath(t, f, query(withSlots, 1), "none: "+NoCapacity.String())
 	})
 	run("other queries do not heed it", func(t *testing.T, f *Fleet) {
 		f.RecordFull(a, usual, 10)
