--- a/box/work.go
+++ b/box/work.go
@@ -39,14 +39,14 @@
 // the servers of the largest fleet.
 const maxShards = 128
 
-// shardTimes are the times of the last shards of a work that arrives in shards.
+// shardTimes records when each shard of reported loads was last valid. If the number of shards
+// changes, all are forgotten.
 type shardTimes struct {
 	at    []time.Time
 	known int
 }
 
-// record records the time of a shard, and returns the time of the oldest shard if all are known. A
-// new number of shards begins anew.
+// record records the time of a shard, and returns the time of the oldest shard if all are known.
 func (s *shardTimes) record(m mesh.Work, at time.Time) time.Time {
 	if m.ShardCount <= 1 {
 		*s = shardTimes{}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -198,7 +198,7 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Account
 	byService map[string]*Service
-	// priorities has the priorities of the requests before each service, the most urgent first.
+	// priorities has the priorities of the requests for each service, the most urgent first.
 	priorities map[string][]priorityPair
 	// classes is like priorities, of streams only. classesByAccount has the services whose classes
 	// are the priorities of the accounts.
--- a/catalog/priority.go
+++ b/catalog/priority.go
@@ -27,7 +27,7 @@
 }
 
 // Priority returns the priority of a request to the service among all that the configuration has
-// before it: 0 for the most urgent, and one more for each less urgent one. The client account's
+// for it: 0 for the most urgent, and one more for each less urgent one. The client account's
 // priority decides first, then the route's. The account is nil for an anonymous request.
 func (c *Catalog) Priority(service string, r *Route, a *Account) int {
 	i, _ := slices.BinarySearchFunc(c.priorities[service], newPriorityPair(r, a), comparePriorities)
@@ -35,15 +35,15 @@
 	return i
 }
 
-// Prioritized reports whether the configuration has requests of more than one priority before the
+// Prioritized reports whether the configuration has requests of more than one priority for the
 // service.
 func (c *Catalog) Prioritized(service string) bool { return len(c.priorities[service]) > 1 }
 
-// HasClasses reports whether the configuration has streams of more than one class before the service.
+// HasClasses reports whether the configuration has streams of more than one class for the service.
 func (c *Catalog) HasClasses(service string) bool { return len(c.classes[service]) > 1 }
 
 // Class returns the rank of a stream to the service among the priorities of all streams that the
-// configuration has before it, 0 for the most urgent. If there are more of them than priority.Classes,
+// configuration has for it, 0 for the most urgent. If there are more of them than priority.Classes,
 // only those of the accounts count.
 func (c *Catalog) Class(service string, r *Route, a *Account) int {
 	p, classes := newPriorityPair(r, a), c.classes[service]
@@ -55,12 +55,12 @@
 	return i
 }
 
-// SameClasses reports whether the other configuration has the same classes before the service.
+// SameClasses reports whether the other configuration has the same classes for the service.
 func (c *Catalog) SameClasses(o *Catalog, service string) bool {
 	return slices.Equal(c.classes[service], o.classes[service])
 }
 
-// setClasses sets the classes of the streams before each service.
+// setClasses sets the classes of the streams for each service.
 func (c *Catalog) setClasses(routes []Route, accounts []Account) {
 	streams := make([]Route, 0, len(routes))
 	for _, r := range routes {
@@ -81,7 +81,7 @@
 	}
 }
 
-// prioritiesByService returns the priorities of the requests before each service, the most urgent
+// prioritiesByService returns the priorities of the requests for each service, the most urgent
 // first. Any account may use any route.
 func prioritiesByService(routes []Route, accounts []Account, requireAPIKey bool) map[string][]priorityPair {
 	distinct := make(map[int]*Account)
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// BenchmarkTightHalls measures what it costs to see that room is shared and that the servers of a
+// BenchmarkNearlyFullHalls measures what it costs to see that room is shared and that the servers of a
 // path with eight stages have plenty of it. It must not allocate.
-func BenchmarkTightHalls(b *testing.B) {
+func BenchmarkNearlyFullHalls(b *testing.B) {
 	f := New("a", time.Now)
 	m := &catalog.Model{Layers: 80, LayerMB: 1000, KVBytesPerToken: 459000, Slots: 200, Accelerators: []catalog.Accelerator{{Name: "c", MemoryMB: 36000}}}
 	f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: m}}, nil, false))
@@ -69,13 +69,13 @@
 		})
 	}
 	path, reservation, _ := f.FindPath(Query{Service: "llm", Tokens: 900})
-	if len(path) != 8 || len(reservation.TightHalls()) > 0 {
-		b.Fatal(path, reservation.TightHalls())
+	if len(path) != 8 || len(reservation.NearlyFullHalls()) > 0 {
+		b.Fatal(path, reservation.NearlyFullHalls())
 	}
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
 		f.SharesRoom("llm")
-		f.tightHalls(reservation.loads, Limits{Slots: 1})
+		f.nearlyFullHalls(reservation.loads, Limits{Slots: 1})
 	}
 }
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -144,8 +144,8 @@
 type Reservation struct {
 	fleet *Fleet
 	loads []reservedLoad
-	// tightHalls are the halls of servers that are nearly full; see TightHalls.
-	tightHalls []slatebridge.HallID
+	// nearlyFullHalls are the halls of servers that are nearly full; see NearlyFullHalls.
+	nearlyFullHalls []slatebridge.HallID
 	// at is when the capacity was reserved, and path and hopBytes are what each hop between halls
 	// was charged with.
 	at       time.Time
@@ -170,7 +170,7 @@
 		r.path, r.hopBytes = p, q.Tokens*m.model.ActivationBytesPerToken
 		f.recordHallHops(p, r.hopBytes)
 	}
-	r.tightHalls = f.tightHalls(r.loads, q.Limits)
+	r.nearlyFullHalls = f.nearlyFullHalls(r.loads, q.Limits)
 
 	return r
 }
--- a/fleet/loss_test.go
+++ b/fleet/loss_test.go
@@ -259,7 +259,7 @@
 		}
 		want := repair.Takeover{
 			Streams:   2,
-			MoveQueue: 200 * time.Millisecond, MovePrefill: 100 * time.Millisecond, Turn: 50 * time.Millisecond,
+			MoveQueue: 200 * time.Millisecond, MovePrefill: 100 * time.Millisecond, RepairInterval: 50 * time.Millisecond,
 			Overlap:      1,
 			RestartQueue: 800 * time.Millisecond / 3, RestartPrefill: 200 * time.Millisecond,
 		}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -35,7 +35,7 @@
 	rejectingUntil   time.Time
 	rejectionBackoff time.Duration
 	// full is what the ledger of the hall recently said about missing room.
-	full []fullNote
+	full []fullMark
 	// progressAt is when a stream through the server last made progress.
 	progressAt time.Time
 	// connectionFailedUntil is the end of the raised cost after a connection failure.
@@ -66,7 +66,7 @@
 // load within about this time.
 const gossipDelay = 750 * time.Millisecond
 
-// PeerLoadStaleness is the age of what a box knows of the load of others.
+// PeerLoadStaleness is an upper estimate of the age of what a box knows of the load of others.
 const PeerLoadStaleness = gossipDelay
 
 // decayedRecentLoad returns the work that this box recently sent to the server, decayed to now.
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -9,9 +9,9 @@
 
 // Limits bounds how far requests may fill the servers of a path, as shares of their capacity.
 type Limits struct {
-	// Memory bounds the memory for requests; zero means maxPlannedFill. A lower bound than that holds
-	// for the memory in use before the request, so that it refuses large requests no more often than
-	// small ones.
+	// Memory bounds the share of memory in use; zero means maxPlannedFill. A value below
+	// maxPlannedFill applies before the request is added, so that large requests are not refused more
+	// often than small ones; with the request, maxPlannedFill applies.
 	Memory float64
 	// Slots bounds the slots of the first server that are in use before the request; zero means no
 	// bound. With a bound, the request needs a free slot.
--- a/fleet/shared_room.go
+++ b/fleet/shared_room.go
@@ -11,17 +11,17 @@
 	// maxStaleShare bounds the share of a server's capacity that the other boxes of the hall are
 	// assumed to have taken since their last reports.
 	maxStaleShare = 0.25
-	// fullNoteTTL is how long a server that the ledger of its hall found full is passed over. The
+	// fullMarkTTL is how long a server that the ledger of its hall found full is passed over. The
 	// next reports arrive within about this time.
-	fullNoteTTL = 250 * time.Millisecond
+	fullMarkTTL = 250 * time.Millisecond
 )
 
-// maxFullNotes is the number of notes about one server that are kept at the same time.
-const maxFullNotes = 8
+// maxFullMarks is the number of marks of one server that are kept at the same time.
+const maxFullMarks = 8
 
-// fullNote records that a server had no room for a request. It holds for all requests that are at
-// least as large and may not fill the server further.
-type fullNote struct {
+// fullMark marks a server as full for requests that are at least as large as the refused one and may
+// not fill the server further, until it expires.
+type fullMark struct {
 	until time.Time
 	// memoryShare is the share of the memory that was allowed to be in use before the request, and
 	// tokens the size of the request. They do not matter if a slot was missing.
@@ -31,17 +31,17 @@
 	slotShare float64
 }
 
-// newFullNote returns the note about a refused request. Limits that bound the slots say that only a
+// newFullMark returns the mark for a refused request. Limits that bound the slots say that only a
 // slot was missing.
-func newFullNote(l Limits, tokens float64, now time.Time) fullNote {
+func newFullMark(l Limits, tokens float64, now time.Time) fullMark {
 	memory, _ := l.MemoryShares()
 
-	return fullNote{until: now.Add(fullNoteTTL), memoryShare: memory, tokens: tokens, slotShare: l.Slots}
+	return fullMark{until: now.Add(fullMarkTTL), memoryShare: memory, tokens: tokens, slotShare: l.Slots}
 }
 
 // covers reports whether a request with the limits and size finds no room either. A request without
 // a limit of the slots may wait for one.
-func (n fullNote) covers(l Limits, tokens float64) bool {
+func (n fullMark) covers(l Limits, tokens float64) bool {
 	if n.slotShare > 0 {
 		return l.Slots > 0 && l.Slots <= n.slotShare
 	}
@@ -50,8 +50,8 @@
 	return memory <= n.memoryShare && tokens >= n.tokens
 }
 
-// replaces reports whether n covers all requests that the older note o covers.
-func (n fullNote) replaces(o fullNote) bool {
+// replaces reports whether n covers all requests that the older mark o covers.
+func (n fullMark) replaces(o fullMark) bool {
 	if n.slotShare > 0 || o.slotShare > 0 {
 		return o.slotShare > 0 && o.slotShare <= n.slotShare
 	}
@@ -77,17 +77,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	note := newFullNote(l, tokens, now)
+	mark := newFullMark(l, tokens, now)
 	for _, id := range ids {
 		m, ok := f.members[id]
 		if !ok {
 			continue
 		}
-		m.full = slices.DeleteFunc(m.full, func(o fullNote) bool { return !now.Before(o.until) || note.replaces(o) })
-		if len(m.full) >= maxFullNotes {
+		m.full = slices.DeleteFunc(m.full, func(o fullMark) bool { return !now.Before(o.until) || mark.replaces(o) })
+		if len(m.full) >= maxFullMarks {
 			m.full = slices.Delete(m.full, 0, 1)
 		}
-		m.full = append(m.full, note)
+		m.full = append(m.full, mark)
 	}
 }
 
@@ -104,20 +104,20 @@
 	return s != nil && s.Model.LimitsRoom()
 }
 
-// TightHalls returns the halls of the reserved servers that may be filled beyond the limits of the
+// NearlyFullHalls returns the halls of the reserved servers that may be filled beyond the limits of the
 // request if the other boxes of this hall have sent them about as much as this one since their last
 // reports. It is empty if room is not shared; see SharesRoom.
-func (r *Reservation) TightHalls() []slatebridge.HallID {
+func (r *Reservation) NearlyFullHalls() []slatebridge.HallID {
 	if r == nil {
 		return nil
 	}
 
-	return r.tightHalls
+	return r.nearlyFullHalls
 }
 
-// tightHalls returns the halls of the nearly full servers among the reserved ones. The loads of the
+// nearlyFullHalls returns the halls of the nearly full servers among the reserved ones. The loads of the
 // members contain the reservation. The caller holds mu.
-func (f *Fleet) tightHalls(loads []reservedLoad, l Limits) []slatebridge.HallID {
+func (f *Fleet) nearlyFullHalls(loads []reservedLoad, l Limits) []slatebridge.HallID {
 	if f.hallPeers == 0 || len(loads) == 0 || !loads[0].member.model.LimitsRoom() {
 		return nil
 	}
@@ -125,7 +125,7 @@
 	var halls []slatebridge.HallID
 	for i := range loads {
 		r := &loads[i]
-		if r.member.mayBeTight(before, l.Slots) && r.tight(before, with, l.Slots, f) && !slices.Contains(halls, r.member.Hall) {
+		if r.member.mayBeNearlyFull(before, l.Slots) && r.tight(before, with, l.Slots, f) && !slices.Contains(halls, r.member.Hall) {
 			halls = append(halls, r.member.Hall)
 		}
 	}
@@ -133,9 +133,9 @@
 	return halls
 }
 
-// mayBeTight reports whether the server is nearly full if the other boxes have taken the most that is
+// mayBeNearlyFull reports whether the server is nearly full if the other boxes have taken the most that is
 // assumed. It is cheaper than tight.
-func (m *member) mayBeTight(memory, slots float64) bool {
+func (m *member) mayBeNearlyFull(memory, slots float64) bool {
 	used := m.ownLoad.TokenLayers + m.peerLoad.TokenLayers
 	if used > (memory-maxStaleShare)*m.capacity() {
 		return true
--- a/fleet/shared_room_test.go
+++ b/fleet/shared_room_test.go
@@ -29,7 +29,7 @@
 	f.SetPeerGroupLoads("hall a", map[uint32]Load{ShortID("a"): {Requests: 1, TokenLayers: 4 * tokens}})
 }
 
-func TestTightHalls(t *testing.T) {
+func TestNearlyFullHalls(t *testing.T) {
 	for name, v := range map[string]struct {
 		peers  int
 		used   float64
@@ -53,7 +53,7 @@
 				if shortage != NoShortage {
 					t.Fatal(shortage)
 				}
-				if diff := cmp.Diff(v.want, r.TightHalls()); diff != "" {
+				if diff := cmp.Diff(v.want, r.NearlyFullHalls()); diff != "" {
 					t.Error(diff)
 				}
 			})
@@ -73,7 +73,7 @@
 		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: urgent}, path)
 		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: usual}, "none: "+RoomKept.String())
 		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: lower}, "none: "+RoomKept.String())
-		time.Sleep(fullNoteTTL)
+		time.Sleep(fullMarkTTL)
 		wantPath(t, f, Query{Tokens: 10, AvoidFull: true, Limits: lower}, path)
 		withSlots := Limits{Memory: 0.9, Slots: 1}
 		f.RecordFull([]slatebridge.ServerID{"a"}, withSlots, 10)
@@ -143,10 +143,10 @@
 		}
 	})
 	run("the number of notes is bounded", func(t *testing.T, f *Fleet) {
-		for i := range 3 * maxFullNotes {
+		for i := range 3 * maxFullMarks {
 			f.RecordFull(a, Limits{Memory: 0.9 - 0.01*float64(i)}, float64(100-i))
 		}
-		if n := len(f.members["a"].full); n != maxFullNotes {
+		if n := len(f.members["a"].full); n != maxFullMarks {
 			t.Errorf("%d notes", n)
 		}
 	})
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -56,7 +56,7 @@
 	if queue > t.MoveQueue {
 		t.MoveQueue, t.Overlap = queue, f.overlap(m, stage.From, lost, speed)
 	}
-	t.Turn = max(t.Turn, queue/time.Duration(max(1, m.ownLoad.Requests)))
+	t.RepairInterval = max(t.RepairInterval, queue/time.Duration(max(1, m.ownLoad.Requests)))
 	t.MovePrefill += prefillTime(tokens*float64(stage.Len()), speed/n)
 }
 
--- a/forward/claim_room.go
+++ b/forward/claim_room.go
@@ -22,7 +22,8 @@
 	Limits fleet.Limits
 	// Halls are those with nearly full servers, whose ledgers are asked.
 	Halls []slatebridge.HallID
-	// Urgent says that no class of requests is more urgent.
+	// Urgent says that the claim may use the share of the claims reserved for urgent requests: those of
+	// the most urgent class, and restarts of streams under way.
 	Urgent bool
 }
 
@@ -52,7 +53,7 @@
 	requestID string
 	// claims is the number of paths that may still be claimed.
 	claims int
-	// urgent is RoomClaim.Urgent.
+	// urgent is passed on as RoomClaim.Urgent.
 	urgent bool
 	// claimsUntil is the end of the wait for claims; zero before the first one.
 	claimsUntil time.Time
@@ -79,10 +80,10 @@
 	roomUnanswered = "unanswered"
 )
 
-// findPathWithRoom finds a path like Fleet.FindPathFrom, and claims room for the request if servers
-// of the path are nearly full. If the ledger of a hall refuses it, other paths are searched. While
-// no ledger decides, or once the time for claims is over, the view of this box does. Unless the limits of the query bound the slots,
-// first servers with a free slot are preferred; the others let the request wait.
+// findPathWithRoom is like Fleet.FindPathFrom, and claims room if servers of the path are nearly full.
+// If a ledger refuses, other paths are searched. If no ledger answers in time, the box decides by its
+// own view. Without a limit on slots, first servers with a free slot are preferred, as at others the
+// request waits.
 //
 // Load pattern: servers are nearly full, and the boxes of the hall choose the same ones by reports
 // that are as old as several requests.
@@ -103,14 +104,14 @@
 	return h.findClaimedPath(ctx, choice, q, firsts, 0)
 }
 
-// findClaimedPath is findPathWithRoom for one query. It leaves a number of claims. With no claim left
-// after a refusal, a path without the servers named as full is used: the holder of the ledger knew of
-// room there a moment before.
+// findClaimedPath is findPathWithRoom for one query; it keeps a number of claims for a later query. If
+// no claim is left after a refusal, it uses a path without the servers named as full, since the ledger
+// named all full servers.
 func (h *Handler) findClaimedPath(ctx context.Context, choice *pathChoice, q fleet.Query, firsts []slatebridge.ServerID, left int) (fleet.Path, *fleet.Reservation, fleet.Shortage) {
 	for {
 		path, reservation, shortage := h.fleet.FindPathFrom(q, firsts)
 		switch {
-		case path == nil || choice.claims <= 0 || len(reservation.TightHalls()) == 0:
+		case path == nil || choice.claims <= 0 || len(reservation.NearlyFullHalls()) == 0:
 			return path, reservation, shortage
 		case choice.claims > left && h.claimRoom(ctx, choice, q, path, reservation):
 			return path, reservation, shortage
@@ -136,7 +137,7 @@
 		return true
 	}
 	defer cancel()
-	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: r.TightHalls(), Urgent: choice.urgent})
+	answer, err := h.requestRoom(claimCtx, RoomClaim{Service: q.Service, Path: path, Tokens: q.Tokens, Limits: q.Limits, Halls: r.NearlyFullHalls(), Urgent: choice.urgent})
 	switch {
 	case err != nil:
 		h.recordRoomUnanswered(choice, path, err)
--- a/forward/claim_room_test.go
+++ b/forward/claim_room_test.go
@@ -527,7 +527,7 @@
 		for range 25 {
 			_, reservation, _ := h.findPathWithRoom(t.Context(), &pathChoice{claims: maxRoomClaims}, roomQuery(100), nil)
 			reservation.Release()
-			time.Sleep(priorityLogInterval / 10)
+			time.Sleep(minLogInterval / 10)
 		}
 		var claims []any
 		for _, l := range logs.All() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -158,7 +158,7 @@
 	requestRetry  RetryGrantFunc
 	requestRoom   RoomFunc
 	// roomUnanswered bounds the volume of the lines about claims that no ledger decided on.
-	roomUnanswered lineLimit
+	roomUnanswered eventLimiter
 	onServerLimit  func(id slatebridge.ServerID, limit allowance.Observation)
 	unanswered     unansweredAttempts
 	// lastInvalidLimit is the last rate limit of a server that could not be parsed.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -36,7 +36,7 @@
 	service   string
 	account   string
 	// priority is the priority of the request, 0 for the most urgent. It counts only if prioritized
-	// is set, that is, if there are requests of other priorities before the service.
+	// is set, that is, if there are requests of other priorities for the service.
 	priority    int
 	prioritized bool
 	// class is the rank of the priority among those of all streams to the service. It counts only if
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -70,7 +70,7 @@
 	// waitsForRepair is set while the stream stays on its path although servers of it have failed.
 	waitsForRepair bool
 	// stallLog and waitLog bound how often the stream is logged as stalled and as waiting.
-	stallLog, waitLog logLimiter
+	stallLog, waitLog findingLimiter
 }
 
 const (
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -19,12 +19,12 @@
 	"github.com/slatebridge/slatebridge/retry"
 )
 
-// maxMoves bounds how many moves of a stream are tried in one repair if servers refuse them. Each
-// takes a round trip to the first server, and a hall rarely has more servers with the same layers.
+// maxMoves bounds the moves of a stream that are tried in one repair if servers refuse them. Each takes
+// a round trip to the first server.
 const maxMoves = 3
 
 // moveSilence is the time without a response to a move after which the first server counts as
-// silent, so that its streams hold up fewer others. A response usually takes one round trip.
+// silent, so that its streams hold up fewer others.
 const moveSilence = 25 * time.Millisecond
 
 // MoveRefusedError says that the first server of a stream refused to move it, as a server of the new
@@ -57,8 +57,8 @@
 }
 
 // replaceServers moves a stream off some of the servers of its path, other than the first. Instead,
-// it restarts the stream elsewhere if that is expected to be faster, if the move fails, or if there
-// is no other path or only one with more hops between halls. A path with more hops is used if no
+// it restarts a random part of the streams elsewhere (see moveShare), and any stream whose move fails,
+// or for which there is no other path or only one with more hops between halls. A path with more hops is used if no
 // restart is possible. Without any path, the stream waits. If the quarantine restricts the request
 // (trialState), the attempt is ended and nothing is moved.
 func (h *Handler) replaceServers(ctx context.Context, a *streamAttempt, path fleet.Path, exclude []slatebridge.ServerID) {
@@ -83,7 +83,7 @@
 
 		return
 	}
-	if r.mayRepeat() && r.send(ctx) == nil {
+	if r.claimRepeat() && r.send(ctx) == nil {
 		return
 	}
 	r.leavePath()
@@ -136,9 +136,10 @@
 	immovable error
 }
 
-// mayRepeat reports whether the move to the next path may be sent once more in this repair, after no
-// restart was possible.
-func (r *streamRepair) mayRepeat() bool {
+// claimRepeat reports whether the move to the next path may be sent once more in this repair, after no
+// restart was possible. If not, because other streams of its first server are under repair, the repair
+// has ended.
+func (r *streamRepair) claimRepeat() bool {
 	return r.next != nil && !r.repeated && r.immovable == nil && r.h.repairs.keep(r.a)
 }
 
@@ -180,9 +181,8 @@
 func (r *streamRepair) move(ctx context.Context) bool {
 	for range maxMoves {
 		r.next, r.reservation, r.shortage = r.h.fleet.Repair(r.h.repairQuery(r.a, r.exclude), r.path)
-		// If the new path has more hops between halls, all tokens of the stream must be transferred
-		// over slow links. After a crash many streams do so at once and stall for longer than their
-		// callers wait. A restart within one hall takes a tenth of a second.
+		// A path with more hops between halls transfers all tokens of the stream over slow links; a
+		// restart within one hall is faster.
 		if r.next == nil || r.next.HallCrossings() > r.path.HallCrossings() {
 			return false
 		}
--- a/forward/repairqueue.go
+++ b/forward/repairqueue.go
@@ -63,13 +63,13 @@
 	q.queue.Add(a, first, s)
 }
 
-// next returns the stream whose repair starts now. Suspects are not asked to move streams, which
-// are restarted instead.
+// next returns the stream whose repair starts now. Streams whose first server is suspect are restarted,
+// not moved, so its silence limits them no longer.
 func (q *repairQueue) next(now time.Time, suspects []slatebridge.ServerID) (*streamAttempt, repairFinding, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range suspects {
-		q.queue.RecordAnswer(id)
+		q.queue.ClearSilence(id)
 	}
 	a, ok := q.queue.Next(now)
 	if !ok {
@@ -92,7 +92,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if answered {
-		q.queue.RecordAnswer(first)
+		q.queue.ClearSilence(first)
 	} else {
 		q.queue.RecordSilence(first, clock.Now())
 	}
@@ -106,7 +106,7 @@
 	return q.queue.Keep(a)
 }
 
-// pause leaves the turn of the stream to others until resume, and reports whether it did.
+// pause stops counting the repair toward the concurrent ones until resume, and reports whether it did.
 func (q *repairQueue) pause(a *streamAttempt) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -120,7 +120,7 @@
 	q.queue.Resume(a)
 }
 
-// has reports whether the stream waits for its turn or is under repair.
+// has reports whether the stream waits for its repair or is under repair.
 func (q *repairQueue) has(a *streamAttempt) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -164,7 +164,7 @@
 // turn.
 func (h *Handler) queueRepair(ctx context.Context, a *streamAttempt, path fleet.Path, failed []slatebridge.ServerID) {
 	s := a.repairStream()
-	s.Turn = h.fleet.Takeover(path, failed, a.kvTokens).Turn
+	s.RepairTime = h.fleet.Takeover(path, failed, a.kvTokens).RepairInterval
 	h.repairs.add(a, path[0].Server.ID, s, failed, clock.Now())
 	if !h.repairs.beginGather() {
 		return
@@ -180,7 +180,7 @@
 	h.startRepairs(ctx)
 }
 
-// startRepairs starts all repairs whose turn it is.
+// startRepairs starts all repairs that are next in the order.
 func (h *Handler) startRepairs(ctx context.Context) {
 	for {
 		now := clock.Now()
@@ -197,7 +197,7 @@
 	}
 }
 
-// repairNow repairs a stream that has waited for its turn, by what is known now: it may have ended
+// repairNow repairs a stream that has waited for its repair, by what is known now: it may have ended
 // or left the servers, they may be trusted again, and further ones may have failed.
 func (h *Handler) repairNow(ctx context.Context, a *streamAttempt, found []slatebridge.ServerID) {
 	path, started, _ := a.state()
--- a/forward/repairretry.go
+++ b/forward/repairretry.go
@@ -12,9 +12,9 @@
 const (
 	// repairRetryInterval is the pause between two rounds of repairs of streams that wait.
 	repairRetryInterval = 100 * time.Millisecond
-	// maxRetriedRepairs bounds the first streams in such a round, and likewise those that were left
-	// out for longest, and so what their searches cost the box. The others are tried at the regular
-	// checks of silent streams.
+	// maxRetriedRepairs is how many streams a round takes from the head of the order, and how many more
+	// by the oldest last retry. It bounds the cost of their searches; the others are tried at the
+	// regular checks of silent streams.
 	maxRetriedRepairs = 4
 )
 
--- a/forward/room.go
+++ b/forward/room.go
@@ -20,9 +20,6 @@
 const (
 	// supplyInterval is how long a computed supply is used. It changes only with the servers.
 	supplyInterval = time.Second
-	// priorityLogInterval is the minimum interval between two lines of one event about the
-	// priorities of a service.
-	priorityLogInterval = time.Second
 )
 
 // servicePriority is the state of the decisions by priority for one service.
@@ -31,7 +28,7 @@
 	supply  atomic.Pointer[datedSupply]
 	// refused and preferred bound the volume of the lines about refused requests, and about those
 	// that got the room of more urgent ones.
-	refused, preferred lineLimit
+	refused, preferred eventLimiter
 	counters           [priority.Classes]priorityCounters
 }
 
@@ -57,28 +54,6 @@
 	at time.Time
 }
 
-// lineLimit bounds the volume of an event to one line per priorityLogInterval.
-type lineLimit struct {
-	mu      sync.Mutex
-	lastAt  time.Time
-	skipped int
-}
-
-// next returns the number of occurrences that the next line stands for; zero if there is to be no
-// line now.
-func (l *lineLimit) next(now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.skipped++
-	if now.Sub(l.lastAt) < priorityLogInterval {
-		return 0
-	}
-	n := l.skipped
-	l.lastAt, l.skipped = now, 0
-
-	return n
-}
-
 // servicePriority returns the state for a service, and creates it if needed. cfg is the configuration
 // of the request.
 func (h *Handler) servicePriority(service string, cfg *catalog.Catalog) *servicePriority {
@@ -157,10 +132,9 @@
 	}
 }
 
-// roomLimits returns how far the request may fill the servers of its path. running says that a
-// server may have run the request already, so that it is a stream under way; so is one that its
-// caller resumes. But only the caller says so, and where there are priorities, such a stream has the
-// limits of its class.
+// roomLimits returns how far the request may fill the servers of its path. running is set if a server
+// may have run the request, so that it is a stream under way. A stream that its caller resumes counts
+// as one too, but not where there are classes, since any caller can claim that.
 func (h *Handler) roomLimits(c *inboundRequest, running bool) fleet.Limits {
 	resumed := c.LastEventID > 0
 	if running || (resumed && !c.hasClasses) {
@@ -195,8 +169,8 @@
 	return v.Supply
 }
 
-// needsPreference reports whether a stream that leaves nothing free, since its class or account was
-// admitted too rarely, finds a path only for that.
+// needsPreference reports whether a stream of an underserved class or account would find no path within
+// the ordinary limits of its class.
 func (t *streamRequest) needsPreference(q fleet.Query, firsts []slatebridge.ServerID) bool {
 	c := t.c
 	if !c.hasClasses || c.class == 0 || len(t.ranOn) > 0 || q.Limits.HasReserve() {
--- a/forward/room_test.go
+++ b/forward/room_test.go
@@ -169,7 +169,7 @@
 			t.Error(diff)
 		}
 	})
-	t.Run("nor less than a class that is rarely admitted", func(t *testing.T) {
+	t.Run("a resumed stream of an underserved class leaves nothing", func(t *testing.T) {
 		f := nearlyFull(t, 0)
 		for range 100 {
 			f.stream(1, 50).recordRefused(result.New(result.Overloaded, noRoom))
@@ -399,7 +399,7 @@
 			}
 		})
 	})
-	t.Run("boxes that are lost have no part in it", func(t *testing.T) {
+	t.Run("lost boxes do not count in the reserve", func(t *testing.T) {
 		reserve := make(map[int]float64)
 		for _, live := range []int{2, 4} {
 			inFixture(t, func(_ *testing.T, f *roomFixture, s *streamRequest) {
@@ -411,7 +411,7 @@
 			t.Errorf("the reserve is %.4f with four boxes and %.4f with two", reserve[4], reserve[2])
 		}
 	})
-	t.Run("what was before a pause does not count", func(t *testing.T) {
+	t.Run("requests before a suspension do not count", func(t *testing.T) {
 		inFixture(t, func(t *testing.T, f *roomFixture, s *streamRequest) {
 			before := reserveOf(f, s)
 			time.Sleep(time.Minute)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -176,9 +176,8 @@
 // pathPollInterval is the pause between two searches of a stream that waits for a path or a retry.
 const pathPollInterval = 100 * time.Millisecond
 
-// awaitPath chooses a path for the next attempt. A request that may wait for one does so, and then
-// claims room for one path at a time; after a
-// pause, the servers that failed it before are allowed again.
+// awaitPath chooses a path for the next attempt. A request that may wait searches again after each
+// pause, then with one claim of room per search and with the servers that failed it allowed again.
 func (t *streamRequest) awaitPath() (fleet.Path, *fleet.Reservation, *result.Error) {
 	for claims := maxRoomClaims; ; claims = 1 {
 		path, reservation, e := t.choosePath(claims)
--- a/lab/priority.go
+++ b/lab/priority.go
@@ -9,9 +9,9 @@
 // accountCount is the number of client accounts, which all send as much.
 const accountCount = 24
 
-// prioritized reports whether the priority of the request counts: in a Prioritized scenario, until a
-// server has executed the request.
-func (q *request) prioritized() bool {
+// hasClass reports whether the class of the request counts: in a scenario with classes, until a server
+// has executed the request.
+func (q *request) hasClass() bool {
 	return q.sim.catalog.HasClasses(service) && len(q.executedBy) == 0
 }
 
@@ -21,28 +21,28 @@
 
 // recordOffered records the arrival of the try at its box.
 func (q *request) recordOffered() {
-	if q.prioritized() {
+	if q.hasClass() {
 		q.box.priorities.RecordOffered(q.priorityRequest(), q.pathQuery().Tokens, q.sim.clock())
 	}
 }
 
 // recordAdmitted records that the first server of the try has accepted it.
 func (q *request) recordAdmitted() {
-	if q.prioritized() {
+	if q.hasClass() {
 		q.box.priorities.RecordAdmitted(q.priorityRequest(), q.pathQuery().Tokens, q.sim.timeAt(q.tryStartedAt))
 	}
 }
 
 // recordRefused records that the try ends with the code, if that is for lack of room.
 func (q *request) recordRefused(code result.Code) {
-	if q.prioritized() && code == result.Overloaded {
+	if q.hasClass() && code == result.Overloaded {
 		q.box.priorities.RecordRefused(q.priorityRequest(), q.pathQuery().Tokens, q.sim.timeAt(q.tryStartedAt))
 	}
 }
 
 // roomLimits returns how far the request may fill the servers of its path.
 func (q *request) roomLimits() fleet.Limits {
-	if !q.prioritized() {
+	if !q.hasClass() {
 		return fleet.Limits{}
 	}
 	supply := priority.Supply{Boxes: len(q.sim.boxes), Staleness: fleet.PeerLoadStaleness}
@@ -54,7 +54,7 @@
 
 // retryReserve returns the share of the retry budget that the request leaves to others.
 func (q *request) retryReserve() float64 {
-	if !q.prioritized() {
+	if !q.hasClass() {
 		return 0
 	}
 
--- a/mesh/room.go
+++ b/mesh/room.go
@@ -45,14 +45,14 @@
 	Layers  uint16
 }
 
-// maxRoomStages is the number of servers that a claim may name; paths have at most half as many.
-const maxRoomStages = 64
+// maxRoomServers is the most servers that a message about room may name.
+const maxRoomServers = 64
 
 func (r *RoomMessage) validate() error {
 	switch {
 	case r == nil:
 		return nil
-	case len(r.Stages) > maxRoomStages, len(r.Full) > maxRoomStages, r.SentAt < 0:
+	case len(r.Stages) > maxRoomServers, len(r.Full) > maxRoomServers, r.SentAt < 0:
 		return errors.New("mesh: message has a claim of room with too many servers or a negative time")
 	case r.MemoryLimit > perMille, r.SlotLimit > perMille:
 		return errors.New("mesh: message has a claim of room with a limit above the whole capacity")
--- a/mesh/room_test.go
+++ b/mesh/room_test.go
@@ -49,8 +49,8 @@
 func TestInvalidRoom(t *testing.T) {
 	for name, r := range map[string]RoomMessage{
 		"negative time":    {SentAt: -1},
-		"too many servers": {Stages: make([]RoomStage, maxRoomStages+1)},
-		"too many full":    {Full: make([]uint32, maxRoomStages+1)},
+		"too many servers": {Stages: make([]RoomStage, maxRoomServers+1)},
+		"too many full":    {Full: make([]uint32, maxRoomServers+1)},
 		"memory limit":     {MemoryLimit: perMille + 1},
 		"slot limit":       {SlotLimit: perMille + 1},
 	} {
--- a/priority/account.go
+++ b/priority/account.go
@@ -85,8 +85,8 @@
 	if others <= 0 || beyondChance(own.decidedTokens, own.decided)*others <= largeDemand*float64(all.decidedTokens-own.decidedTokens) {
 		return false
 	}
-	// The fair share is the level at which the smaller of it and the demand, summed over all
-	// accounts, is what was admitted. The account is above it if the sum at its own level is more.
+	// The max-min fair share is the level L at which the sum of min(demand, L) over all accounts is what
+	// was admitted. An account exceeds it if the sum at its own level is greater.
 	level, sum := beyondChance(own.admittedTokens, own.admitted), 0.0
 	for _, w := range c.accounts {
 		sum += min(float64(w.sum.decidedTokens), level)
--- a/priority/priority.go
+++ b/priority/priority.go
@@ -29,8 +29,8 @@
 	// chanceDeviations is the number of standard deviations up to which a number of requests may
 	// differ from the expected one by chance.
 	chanceDeviations = 2.0
-	// contendedShare is the share of the decided tokens of a class of which less must be admitted for
-	// its accounts to compete.
+	// contendedShare is the share of the decided tokens of a class below which, if admitted, its accounts
+	// compete for room.
 	contendedShare = 0.9
 	// streamRetryReserve is the share of the retry budget that all new requests leave to streams under
 	// way, and urgentRetryReserve the share that they leave in addition if all others are more urgent.
@@ -40,13 +40,13 @@
 
 // Request is what decisions need to know of a new request.
 type Request struct {
-	// Class is the priority, 0 for the most urgent.
+	// Class is the priority class, 0 for the most urgent.
 	Class int
 	// Account is the client account; empty if it is not known.
 	Account string
 }
 
-// ClassIndex returns the index of the class of a priority, less than Classes.
+// ClassIndex returns the class bounded to less than Classes.
 func ClassIndex(class int) int { return min(max(0, class), Classes-1) }
 
 func (r Request) class() int { return ClassIndex(r.Class) }
@@ -130,8 +130,7 @@
 	contended := usage.contended()
 	switch {
 	case contended && usage.exceedsFairShare(r.Account, slot):
-		// This comes first, since otherwise an account could make its class underserved, and so get
-		// the room of more urgent ones.
+		// Checked first: otherwise a large account could get its own class treated as underserved.
 		out := t.expected(class+1, s, now)
 		out.Reason = LargeAccount
 
--- a/priority/priority_test.go
+++ b/priority/priority_test.go
@@ -299,11 +299,11 @@
 	})
 }
 
-// TestChanceIsNoShortfall sends a few requests a second of accounts of three classes, all alike, to a
+// TestRandomDifferencesAreTolerated sends a few requests a second of accounts of three classes, all alike, to a
 // box before servers that refuse less urgent requests more often. What was admitted of single
 // accounts differs by chance only, so that neither the floor nor the rule for large accounts may act
 // on more than a few of them.
-func TestChanceIsNoShortfall(t *testing.T) {
+func TestRandomDifferencesAreTolerated(t *testing.T) {
 	const accounts, runs, maxShare = 24, 20, 0.03
 	length, warmup := 40*time.Second, slotCount*slotLength
 	for _, rate := range []float64{4, 4.5, 5} {
--- a/repair/order.go
+++ b/repair/order.go
@@ -15,15 +15,15 @@
 	// its caller is expected to give up.
 	PauseEnds    time.Time
 	CallerLeaves time.Time
-	// Turn is the expected time that its repair takes of the replacements, together with those of
+	// RepairTime is the expected time that its repair takes of the replacements, together with those of
 	// other boxes' streams that come between it and the next one of this box.
-	Turn time.Duration
+	RepairTime time.Duration
 	// RemainingTokens is the expected number of tokens still to be generated.
 	RemainingTokens int
 }
 
 // maxPlanned bounds the streams that are planned to be in time, and so what the order costs. The
-// pauses of more streams are over before their turn.
+// pauses of more streams are over before their repair.
 const maxPlanned = 500
 
 // Order returns the streams, as indexes, in the order in which they are repaired, and how many of
@@ -91,8 +91,8 @@
 	return append(p.inTime, p.late...), len(p.inTime)
 }
 
-// add adds a stream to those that are in time. If they cannot all be, the one with the longest turn
-// among the least urgent ones is left out. Streams are added by priority and deadline.
+// add adds a stream to those that are in time. If they cannot all be, the one with the longest
+// repair time among the least urgent ones is left out. Streams are added by priority and deadline.
 func (p *plan) add(i int) {
 	if len(p.inTime) == maxPlanned {
 		p.late = append(p.late, i)
@@ -107,7 +107,7 @@
 	}
 	out := at
 	for k, j := range p.inTime[:missed+1] {
-		if p.streams[j].Priority == p.streams[i].Priority && p.streams[j].Turn > p.streams[p.inTime[out]].Turn {
+		if p.streams[j].Priority == p.streams[i].Priority && p.streams[j].RepairTime > p.streams[p.inTime[out]].RepairTime {
 			out = k
 		}
 	}
@@ -120,7 +120,7 @@
 func (p *plan) firstMissed(order []int) int {
 	done := p.now
 	for k, i := range order {
-		if done = done.Add(p.streams[i].Turn); done.After(p.streams[i].PauseEnds) {
+		if done = done.Add(p.streams[i].RepairTime); done.After(p.streams[i].PauseEnds) {
 			return k
 		}
 	}
@@ -140,15 +140,15 @@
 	s, o := p.streams[a], p.streams[b]
 
 	return cmp.Or(
-		cmp.Compare(p.lost(s), p.lost(o)),
+		cmp.Compare(p.callerGone(s), p.callerGone(o)),
 		cmp.Compare(s.Priority, o.Priority),
 		s.CallerLeaves.Compare(o.CallerLeaves),
 		cmp.Compare(s.RemainingTokens, o.RemainingTokens),
 	)
 }
 
-// lost returns 1 if the caller of the stream is expected to have given up, else 0.
-func (p *plan) lost(s Stream) int {
+// callerGone returns 1 if the caller of the stream is expected to have given up, else 0.
+func (p *plan) callerGone(s Stream) int {
 	if s.CallerLeaves.Before(p.now) {
 		return 1
 	}
--- a/repair/order_test.go
+++ b/repair/order_test.go
@@ -26,7 +26,7 @@
 
 // stream returns a stream whose acceptable pause ends after the time.
 func stream(priority int, pauseLeft time.Duration, remaining int) Stream {
-	return Stream{Priority: priority, PauseEnds: lostAt.Add(pauseLeft), CallerLeaves: lostAt.Add(pauseLeft + time.Second), Turn: 10 * time.Millisecond, RemainingTokens: remaining}
+	return Stream{Priority: priority, PauseEnds: lostAt.Add(pauseLeft), CallerLeaves: lostAt.Add(pauseLeft + time.Second), RepairTime: 10 * time.Millisecond, RemainingTokens: remaining}
 }
 
 // startAll starts the streams of the queue one after the other, each after the one before is done,
@@ -189,7 +189,7 @@
 		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 4, "other": 4})
 		endAll(q)
 		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 1, "silent2": 1, "other": 4})
-		q.RecordAnswer("silent1")
+		q.ClearSilence("silent1")
 		endAll(q)
 		wantStarted(t, q, map[slatebridge.ServerID]int{"silent1": 4, "silent2": 1, "other": 2})
 	})
@@ -260,7 +260,7 @@
 		for range perBox {
 			s := stream(rng.IntN(priorities), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
 			prefill := time.Duration(2+rng.IntN(6)) * time.Millisecond
-			s.Turn = prefill * time.Duration(boxes) / replacements
+			s.RepairTime = prefill * time.Duration(boxes) / replacements
 			out = append(out, lostStream{box, s, prefill})
 		}
 	}
@@ -360,7 +360,7 @@
 		var streams []Stream
 		for range 2 + rng.IntN(30) {
 			s := stream(rng.IntN(3), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
-			s.Turn = time.Duration(rng.Int64N(int64(12 * time.Millisecond)))
+			s.RepairTime = time.Duration(rng.Int64N(int64(12 * time.Millisecond)))
 			streams = append(streams, s)
 		}
 		p := newPlan(streams, lostAt)
@@ -392,7 +392,7 @@
 			streams := make([]Stream, 0, n)
 			for range n {
 				s := stream(rng.IntN(3), time.Duration(rng.Int64N(int64(allowedPause))), rng.IntN(100))
-				s.Turn = 0
+				s.RepairTime = 0
 				streams = append(streams, s)
 			}
 			for b.Loop() {
--- a/repair/queue.go
+++ b/repair/queue.go
@@ -18,10 +18,10 @@
 	// maxConcurrentSilent bounds those of streams whose first servers are known not to respond to
 	// moves, together.
 	maxConcurrentSilent = maxConcurrent / 2
-	// maxPaused bounds the repairs that have left their turns to others meanwhile.
+	// maxPaused bounds the repairs that wait for a retry and do not count toward maxConcurrent.
 	maxPaused = 16
-	// sortInterval is the pause between two times at which the waiting streams are put in order, which
-	// costs a core much if there are hundreds.
+	// sortInterval is the minimum interval between two sorts of the waiting streams, as sorting is
+	// expensive for many streams.
 	sortInterval = 2 * time.Millisecond
 	// silenceTTL is how long a first server that is not asked any more counts as silent. Streams
 	// that were to leave a server at that time have ended.
@@ -38,7 +38,7 @@
 	sortedAt time.Time
 	// running maps the streams under repair to their first servers.
 	running map[K]slatebridge.ServerID
-	// paused maps those that have left their turns to others for a while.
+	// paused maps those that do not count toward maxConcurrent for a while.
 	paused map[K]slatebridge.ServerID
 	// silent maps the first servers that have not responded to the last move to the time of that.
 	silent map[slatebridge.ServerID]time.Time
@@ -157,8 +157,8 @@
 	q.silent[first] = now
 }
 
-// RecordAnswer records that a first server has responded to a move, or will not be asked for one.
-func (q *Queue[K]) RecordAnswer(first slatebridge.ServerID) { delete(q.silent, first) }
+// ClearSilence ends the limit on the repairs of a first server that did not respond.
+func (q *Queue[K]) ClearSilence(first slatebridge.ServerID) { delete(q.silent, first) }
 
 // Keep reports whether the repair of a stream may go on after its first server has not responded.
 // If others of that server are under repair as well, its repair has ended.
@@ -172,7 +172,8 @@
 	return false
 }
 
-// Pause leaves the turn of a stream under repair to others until Resume, and reports whether it did.
+// Pause stops counting a stream under repair toward maxConcurrent until Resume, and reports whether it
+// did.
 // It does not if too many have done so.
 func (q *Queue[K]) Pause(key K) bool {
 	first, running := q.running[key]
--- a/repair/takeover.go
+++ b/repair/takeover.go
@@ -20,8 +20,9 @@
 	// Overlap is the share of restarted streams, from 0 to 1, that pass the replacements as well,
 	// since these are the only servers with the lost layers, or some of few.
 	Overlap float64
-	// Turn is the expected time that passes at the replacements between two streams of this box.
-	Turn time.Duration
+	// RepairInterval is the expected time that passes at the replacements between two streams of this
+	// box.
+	RepairInterval time.Duration
 }
 
 const (
--- a/repair/takeover_test.go
+++ b/repair/takeover_test.go
@@ -134,17 +134,17 @@
 		left     time.Duration
 		want     float64
 	}{
-		"no load known":                           {Takeover{}, 200 * ms, 1},
-		"few streams, speeds not known":           {Takeover{Streams: 20}, 200 * ms, 1},
-		"many streams, speeds not known":          {Takeover{Streams: 100}, 200 * ms, 0.25},
-		"moving is faster":                        {Takeover{Streams: 5, MoveQueue: 20 * ms, MovePrefill: 4 * ms, RestartQueue: 10 * ms, RestartPrefill: 80 * ms}, 200 * ms, 1},
-		"restarting is faster":                    {Takeover{Streams: 5, MoveQueue: 100 * ms, MovePrefill: 50 * ms, RestartPrefill: 40 * ms}, 200 * ms, 0},
-		"equal times":                             {Takeover{Streams: 5, MoveQueue: 300 * ms, MovePrefill: 10 * ms, RestartQueue: 100 * ms, RestartPrefill: 60 * ms}, 200 * ms, 0.5},
-		"only as many as can be in time":          {Takeover{Streams: 5, MoveQueue: 300 * ms, MovePrefill: 10 * ms, RestartQueue: 50 * ms, RestartPrefill: 80 * ms}, 120 * ms, 0.4},
-		"too late in any case":                    {Takeover{Streams: 5, MoveQueue: 300 * ms, MovePrefill: 10 * ms, RestartQueue: 100 * ms, RestartPrefill: 60 * ms}, -ms, 0.5},
-		"callers of moved streams would leave":    {Takeover{Streams: 80, MoveQueue: 1500 * ms, MovePrefill: ms, RestartQueue: 2000 * ms, RestartPrefill: 800 * ms}, 200 * ms, 0.5},
-		"restarted streams pass the same servers": {Takeover{Streams: 80, MoveQueue: 1500 * ms, MovePrefill: ms, RestartQueue: 100 * ms, RestartPrefill: 50 * ms, Overlap: 1}, 200 * ms, 1},
-		"half of them do":                         {Takeover{Streams: 5, MoveQueue: 400 * ms, MovePrefill: 10 * ms, RestartQueue: 100 * ms, RestartPrefill: 60 * ms, Overlap: 0.5}, 50 * ms, 0.5},
+		"no load known":                                       {Takeover{}, 200 * ms, 1},
+		"few streams, speeds not known":                       {Takeover{Streams: 20}, 200 * ms, 1},
+		"many streams, speeds not known":                      {Takeover{Streams: 100}, 200 * ms, 0.25},
+		"moving is faster":                                    {Takeover{Streams: 5, MoveQueue: 20 * ms, MovePrefill: 4 * ms, RestartQueue: 10 * ms, RestartPrefill: 80 * ms}, 200 * ms, 1},
+		"restarting is faster":                                {Takeover{Streams: 5, MoveQueue: 100 * ms, MovePrefill: 50 * ms, RestartPrefill: 40 * ms}, 200 * ms, 0},
+		"equal times":                                         {Takeover{Streams: 5, MoveQueue: 300 * ms, MovePrefill: 10 * ms, RestartQueue: 100 * ms, RestartPrefill: 60 * ms}, 200 * ms, 0.5},
+		"only as many as can be in time":                      {Takeover{Streams: 5, MoveQueue: 300 * ms, MovePrefill: 10 * ms, RestartQueue: 50 * ms, RestartPrefill: 80 * ms}, 120 * ms, 0.4},
+		"too late in any case":                                {Takeover{Streams: 5, MoveQueue: 300 * ms, MovePrefill: 10 * ms, RestartQueue: 100 * ms, RestartPrefill: 60 * ms}, -ms, 0.5},
+		"callers of moved streams would leave":                {Takeover{Streams: 80, MoveQueue: 1500 * ms, MovePrefill: ms, RestartQueue: 2000 * ms, RestartPrefill: 800 * ms}, 200 * ms, 0.5},
+		"restarted streams pass the same servers":             {Takeover{Streams: 80, MoveQueue: 1500 * ms, MovePrefill: ms, RestartQueue: 100 * ms, RestartPrefill: 50 * ms, Overlap: 1}, 200 * ms, 1},
+		"half of the restarted streams pass the same servers": {Takeover{Streams: 5, MoveQueue: 400 * ms, MovePrefill: 10 * ms, RestartQueue: 100 * ms, RestartPrefill: 60 * ms, Overlap: 0.5}, 50 * ms, 0.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := v.takeover.MoveShare(v.left); fmt.Sprintf("%.3f", got) != fmt.Sprintf("%.3f", v.want) {
--- a/retry/pool.go
+++ b/retry/pool.go
@@ -31,8 +31,8 @@
 // TakeLocal takes one retry from the box's allotment, if one is left. boxes is the number of boxes
 // that share the budget. If none is left, the caller asks the grantor.
 //
-// Scenario: a server dies, and all streams that break run at a few of a thousand boxes. The
-// equal part of each box is less than one retry, while the parts of the other boxes stay unused.
+// Scenario: a server is lost whose streams all belong to a few of many boxes. The equal part of each
+// box is less than one retry, while the parts of the other boxes stay unused.
 func (b *Budget) TakeLocal(service string, boxes int, u Urgency, now time.Time) bool {
 	return b.takeLocal(service, boxes, now, allotment{urgency: u})
 }
--- a/retry/simulation_test.go
+++ b/retry/simulation_test.go
@@ -401,7 +401,7 @@
 	})
 }
 
-// TestBudgetRegressions runs scenarios that once exceeded the budget.
+// TestBudgetRegressions runs single scenarios that each need one rule of the budget.
 func TestBudgetRegressions(t *testing.T) {
 	for name, s := range map[string]scenario{
 		"both sides of a partition granted": {
--- a/room/ledger.go
+++ b/room/ledger.go
@@ -14,7 +14,7 @@
 	// of the ledger.
 	MaxClaims = 8192
 	// GroupMargin is how much later than a claim the reported work of a group has to be valid to
-	// contain it. It covers one lost report of the box; the transit of the claim is part of it.
+	// contain it. It covers one lost report and the transit of the claim.
 	GroupMargin = 500 * time.Millisecond
 )
 
