--- a/box/election.go
+++ b/box/election.go
@@ -102,8 +102,8 @@
 
 // electionRank returns the number of boxes that campaign before this one. In halls of more than a
 // few boxes the box next in line to be a relay campaigns first. The leader plans for all servers,
-// which takes 39 ms of CPU time for each server that joins a fleet of 3,000, and a relay busy with
-// planning delays updates for its whole hall. The relays of all halls follow, and then all other
+// which is expensive in a large fleet, and a relay busy with planning delays updates for its whole
+// hall. The relays of all halls follow, and then all other
 // boxes. A box need not know every other box: the ranks need only the relays, which send messages
 // in each round or are named in digests.
 func (c *control) electionRank(now time.Time) int {
--- a/forward/report.go
+++ b/forward/report.go
@@ -99,8 +99,8 @@
 const (
 	// earlySilenceTimeout is the time after which the servers of a path that have not responded
 	// count as silent, if the queries of more than half of the path have ended, all of them within
-	// quickResponse, and this process has not stalled. A response takes about a millisecond, but
-	// reaches a small, busy box later. The timeout is fixed, since one derived from recent response
+	// quickResponse, and this process has not stalled. A small, busy box
+	// reads responses late. The timeout is fixed, since one derived from recent response
 	// times suspects several healthy servers at once.
 	earlySilenceTimeout = 35 * time.Millisecond
 	// quickResponse is the longest response time that counts as quick. If responses take longer,
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -32,8 +32,7 @@
 	// maxSilence is the longest allowed silence of a stream with slow events.
 	maxSilence = 180 * time.Millisecond
 	// firstEventShare is the share of the latency objective after which the servers of a stream
-	// without any event are queried. With an objective of 500 ms that is after 180 ms; the
-	// first event takes 45 ms in the median and 150 ms in the 99th percentile.
+	// without any event are queried. It leaves time to restart the stream elsewhere.
 	firstEventShare = 0.36
 	// slowFirstEventShare is the share of the latency objective after which a stream that waits for
 	// its first event on a slow server is restarted elsewhere.
