Lines and a metric that tell why no server of a service takes a request

Change: RequestRefused with code 3002 has the field unusable; slatebridge_suspect_queries_total counts the queries of suspects as answered, rejected, silent or not sent. A rejection by the server itself is told apart from silence and from the word of another server (421). Decisions stay.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -111,9 +111,7 @@
 func (m *member) available(now time.Time) bool { return m.healthy(now) && m.admission.admits(now) }
 
 // availableAsFirst reports whether the server may receive requests directly from this box.
-func (m *member) availableAsFirst(now time.Time) bool {
-	return m.available(now) && !m.admission.lacksGrant(now)
-}
+func (m *member) availableAsFirst(now time.Time) bool { return m.unusable(now) == "" }
 
 // healthy is like available, but ignores cooldowns and the slow start after them.
 func (m *member) healthy(now time.Time) bool {
--- /dev/null
+++ b/fleet/unusable.go
@@ -0,0 +1,51 @@
+package fleet
+
+import "time"
+
+// Unusable says why a server of a service without a model takes no request from this box.
+type Unusable string
+
+// The reasons, as logged.
+const (
+	UnusableLeaving      Unusable = "leaving"
+	UnusableInvalidEntry Unusable = "invalid entry"
+	UnusableSuspect      Unusable = "suspect"
+	UnusableAddressTaken Unusable = "address taken"
+	UnusableCoolingDown  Unusable = "resting"
+	UnusableNoGrant      Unusable = "limited"
+)
+
+// UnusableServers counts the servers of a service that take no request from this box now, by reason.
+func (f *Fleet) UnusableServers(service string) map[Unusable]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	out := make(map[Unusable]int)
+	for _, m := range f.membersOf(service) {
+		if r := m.unusable(now); r != "" {
+			out[r]++
+		}
+	}
+
+	return out
+}
+
+// unusable returns why the server takes no request; empty if it takes one.
+func (m *member) unusable(now time.Time) Unusable {
+	switch {
+	case m.Leaving:
+		return UnusableLeaving
+	case m.EntryInvalid:
+		return UnusableInvalidEntry
+	case !now.After(m.suspectUntil):
+		return UnusableSuspect
+	case m.hasAddressConflict(now):
+		return UnusableAddressTaken
+	case !m.admission.admits(now):
+		return UnusableCoolingDown
+	case m.admission.lacksGrant(now):
+		return UnusableNoGrant
+	default:
+		return ""
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -247,6 +247,9 @@
 	if e.Code == result.HeldBack || e.Code == result.OnTrial {
 		fields = append(fields, zap.Stringer("same", c.fingerprint()))
 	}
+	if e.Code == result.NoServer {
+		fields = append(fields, zap.Any("unusable", h.fleet.UnusableServers(c.service)))
+	}
 	event.Log(h.logger, event.RequestRefused, fields...)
 	h.codec.WriteError(w, c.ID, e)
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/slatebridge/slatebridge/clock"
@@ -31,6 +32,7 @@
 	returns       *prometheus.CounterVec
 	returnDelay   prometheus.Histogram
 	priorities    *prometheus.CounterVec
+	rechecks      *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -91,7 +93,10 @@
 	m.priorities = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_priority_requests_total", Help: "Streams of services with requests of several priorities, by priority and what was decided (offered, admitted, refused for the room kept for more urgent ones, preferred because their class or account was admitted rarely).",
 	}, []string{"priority", "what"})
-	reg.MustRegister(m.roomClaims, m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	m.rechecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_suspect_queries_total", Help: "Queries of suspected backend servers, by outcome (answered, rejected, silent, not sent).",
+	}, []string{"outcome"})
+	reg.MustRegister(m.rechecks, m.roomClaims, m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -156,6 +161,20 @@
 // repairStarted records how long a stream waited for its repair to start.
 func (m *Metrics) repairStarted(waited time.Duration) { m.repairDelay.Observe(waited.Seconds()) }
 
+// suspectQueried counts a query of a suspected server that ended with err.
+func (m *Metrics) suspectQueried(err error) {
+	outcome := "silent"
+	switch {
+	case notQueried(err):
+		outcome = "not sent"
+	case errors.Is(err, ErrNoReport):
+		outcome = "rejected"
+	case responded(err):
+		outcome = "answered"
+	}
+	m.rechecks.WithLabelValues(outcome).Inc()
+}
+
 func (m *Metrics) streamStalled() { m.stalls.Inc() }
 
 // grantRequested counts a request for a grant by its outcome.
--- a/forward/report.go
+++ b/forward/report.go
@@ -50,6 +50,9 @@
 // be decoded. The server is alive.
 var ErrMalformedResponse = errors.New("malformed response")
 
+// ErrNoReport marks errors of queries that a server rejected. Servers without a model have no report.
+var ErrNoReport = errors.New("the server has no report")
+
 // errRestarted is the error of a query to which another incarnation of the server responded: the
 // queried one has ended.
 var errRestarted = errors.New("another incarnation of the server responded")
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -206,6 +206,7 @@
 func (h *Handler) pollSuspect(ctx context.Context, id slatebridge.ServerID) {
 	defer h.monitor.clearSuspect(id)
 	h.poll(ctx, id, func(_ Report, err error) bool {
+		h.metrics.suspectQueried(err)
 		if responded(err) {
 			h.fleet.Trust(id)
 			event.Log(h.logger, event.ServerTrusted, zap.String("server", string(id)))
