A server that rejects a query is no longer suspected

Cause: a box that takes a hall for cut off suspects all its servers and asks each for a model server's report until it responds. Servers without a model have no report and reject the query, and a rejection did not count as a response. So the suspicion was renewed twice a second for as long as the box ran, and its hall, which it told, believed it. Class: a belief that begins by one kind of evidence and ends only by another, which that server never gives. Change: any response of the server itself ends the suspicion; so too when a box finds out whether it is cut off itself, and a rejected query is not repeated. Not touched: who pronounces on a hall, and who believes it.

--- a/forward/report.go
+++ b/forward/report.go
@@ -57,10 +57,10 @@
 // queried one has ended.
 var errRestarted = errors.New("another incarnation of the server responded")
 
-// responded reports whether a query that ended with err received a response, valid or not and from
-// whichever incarnation.
+// responded reports whether a query that ended with err received a response of the server, valid or
+// not and from whichever incarnation. A rejection shows like any other response that the server lives.
 func responded(err error) bool {
-	return err == nil || errors.Is(err, ErrMalformedResponse) || errors.Is(err, errRestarted)
+	return err == nil || errors.IsAny(err, ErrMalformedResponse, ErrNoReport, errRestarted)
 }
 
 // notQueried reports whether err shows that the server was not queried, so that it says nothing
@@ -203,7 +203,7 @@
 	for range maxQueryAttempts {
 		began := clock.Now()
 		q.report, q.err = h.requestReport(ctx, s)
-		if q.err == nil || notQueried(q.err) || !h.stalledSince(began, reportTimeout) {
+		if responded(q.err) || notQueried(q.err) || !h.stalledSince(began, reportTimeout) {
 			break
 		}
 	}
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -68,7 +68,7 @@
 		if path.Contains(s.ID) {
 			continue
 		}
-		if h.query(ctx, s, reportTTL).err == nil {
+		if responded(h.query(ctx, s, reportTTL).err) {
 			return true
 		}
 		if probed++; probed == maxReachabilityProbes {
