A box takes a hall for cut off only by what it finds there

Cause: three silent servers of a hall on one stalled stream, and none of its path that responds, counted for all servers of that hall and of all services. A box that reads responses too late finds that of any hall. Ruled out: asking further servers of the hall before the verdict, since streams would wait up to 100 ms longer in a true cut. Change: the own hall is never taken for cut off; another one is not while another stream makes progress through it; servers of other services are suspected only if they do not respond themselves. TestHallVerdict: three of its four cases failed before (suspects pb, b4, and all of hall a).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -212,6 +212,9 @@
 	return m.Server, true
 }
 
+// Hall returns the hall of this box.
+func (f *Fleet) Hall() slatebridge.HallID { return f.hall }
+
 // LocalServers returns the servers of the service in the box's own hall.
 func (f *Fleet) LocalServers(service string) []catalog.Server {
 	f.mu.Lock()
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -28,6 +28,20 @@
 	return ok && m.progressAt.After(at)
 }
 
+// HallProgressedSince reports whether any stream through a server of the hall made progress after the
+// given time.
+func (f *Fleet) HallProgressedSince(hall slatebridge.HallID, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.Hall == hall && m.progressAt.After(at) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // LeavingBefore returns the servers that this box has known to be leaving since before the given
 // time.
 func (f *Fleet) LeavingBefore(at time.Time) []slatebridge.ServerID {
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -178,6 +178,15 @@
 	return a.path, a.started, clock.Since(a.lastEventAt)
 }
 
+// stalledSince returns a time from which on the stream has been silent for longer than between two
+// events.
+func (a *streamAttempt) stalledSince() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.lastEventAt.Add(minSilence)
+}
+
 // replaceable reports whether the attempt may be ended in favor of another one.
 func (a *streamAttempt) replaceable() bool {
 	a.mu.Lock()
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -51,7 +51,7 @@
 	for _, id := range silent {
 		h.suspect(ctx, id, "it does not answer, or others wait for it")
 	}
-	h.suspectHalls(ctx, path, silent)
+	h.suspectHalls(ctx, a, path, silent)
 
 	return append(silent, h.fleet.EndedInPath(path)...)
 }
@@ -80,33 +80,50 @@
 }
 
 // minSilentInHall is the number of silent servers of a hall, with none responding, from which the
-// whole hall counts as cut off.
+// whole hall may be cut off.
 const minSilentInHall = 3
 
-// suspectHalls suspects all servers of a hall if several of its servers on the path are silent and
-// none responds.
-func (h *Handler) suspectHalls(ctx context.Context, path fleet.Path, silent []slatebridge.ServerID) {
-	silentServers := make(map[slatebridge.HallID]int)
+// suspectHalls suspects the servers of each other hall that seems cut off: several of its servers on
+// the stalled path are silent, none of them responds, and no other stream has made progress through
+// the hall since this one stalled. Servers of other services are suspected only if they do not respond
+// themselves.
+//
+// Scenario: a box that runs several times slower than usual reads responses too late, and takes servers
+// that are well for silent.
+func (h *Handler) suspectHalls(ctx context.Context, a *streamAttempt, path fleet.Path, silent []slatebridge.ServerID) {
+	for hall, count := range silentByHall(path, silent) {
+		// Only a fault of this box itself cuts it off from its own hall.
+		if count < minSilentInHall || hall == h.fleet.Hall() || h.fleet.HallProgressedSince(hall, a.stalledSince()) {
+			continue
+		}
+		const reason = "its hall is cut off"
+		for _, s := range h.fleet.Servers() {
+			switch {
+			case s.Hall != hall:
+			case s.Service == a.service:
+				h.suspect(ctx, s.ID, reason)
+			default:
+				go h.suspectIfSilent(ctx, s.ID, reason)
+			}
+		}
+	}
+}
+
+// silentByHall counts the silent servers of the path by hall, without halls of which one responds.
+func silentByHall(path fleet.Path, silent []slatebridge.ServerID) map[slatebridge.HallID]int {
+	out := make(map[slatebridge.HallID]int)
 	for _, s := range path {
 		if slices.Contains(silent, s.Server.ID) {
-			silentServers[s.Server.Hall]++
+			out[s.Server.Hall]++
 		}
 	}
 	for _, s := range path {
 		if !slices.Contains(silent, s.Server.ID) {
-			delete(silentServers, s.Server.Hall)
-		}
-	}
-	for hall, count := range silentServers {
-		if count < minSilentInHall {
-			continue
-		}
-		for _, s := range h.fleet.Servers() {
-			if s.Hall == hall {
-				h.suspect(ctx, s.ID, "its hall is cut off")
-			}
+			delete(out, s.Server.Hall)
 		}
 	}
+
+	return out
 }
 
 // slownessThreshold is the slowness from which a server gets fewer new streams. Healthy servers of
@@ -124,12 +141,17 @@
 
 // checkLiveness checks the liveness of a server from the queue.
 func (h *Handler) checkLiveness(ctx context.Context, id slatebridge.ServerID) {
+	h.suspectIfSilent(ctx, id, "a request failed because of it, and it does not answer")
+}
+
+// suspectIfSilent queries a server and suspects it if it does not respond.
+func (h *Handler) suspectIfSilent(ctx context.Context, id slatebridge.ServerID, reason string) {
 	s, ok := h.fleet.Server(id)
 	if !ok || h.monitor.isSuspect(id) {
 		return
 	}
 	if q := h.query(ctx, s, reportTTL); !responded(q.err) && !notQueried(q.err) {
-		h.suspect(ctx, id, "a request failed because of it, and it does not answer")
+		h.suspect(ctx, id, reason)
 	}
 }
 
--- a/forward/suspicion_test.go
+++ b/forward/suspicion_test.go
@@ -21,7 +21,7 @@
 )
 
 // suspicionTest is a box in hall a. In each of the halls a and b, four model servers hold the model
-// together, and one server has no model.
+// together, a fifth one holds the same layers as the first, and one server has no model.
 type suspicionTest struct {
 	*testing.T
 	h *Handler
@@ -33,12 +33,22 @@
 }
 
 var (
-	modelServersOfA = []slatebridge.ServerID{"a0", "a1", "a2", "a3"}
-	modelServersOfB = []slatebridge.ServerID{"b0", "b1", "b2", "b3"}
+	modelServersOfA = []slatebridge.ServerID{"a0", "a1", "a2", "a3", "a4"}
+	modelServersOfB = []slatebridge.ServerID{"b0", "b1", "b2", "b3", "b4"}
 	// plainServers are the servers without a model of both halls.
 	plainServers = []slatebridge.ServerID{"pa", "pb"}
 )
 
+// pathLength is the number of servers that hold the model together.
+const pathLength = 4
+
+// layersOf returns the layers of the i-th model server of a hall.
+func layersOf(i int) slatebridge.LayerRange {
+	from := 2 * (i % pathLength)
+
+	return slatebridge.LayerRange{From: from, To: from + 2}
+}
+
 // withHalls runs the test in virtual time.
 func withHalls(t *testing.T, test func(st *suspicionTest)) {
 	t.Helper()
@@ -49,7 +59,7 @@
 		f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: model}, {Name: "till"}}, nil, false))
 		for hall, ids := range map[slatebridge.HallID][]slatebridge.ServerID{"a": modelServersOfA, "b": modelServersOfB} {
 			for i, id := range ids {
-				f.Set(catalog.Server{ID: id, Service: "llm", Hall: hall, Accelerator: "big", Address: string(id) + ":80", Layers: slatebridge.LayerRange{From: 2 * i, To: 2*i + 2}})
+				f.Set(catalog.Server{ID: id, Service: "llm", Hall: hall, Accelerator: "big", Address: string(id) + ":80", Layers: layersOf(i)})
 			}
 			id := "p" + slatebridge.ServerID(hall)
 			f.Set(catalog.Server{ID: id, Service: "till", Hall: hall, Slots: 6, Address: string(id) + ":80"})
@@ -89,15 +99,27 @@
 	}
 }
 
-// checkStream checks a stalled stream over the servers, which hold the model together.
-func (st *suspicionTest) checkStream(ids []slatebridge.ServerID) {
+// path returns the path over the first servers of the list.
+func (st *suspicionTest) path(ids []slatebridge.ServerID) fleet.Path {
 	st.Helper()
 	var path fleet.Path
-	for i, id := range ids {
+	for i, id := range ids[:pathLength] {
 		s, _ := st.h.fleet.Server(id)
-		path = append(path, fleet.Stage{Server: s, Layers: slatebridge.LayerRange{From: 2 * i, To: 2*i + 2}})
+		path = append(path, fleet.Stage{Server: s, Layers: layersOf(i)})
 	}
-	st.h.failedInPath(st.Context(), &streamAttempt{requestID: "stream", service: "llm"}, path)
+
+	return path
+}
+
+// checkStream checks a stream over the first servers of the list that has just stalled, and waits until
+// all servers that this concerns have been queried.
+func (st *suspicionTest) checkStream(ids []slatebridge.ServerID) {
+	st.Helper()
+	a := &streamAttempt{requestID: "stream", service: "llm", lastEventAt: clock.Now()}
+	time.Sleep(2 * minSilence)
+	st.h.failedInPath(st.Context(), a, st.path(ids))
+	time.Sleep(reportTimeout)
+	synctest.Wait()
 }
 
 // wantSuspects fails the test unless just these servers are suspected.
@@ -125,3 +147,42 @@
 		st.wantSuspects()
 	})
 }
+
+// TestHallVerdict guards against boxes that take a hall for cut off though its servers are well, as a
+// box does that reads responses too late.
+func TestHallVerdict(t *testing.T) {
+	t.Run("nothing of another hall responds", func(t *testing.T) {
+		withHalls(t, func(st *suspicionTest) {
+			hallB := append(slices.Clone(modelServersOfB), "pb")
+			st.setSilent(true, hallB...)
+			st.checkStream(modelServersOfB)
+			st.wantSuspects(hallB...)
+		})
+	})
+	t.Run("a server without a model responds", func(t *testing.T) {
+		withHalls(t, func(st *suspicionTest) {
+			st.setSilent(true, modelServersOfB...)
+			st.checkStream(modelServersOfB)
+			st.wantSuspects(modelServersOfB...)
+		})
+	})
+	t.Run("another stream makes progress through the hall", func(t *testing.T) {
+		withHalls(t, func(st *suspicionTest) {
+			st.setSilent(true, modelServersOfB...)
+			go func() {
+				time.Sleep(2*minSilence + time.Millisecond)
+				st.h.fleet.RecordProgress(fleet.Path{{Server: catalog.Server{ID: "b4"}}})
+			}()
+			st.checkStream(modelServersOfB)
+			st.wantSuspects(modelServersOfB[:pathLength]...)
+		})
+	})
+	t.Run("the servers of the path are silent in the box's own hall", func(t *testing.T) {
+		withHalls(t, func(st *suspicionTest) {
+			st.setSilent(true, modelServersOfA[:pathLength]...)
+			st.setSilent(true, "pa")
+			st.checkStream(modelServersOfA)
+			st.wantSuspects(modelServersOfA[:pathLength]...)
+		})
+	})
+}
