Servers that only other boxes hold for dead are the last choice, not none

Cause: a box believes what boxes of its hall report of any server. A stream's progress outweighs such a report, calls have none. Class: a report outweighs one's own knowledge, and leaves nothing that could prove it wrong. Ruled out: calls to servers that this box itself finds silent, since a call that may run once and meets a dead server is lost, while a refusal lets its caller return; they are asked twice a second. Change: Fleet tells this box's own suspicion from reports of others; Pick takes a server that only others suspect if there is no other.

--- a/box/suspicion.go
+++ b/box/suspicion.go
@@ -89,7 +89,7 @@
 		if !c.trustsReport(msg, id) || c.box.fleet.ProgressedSince(id, at.Add(-progressWindow)) {
 			continue
 		}
-		c.box.fleet.Suspect(id, at.Add(suspicionTTL))
+		c.box.fleet.SuspectReported(id, at.Add(suspicionTTL))
 		changed = (forward && c.recordDead(id, msg.Box, at)) || changed
 	}
 	c.applyConfirmedDead(msg, at, forward)
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -74,8 +74,8 @@
 	return out
 }
 
-// Suspect marks a server as suspected dead until the given time. It reports whether the server was
-// not suspected before.
+// Suspect marks a server as suspected dead by this box until the given time. It reports whether the
+// server was not suspected before.
 func (f *Fleet) Suspect(id slatebridge.ServerID, until time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -83,6 +83,23 @@
 	if !ok {
 		return false
 	}
+	m.ownSuspectUntil = later(m.ownSuspectUntil, until)
+
+	return f.suspect(m, until)
+}
+
+// SuspectReported is like Suspect for a server that another box reports dead.
+func (f *Fleet) SuspectReported(id slatebridge.ServerID, until time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+
+	return ok && f.suspect(m, until)
+}
+
+// suspect marks a server as suspected dead until the given time. It reports whether the server was not
+// suspected before. The caller holds mu.
+func (f *Fleet) suspect(m *member, until time.Time) bool {
 	isNew := f.now().After(m.suspectUntil)
 	if isNew {
 		f.recordLoss(m)
@@ -116,7 +133,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m, ok := f.members[id]; ok {
-		m.suspectUntil, m.confirmedUntil = time.Time{}, time.Time{}
+		m.suspectUntil, m.ownSuspectUntil, m.confirmedUntil = time.Time{}, time.Time{}, time.Time{}
 		delete(f.losses, id)
 		f.index.suspects.set(m, false)
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -26,8 +26,10 @@
 	removeAt time.Time
 	// leavingAt is when this box learned that the server is leaving.
 	leavingAt time.Time
-	// suspectUntil is the end of the suspicion that the server is dead.
-	suspectUntil time.Time
+	// suspectUntil is the end of the suspicion that the server is dead, and ownSuspectUntil the end of
+	// what this box itself found.
+	suspectUntil    time.Time
+	ownSuspectUntil time.Time
 	// confirmedUntil is the end of a suspicion that two boxes share.
 	confirmedUntil time.Time
 	// rejectingUntil is the end of the backoff after a rejected request, and rejectionBackoff the
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -20,26 +20,40 @@
 
 // Pick chooses a server of a service without a model and reserves capacity there. It returns false
 // if no server is available.
+//
+// Servers that only other boxes suspect are the last choice. Scenario: a slow box takes sound servers for
+// dead, its hall believes it, and the service has no others.
 func (f *Fleet) Pick(service string, exclude []slatebridge.ServerID) (catalog.Server, *Reservation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
+	best := f.cheapest(service, exclude, now, (*member).availableAsFirst)
+	if best == nil {
+		best = f.cheapest(service, exclude, now, (*member).suspectedByOthersOnly)
+	}
+	if best == nil {
+		return catalog.Server{}, nil, false
+	}
+	reservation := f.reserveLoads(map[slatebridge.ServerID]Load{best.ID: {Requests: 1}})
+
+	return best.Server, reservation, true
+}
+
+// cheapest returns the usable server of the service with the lowest cost; nil if there is none. The
+// caller holds mu.
+func (f *Fleet) cheapest(service string, exclude []slatebridge.ServerID, now time.Time, usable func(*member, time.Time) bool) *member {
 	var best *member
 	minCost := math.Inf(1)
-	now := f.now()
 	for _, m := range f.membersOf(service) {
-		if !m.availableAsFirst(now) || slices.Contains(exclude, m.ID) {
+		if !usable(m, now) || slices.Contains(exclude, m.ID) {
 			continue
 		}
 		if c := f.pickCost(m, now); c < minCost {
 			best, minCost = m, c
 		}
 	}
-	if best == nil {
-		return catalog.Server{}, nil, false
-	}
-	reservation := f.reserveLoads(map[slatebridge.ServerID]Load{best.ID: {Requests: 1}})
 
-	return best.Server, reservation, true
+	return best
 }
 
 // pickCost returns the expected response time in milliseconds, weighted by failures and rejections.
--- a/fleet/unusable.go
+++ b/fleet/unusable.go
@@ -37,15 +37,21 @@
 		return UnusableLeaving
 	case m.EntryInvalid:
 		return UnusableInvalidEntry
-	case !now.After(m.suspectUntil):
-		return UnusableSuspect
 	case m.hasAddressConflict(now):
 		return UnusableAddressTaken
 	case !m.admission.admits(now):
 		return UnusableCoolingDown
 	case m.admission.lacksGrant(now):
 		return UnusableNoGrant
+	case !now.After(m.suspectUntil):
+		return UnusableSuspect
 	default:
 		return ""
 	}
 }
+
+// suspectedByOthersOnly reports whether the server would take requests, if other boxes did not report
+// it dead.
+func (m *member) suspectedByOthersOnly(now time.Time) bool {
+	return m.unusable(now) == UnusableSuspect && now.After(m.ownSuspectUntil)
+}
