A response to a call shows that its server lives

Cause: found by reading, the same cause elsewhere: that a server's host refuses connections is known from queries, and ended only with the next query that does not find it so. Servers without a model are queried only when something is wrong. One that refused a query once counts as refusing from then on, so that any later call there without an answer counts as the cause of a crash, and is held back in the end. Change: a response or a rejection by the server itself ends it, and this box's suspicion with it. TestCallsShowLife failed before ('the request counts as the cause of a crash').

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -310,6 +310,7 @@
 func (h *Handler) recordOutcome(c *inboundRequest, o *outcome) {
 	h.metrics.attemptDone(c, o.fate)
 	if o.acceptable() {
+		h.recordAlive(o.server.ID)
 		h.responseTimes(c.service).Record(o.duration)
 		h.fleet.RecordResponse(o.server.ID, true, o.duration)
 		h.fleet.RecordAcceptance(o.server.ID)
@@ -317,6 +318,7 @@
 		return
 	}
 	if o.fate == answered {
+		h.recordAlive(o.server.ID)
 		h.fleet.RecordAcceptance(o.server.ID)
 	}
 	if o.fate == withheld || (o.fate == mayHaveRun && errors.Is(o.err, context.Canceled)) {
@@ -334,6 +336,7 @@
 		if o.head.wrongServer() {
 			h.fleet.RecordAddressConflict(o.server.ID)
 		} else {
+			h.recordAlive(o.server.ID)
 			h.fleet.RecordRejection(o.server.ID)
 		}
 	case unsent:
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -144,6 +144,15 @@
 	h.suspectIfSilent(ctx, id, "a request failed because of it, and it does not answer")
 }
 
+// recordAlive records that a server responded to a request. That ends any finding of this box that the
+// server is dead, as a response to a query does.
+func (h *Handler) recordAlive(id slatebridge.ServerID) {
+	h.monitor.setRefusing(id, false)
+	if h.monitor.isSuspect(id) {
+		h.fleet.Trust(id)
+	}
+}
+
 // suspectIfSilent queries a server and suspects it if it does not respond.
 func (h *Handler) suspectIfSilent(ctx context.Context, id slatebridge.ServerID, reason string) {
 	s, ok := h.fleet.Server(id)
--- a/forward/suspicion_test.go
+++ b/forward/suspicion_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,9 +30,10 @@
 	h *Handler
 
 	mu sync.Mutex
-	// silent are the servers that do not respond to queries, and queries counts the queries by server.
-	silent  map[slatebridge.ServerID]bool
-	queries map[slatebridge.ServerID]int
+	// silent are the servers that do not respond to queries.
+	silent map[slatebridge.ServerID]bool
+	// refusing are the servers whose host refuses connections.
+	refusing map[slatebridge.ServerID]bool
 }
 
 var (
@@ -53,7 +57,7 @@
 func withHalls(t *testing.T, test func(st *suspicionTest)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		st := &suspicionTest{T: t, silent: make(map[slatebridge.ServerID]bool), queries: make(map[slatebridge.ServerID]int)}
+		st := &suspicionTest{T: t, silent: make(map[slatebridge.ServerID]bool)}
 		model := &catalog.Model{Layers: 8, LayerMB: 1000, KVBytesPerToken: 2e6, MeanOutputTokens: 40, Accelerators: []catalog.Accelerator{{Name: "big", MemoryMB: 5000}}}
 		f := fleet.New("a", clock.Now, fleet.WithRandom(func() float64 { return 0.5 }))
 		f.SetCatalog(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{{Name: "llm", Model: model}, {Name: "till"}}, nil, false))
@@ -75,10 +79,11 @@
 // report is the response of a server to a query: servers without a model reject it.
 func (st *suspicionTest) report(ctx context.Context, s catalog.Server) (Report, error) {
 	st.mu.Lock()
-	st.queries[s.ID]++
-	silent := st.silent[s.ID]
+	silent, refusing := st.silent[s.ID], st.refusing[s.ID]
 	st.mu.Unlock()
 	switch {
+	case refusing:
+		return Report{}, syscall.ECONNREFUSED
 	case silent:
 		<-ctx.Done()
 
@@ -186,3 +191,21 @@
 		})
 	})
 }
+
+// TestCallsShowLife guards against requests that count as the cause of a crash because their server had
+// once refused a connection.
+func TestCallsShowLife(t *testing.T) {
+	withHalls(t, func(st *suspicionTest) {
+		pa, _ := st.h.fleet.Server("pa")
+		c := &inboundRequest{route: &catalog.Route{Name: "unlock"}, service: "till", done: new(atomic.Bool)}
+		st.refusing = map[slatebridge.ServerID]bool{"pa": true}
+		st.h.query(st.Context(), pa, reportTTL)
+		st.refusing = nil
+		st.h.recordOutcome(c, &outcome{server: pa, attemptResult: attemptResult{fate: answered, resp: &http.Response{StatusCode: http.StatusOK}}})
+		time.Sleep(unansweredTTL)
+		st.h.recordUnanswered(st.Context(), c, quarantine.Attempt{ID: 1, StartedAt: clock.Now()}, []catalog.Server{pa}, context.DeadlineExceeded)
+		if !st.h.ledger.Empty() {
+			st.Error("the request counts as the cause of a crash")
+		}
+	})
+}
