--- a/fleet/unusable.go
+++ b/fleet/unusable.go
@@ -5,7 +5,8 @@
 // Unusable says why a server of a service without a model takes no request from this box.
 type Unusable string
 
-// The reasons, as logged.
+// The reasons, as logged. A server in the slow start after a cooldown counts as resting, and a
+// rate-limited one without a grant as limited.
 const (
 	UnusableLeaving      Unusable = "leaving"
 	UnusableInvalidEntry Unusable = "invalid entry"
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -16,23 +16,23 @@
 
 // Metrics counts requests, attempts and notices of servers.
 type Metrics struct {
-	requests      *prometheus.CounterVec
-	attempts      *prometheus.CounterVec
-	retriesDenied *prometheus.CounterVec
-	streamMoves   *prometheus.CounterVec
-	latency       *prometheus.HistogramVec
-	firstEvent    prometheus.Histogram
-	longestPause  prometheus.Histogram
-	repairs       *prometheus.CounterVec
-	repairDelay   prometheus.Histogram
-	stalls        prometheus.Counter
-	notices       *prometheus.CounterVec
-	grants        *prometheus.CounterVec
-	roomClaims    *prometheus.CounterVec
-	returns       *prometheus.CounterVec
-	returnDelay   prometheus.Histogram
-	priorities    *prometheus.CounterVec
-	rechecks      *prometheus.CounterVec
+	requests       *prometheus.CounterVec
+	attempts       *prometheus.CounterVec
+	retriesDenied  *prometheus.CounterVec
+	streamMoves    *prometheus.CounterVec
+	latency        *prometheus.HistogramVec
+	firstEvent     prometheus.Histogram
+	longestPause   prometheus.Histogram
+	repairs        *prometheus.CounterVec
+	repairDelay    prometheus.Histogram
+	stalls         prometheus.Counter
+	notices        *prometheus.CounterVec
+	grants         *prometheus.CounterVec
+	roomClaims     *prometheus.CounterVec
+	returns        *prometheus.CounterVec
+	returnDelay    prometheus.Histogram
+	priorities     *prometheus.CounterVec
+	suspectQueries *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with reg.
@@ -93,10 +93,8 @@
 	m.priorities = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "slatebridge_priority_requests_total", Help: "Streams of services with requests of several priorities, by priority and what was decided (offered, admitted, refused for the room kept for more urgent ones, preferred because their class or account was admitted rarely).",
 	}, []string{"priority", "what"})
-	m.rechecks = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "slatebridge_suspect_queries_total", Help: "Queries of suspected backend servers, by outcome (answered, rejected, silent, not sent).",
-	}, []string{"outcome"})
-	reg.MustRegister(m.rechecks, m.roomClaims, m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
+	m.suspectQueries = newSuspectQueries()
+	reg.MustRegister(m.suspectQueries, m.roomClaims, m.returns, m.returnDelay, m.priorities, m.grants, m.notices, m.requests, m.attempts, m.retriesDenied, m.streamMoves, m.latency, m.firstEvent, m.longestPause)
 
 	return m
 }
@@ -161,18 +159,32 @@
 // repairStarted records how long a stream waited for its repair to start.
 func (m *Metrics) repairStarted(waited time.Duration) { m.repairDelay.Observe(waited.Seconds()) }
 
+func newSuspectQueries() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "slatebridge_suspect_queries_total", Help: "Queries of suspected backend servers, by outcome (answered, rejected, silent, not sent).",
+	}, []string{"outcome"})
+}
+
+// Outcomes of a query of a suspected server.
+const (
+	suspectAnswered = "answered"
+	suspectRejected = "rejected"
+	suspectSilent   = "silent"
+	suspectNotSent  = "not sent"
+)
+
 // suspectQueried counts a query of a suspected server that ended with err.
 func (m *Metrics) suspectQueried(err error) {
-	outcome := "silent"
+	outcome := suspectSilent
 	switch {
 	case notQueried(err):
-		outcome = "not sent"
+		outcome = suspectNotSent
 	case errors.Is(err, ErrNoReport):
-		outcome = "rejected"
+		outcome = suspectRejected
 	case responded(err):
-		outcome = "answered"
+		outcome = suspectAnswered
 	}
-	m.rechecks.WithLabelValues(outcome).Inc()
+	m.suspectQueries.WithLabelValues(outcome).Inc()
 }
 
 func (m *Metrics) streamStalled() { m.stalls.Inc() }
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -178,9 +178,9 @@
 	return a.path, a.started, clock.Since(a.lastEventAt)
 }
 
-// stalledSince returns a time from which on the stream has been silent for longer than between two
+// overdueSince returns when the stream had been silent for longer than the usual time between two
 // events.
-func (a *streamAttempt) stalledSince() time.Time {
+func (a *streamAttempt) overdueSince() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -93,7 +93,7 @@
 func (h *Handler) suspectHalls(ctx context.Context, a *streamAttempt, path fleet.Path, silent []slatebridge.ServerID) {
 	for hall, count := range silentByHall(path, silent) {
 		// Only a fault of this box itself cuts it off from its own hall.
-		if count < minSilentInHall || hall == h.fleet.Hall() || h.fleet.HallProgressedSince(hall, a.stalledSince()) {
+		if count < minSilentInHall || hall == h.fleet.Hall() || h.fleet.HallProgressedSince(hall, a.overdueSince()) {
 			continue
 		}
 		const reason = "its hall is cut off"
