--- a/box/gossip.go
+++ b/box/gossip.go
@@ -29,7 +29,7 @@
 	// sendBudgetWindow is the time over which unused send budget accumulates.
 	sendBudgetWindow = time.Second
 	// maxChangesPerMessage limits the server changes in one message. An entry takes about 300 bytes
-	// and a datagram holds 64 KB. While a fleet of 990 servers loads its layers, 819 of them change
+	// and a datagram holds 64 KB. While a large fleet loads its layers, hundreds of servers change
 	// within two seconds, too many for one message.
 	maxChangesPerMessage = 60
 	// remoteChangeDelay is the time after the latest change of a server entry before relays of
--- a/box/servers.go
+++ b/box/servers.go
@@ -82,8 +82,7 @@
 //
 // Scenario: the store refuses single boxes for seconds. A box that reads it again after four
 // seconds, having received all changes from others meanwhile, must give no grace to a server that
-// left. With a grace of 1.1 s, up to twelve requests would reach the server up to 24 ms later than
-// the 2 s allowed.
+// left. Otherwise requests would reach the server later than allowed.
 func (c *control) continuouslyConfirmed(now time.Time) bool {
 	return !c.serversConfirmedAt.IsZero() && now.Sub(c.serversConfirmedAt) <= c.settings.Bounds.MaxStaleness && now.Sub(c.serversStaleAt) > confirmationWindow
 }
@@ -120,7 +119,7 @@
 
 // setServer applies the entry of a server. Only the box that read the change from the store logs
 // it (logChange), since hundreds of boxes receive each change. If all of them logged it, these
-// lines would make up most of the logs: 58 MB in 50 s at 295 boxes.
+// lines would make up most of the logs.
 func (c *control) setServer(e logstore.Entry, logChange bool) {
 	before, known := c.box.entries.entries[e.Key]
 	if known && e.Position < before.Position {
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -70,8 +70,8 @@
 
 // suspendedTotal returns the total time of all suspensions. Querying the kernel takes a system
 // call, so it happens only after the wall clock has moved against the monotonic clock, as it does
-// during a suspension. A query at each reading would make Now about five times as expensive (484 ns
-// instead of 94 ns); BenchmarkNow and BenchmarkQueryEachTime compare the costs.
+// during a suspension. A query at each reading would make Now several times as expensive;
+// BenchmarkNow and BenchmarkQueryEachTime compare the costs.
 func (d *suspensionDetector) suspendedTotal(now time.Time) time.Duration {
 	drift := int64(now.Round(0).Sub(d.start.Round(0)) - now.Sub(d.start))
 	if moved := drift - d.drift.Load(); moved > int64(driftTolerance) || moved < -int64(driftTolerance) {
--- a/place/assign.go
+++ b/place/assign.go
@@ -70,8 +70,8 @@
 // roughly proportional to that square; the bound allows about 35 ms of CPU time.
 //
 // Scenario: a new leader is elected while a large fleet loads, so that each hall has some servers
-// with layers and many without. Placing 1,500 of 3,000 servers one by one takes 46 s of CPU time,
-// during which the leader applies configuration changes up to 19 s late.
+// with layers and many without. Placing them one by one would take the leader so long that it applies
+// configuration changes seconds late.
 const maxFillWork = 400_000
 
 // maxFillCount returns how many servers of a hall with hallSize servers may be placed one by one
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -91,8 +91,7 @@
 // When a poison request crashes a server, about sixty other requests move with it to the next one,
 // which crashes as well. The crash of an attempt that had run for longer than quickCrashTime is not
 // counted as quick, which tells such requests apart from the cause. Without this and TrialAllowed,
-// 79 instead of 7 requests were given up in simulation, only 0.974 instead of 0.998 of all requests
-// were answered in time, and 4 instead of 3 servers crashed.
+// many more requests would be given up.
 func (e Entry) WithCrash(crash Crash, streak int, runTime time.Duration) Entry {
 	crash.Delayed = runTime > quickCrashTime
 
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -107,8 +107,8 @@
 // RecordFailure records that a request ended without an answer. Its caller may send it to another
 // box, so the other boxes must learn of the crashes under it.
 //
-// Most requests at a crashed server are answered by another one, for example 40 of 44 streams, and
-// the other boxes need not learn of those.
+// Most requests at a crashed server are answered by another one, and the other boxes need not learn
+// of those.
 func (l *Ledger) RecordFailure(f Fingerprint, now time.Time) {
 	if l.Empty() {
 		return
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -16,9 +16,9 @@
 	// minimal for what other boxes must act on, short for requests that may reach them, and long
 	// for those that no longer matter. Calls to the store are billed.
 	//
-	// If 30 of 100 servers crash and 60 boxes have streams there, publishing everything within
-	// 20 ms, with each box reading every change from the store, takes 3,501 calls in 38 s. With
-	// these delays, and changes that also spread by messages, it takes 475.
+	// Scenario: a third of the servers crash, and all boxes have streams there. If everything were
+	// published at once, and each box read every change from the store, the calls would be many times
+	// as many.
 	urgentDelay  = 20 * time.Millisecond
 	failureDelay = 500 * time.Millisecond
 	droppedDelay = 5 * time.Second
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -3,8 +3,8 @@
 const (
 	// successesPerCrash is how many successes of a request outweigh one crash under it. If a
 	// request crashes every second server, its crashes are not outweighed; those under a popular
-	// request are, while servers crash for other causes. With 80 equal requests per second beside
-	// one poison request, 28 of 1,200 were refused without this rule, and none with it.
+	// request are, while servers crash for other causes. Otherwise some requests equal to a popular
+	// one would be refused beside a poison request.
 	successesPerCrash = 4
 	// maxSuccesses limits the counted successes of a request, so that one that begins to crash
 	// servers is detected after ten crashes at each box.
