Fleet.Suspect returns nothing, as nobody uses it

Cause: whether a server was not suspected before was returned, and passed on by the new SuspectReported, but read by no caller. Change: the three functions return nothing; decisions stay. go test ./fleet ./forward ./box: passed.

--- a/fleet/health.go
+++ b/fleet/health.go
@@ -74,42 +74,34 @@
 	return out
 }
 
-// Suspect marks a server as suspected dead by this box until the given time. It reports whether the
-// server was not suspected before.
-func (f *Fleet) Suspect(id slatebridge.ServerID, until time.Time) bool {
+// Suspect marks a server as suspected dead by this box until the given time.
+func (f *Fleet) Suspect(id slatebridge.ServerID, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, ok := f.members[id]
-	if !ok {
-		return false
+	if m, ok := f.members[id]; ok {
+		m.ownSuspectUntil = later(m.ownSuspectUntil, until)
+		f.suspect(m, until)
 	}
-	m.ownSuspectUntil = later(m.ownSuspectUntil, until)
-
-	return f.suspect(m, until)
 }
 
-// SuspectReported is like Suspect for a server that another box reports dead.
-func (f *Fleet) SuspectReported(id slatebridge.ServerID, until time.Time) bool {
+// SuspectReported marks a server as suspected dead until the given time, as another box reports it.
+func (f *Fleet) SuspectReported(id slatebridge.ServerID, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, ok := f.members[id]
-
-	return ok && f.suspect(m, until)
+	if m, ok := f.members[id]; ok {
+		f.suspect(m, until)
+	}
 }
 
-// suspect marks a server as suspected dead until the given time. It reports whether the server was not
-// suspected before. The caller holds mu.
-func (f *Fleet) suspect(m *member, until time.Time) bool {
-	isNew := f.now().After(m.suspectUntil)
-	if isNew {
+// suspect marks a server as suspected dead until the given time. The caller holds mu.
+func (f *Fleet) suspect(m *member, until time.Time) {
+	if f.now().After(m.suspectUntil) {
 		f.recordLoss(m)
 	}
 	if until.After(m.suspectUntil) {
 		m.suspectUntil = until
 		f.index.suspects.set(m, true)
 	}
-
-	return isNew
 }
 
 // ConfirmSuspicion marks the suspicion of a server as confirmed until the given time, after two
