A box tells when it reaches no server by connections of its own

Connections to servers were not counted, and a collector that reads a few kilobytes got the runtime's memory figures only.

Change: package reach watches the box's own connections to servers. Refused streams name what is held against the servers, and 'reported dead' is told apart from 'suspect'. The memory figures of the Go runtime are off. Calls to other boxes have a client of their own, so that they are no sign of life of a server.

Ruled out: isolation by a share of all known servers, since a box opens connections to few of them.

--- a/box/box.go
+++ b/box/box.go
@@ -31,6 +31,7 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/reach"
 	"github.com/slatebridge/slatebridge/retry"
 )
 
@@ -74,10 +75,13 @@
 
 // Box is one box, which accepts client requests for the backend servers.
 type Box struct {
-	settings  Settings
-	platform  Platform
-	logger    *zap.Logger
-	client    *http.Client
+	settings Settings
+	platform Platform
+	logger   *zap.Logger
+	// peerClient makes calls to other boxes.
+	peerClient *http.Client
+	// observer watches the connections to servers; nil if none was set.
+	observer  *reach.Observer
 	bootID    string
 	startedAt time.Time
 	// assumedConfirmedAt stands in for the time of the last confirmation until there is one. If it
@@ -126,12 +130,15 @@
 const confirmationShare = 0.9
 
 // New returns a Box that sends requests to servers through client.
-func New(s Settings, p Platform, client *http.Client, logger *zap.Logger, reg prometheus.Registerer) *Box {
+func New(s Settings, p Platform, client *http.Client, logger *zap.Logger, reg prometheus.Registerer, opts ...Option) *Box {
 	b := &Box{
-		settings: s, platform: p, logger: logger, client: client,
+		settings: s, platform: p, logger: logger, peerClient: client,
 		bootID: newBootID(), startedAt: clock.Now(),
 		fleet: fleet.New(s.Hall, clock.Now), entries: newEntryTable(), metrics: newMetrics(reg),
 	}
+	for _, o := range opts {
+		o(b)
+	}
 	if s.FirstStart && !slices.Contains(s.Seeds, s.Listen.Mesh) {
 		// At the first start of the system the seeds read the store. Each call is billed, and
 		// hundreds of boxes start together before any caller sends requests. A box that restarts
--- a/box/fetch.go
+++ b/box/fetch.go
@@ -56,7 +56,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 		defer cancel()
-		raw, err := mesh.FetchConfig(ctx, c.box.client, address)
+		raw, err := mesh.FetchConfig(ctx, c.box.peerClient, address)
 		m := &peerConfig{from: from, err: err}
 		if err == nil {
 			// Decoded outside the control actor, which has peer messages to process.
@@ -81,7 +81,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 		defer cancel()
-		servers, err := mesh.FetchServers(ctx, c.box.client, address, from)
+		servers, err := mesh.FetchServers(ctx, c.box.peerClient, address, from)
 		c.box.post(&peerServers{servers: servers, err: err})
 	}()
 }
--- a/box/status.go
+++ b/box/status.go
@@ -48,6 +48,8 @@
 	FencingToken int64             `json:"token"`
 	// Boxes counts the live boxes, including this one.
 	Boxes int `json:"boxes"`
+	// Isolated reports whether the box reaches no server by connections of its own.
+	Isolated bool `json:"isolated"`
 	// Suspects are the servers suspected dead, and Slow maps the servers that this box found slow
 	// to the factor by which they exceed their usual time.
 	Suspects []slatebridge.ServerID           `json:"suspects"`
@@ -101,6 +103,7 @@
 		{"store", fmt.Sprintf("read for the hall: %t, topics whose last call failed: %v", s.ReadsStore, s.FailedTopics)},
 		{"orders", fmt.Sprintf("leader: %s, fencing token %d", s.Leader, s.FencingToken)},
 		{"boxes", s.Boxes},
+		{"isolated", s.Isolated},
 		{"suspects", s.Suspects},
 		{"slow", slow},
 		{"resting", resting},
--- a/box/status_test.go
+++ b/box/status_test.go
@@ -80,6 +80,7 @@
 	// store          read for the hall: false, topics whose last call failed: []
 	// orders         leader: box-2, fencing token 3
 	// boxes          4
+	// isolated       false
 	// suspects       []
 	// slow           []
 	// resting        []
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge/box"
@@ -19,6 +20,7 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/platform"
+	"github.com/slatebridge/slatebridge/reach"
 )
 
 const (
@@ -47,9 +49,10 @@
 	go logWriter.RunReports(ctx.Done(), logger)
 	reg := newRegistry()
 	onIdleClosed := func() { event.Log(logger, event.ChannelsDropped) }
-	client := newServerClient(onIdleClosed)
+	servers := newServerObserver(logger, reg)
+	client := newServerClient(servers.DialContext, onIdleClosed)
 	store := platform.NewStore(s.Store, newStoreClient(onIdleClosed))
-	b := box.New(s, platform.New(store, client), client, logger, reg)
+	b := box.New(s, platform.New(store, client), client, logger, reg, box.WithObserver(servers), box.WithPeerClient(newPeerClient(onIdleClosed)))
 	// The address for other boxes has a UDP socket for messages and, below, an HTTP listener for
 	// state.
 	meshSocket, err := mesh.Listen(ctx, s.Listen.Mesh)
@@ -156,13 +159,28 @@
 	event.Log(logger, event.Stopped, event.Error(err), zap.Int64("in_flight", b.Handler().InFlight()))
 }
 
-// newServerClient returns the client for calls to backend servers and other boxes. It calls
-// onIdleClosed when it closes its idle connections because they appear to be dead.
-func newServerClient(onIdleClosed func()) *http.Client {
+// newServerObserver returns the Observer of this box's own connections to backend servers.
+func newServerObserver(logger *zap.Logger, reg prometheus.Registerer) *reach.Observer {
+	m := reach.NewMetrics(reg)
+	dialer := &net.Dialer{Timeout: forward.ConnectTimeout(), KeepAlive: -1}
+
+	return reach.NewObserver(dialer.DialContext, reach.WithOnDial(m.Dialed), reach.WithOnChange(func(isolated bool, failedServers int) {
+		m.Changed(isolated, failedServers)
+		if isolated {
+			event.Log(logger, event.ServersUnreached, zap.Int("servers", failedServers))
+		} else {
+			event.Log(logger, event.ServersReached)
+		}
+	}))
+}
+
+// newServerClient returns the client for calls to backend servers over connections that dial opens.
+// It calls onIdleClosed when it closes its idle connections because they appear to be dead.
+func newServerClient(dial reach.DialFunc, onIdleClosed func()) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: connpool.New(&http.Transport{
-			DialContext:           (&net.Dialer{Timeout: forward.ConnectTimeout(), KeepAlive: -1}).DialContext,
+			DialContext:           dial,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   maxIdleConnsPerServer,
 			IdleConnTimeout:       serverIdleTimeout,
@@ -171,6 +189,15 @@
 	}
 }
 
+// newPeerClient returns the client for calls to other boxes; see newServerClient for onIdleClosed.
+func newPeerClient(onIdleClosed func()) *http.Client {
+	dialer := &net.Dialer{Timeout: forward.ConnectTimeout(), KeepAlive: -1}
+
+	return &http.Client{Transport: connpool.New(&http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: serverIdleTimeout,
+	}, connpool.WithOnIdleClosed(onIdleClosed))}
+}
+
 // newStoreClient returns the client for calls to the store; see newServerClient for onIdleClosed.
 func newStoreClient(onIdleClosed func()) *http.Client {
 	const maxIdleConns = 4
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -95,7 +95,8 @@
 
 func newRegistry() *prometheus.Registry {
 	reg := prometheus.NewRegistry()
-	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	// The memory statistics of the runtime are longer than all other metrics together, and come first.
+	reg.MustRegister(collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
 	return reg
 }
--- a/event/event.go
+++ b/event/event.go
@@ -66,6 +66,8 @@
 	NoticeUnreadable      ID = 352
 	ServerLimited         ID = 353
 	ServerUnlimited       ID = 354
+	ServersUnreached      ID = 360
+	ServersReached        ID = 361
 	RouteChosen           ID = 400
 	RouteRefused          ID = 401
 	AttemptFailed         ID = 402
--- a/fleet/unusable.go
+++ b/fleet/unusable.go
@@ -2,15 +2,17 @@
 
 import "time"
 
-// Unusable says why a server of a service without a model takes no request from this box.
+// Unusable says why a server takes no request from this box.
 type Unusable string
 
-// The reasons, as logged. A server in the slow start after a cooldown counts as resting, and a
+// The reasons, as logged. A server that this box itself holds for dead is a suspect, one of which only
+// other boxes say so is reported dead. A server in the slow start after a cooldown counts as resting, and a
 // rate-limited one without a grant as limited.
 const (
 	UnusableLeaving      Unusable = "leaving"
 	UnusableInvalidEntry Unusable = "invalid entry"
 	UnusableSuspect      Unusable = "suspect"
+	UnusableReported     Unusable = "reported dead"
 	UnusableAddressTaken Unusable = "address taken"
 	UnusableCoolingDown  Unusable = "resting"
 	UnusableNoGrant      Unusable = "limited"
@@ -44,8 +46,10 @@
 		return UnusableCoolingDown
 	case m.admission.lacksGrant(now):
 		return UnusableNoGrant
-	case !now.After(m.suspectUntil):
+	case !now.After(m.ownSuspectUntil):
 		return UnusableSuspect
+	case !now.After(m.suspectUntil):
+		return UnusableReported
 	default:
 		return ""
 	}
@@ -54,5 +58,5 @@
 // suspectedByOthersOnly reports whether the server would take requests, if other boxes did not report
 // it dead.
 func (m *member) suspectedByOthersOnly(now time.Time) bool {
-	return m.unusable(now) == UnusableSuspect && now.After(m.ownSuspectUntil)
+	return m.unusable(now) == UnusableReported
 }
--- a/fleet/unusable_test.go
+++ b/fleet/unusable_test.go
@@ -75,3 +75,16 @@
 		r.Release()
 	}
 }
+
+// TestWhoSuspects checks that a server that only other boxes report dead is told apart from one that
+// this box suspects itself.
+func TestWhoSuspects(t *testing.T) {
+	n := newFakeClockFleet(t, "s1", "s2")
+	n.SuspectReported("s1", n.now.Add(time.Second))
+	n.SuspectReported("s2", n.now.Add(time.Second))
+	n.Suspect("s2", n.now.Add(time.Second))
+	want := map[Unusable]int{UnusableReported: 1, UnusableSuspect: 1}
+	if diff := cmp.Diff(want, n.UnusableServers("till")); diff != "" {
+		t.Errorf("unusable servers (-want +got):\n%s", diff)
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -247,7 +247,7 @@
 	if e.Code == result.HeldBack || e.Code == result.OnTrial {
 		fields = append(fields, zap.Stringer("same", c.fingerprint()))
 	}
-	if e.Code == result.NoServer {
+	if e.Code == result.NoServer || e.Code == result.NoPipeline {
 		fields = append(fields, zap.Any("unusable", h.fleet.UnusableServers(c.service)))
 	}
 	event.Log(h.logger, event.RequestRefused, fields...)
--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,180 @@
+// Package reach records what a box's own connections show of the servers: whether it reaches any of
+// them at all.
+//
+// A single server that can't be reached tells nothing about the box. Several ones, with no sign of
+// life from any other, say that the box itself has lost its links.
+package reach
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge/clock"
+)
+
+const (
+	// minFailedServers is the number of servers that a box must have failed to reach, with no sign of
+	// life from any server since, to count as isolated.
+	minFailedServers = 3
+	// evidenceTTL is how long a failed connection attempt counts as evidence. A box that opens no
+	// connections knows nothing, so it must not stay isolated for good.
+	evidenceTTL = 2 * time.Second
+)
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Result is the outcome of an attempt to open a connection to a server.
+type Result string
+
+// The results, as in metrics.
+const (
+	OK       Result = "ok"
+	Refused  Result = "refused"
+	TimedOut Result = "timed out"
+	Canceled Result = "canceled"
+	Failed   Result = "failed"
+)
+
+// resultOf classifies the error of a dial.
+func resultOf(err error) Result {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return OK
+	case errors.Is(err, context.Canceled):
+		return Canceled
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return TimedOut
+	default:
+		return Failed
+	}
+}
+
+// Observer watches the box's own connections to servers. It is safe for concurrent use.
+type Observer struct {
+	dial     DialFunc
+	onDial   func(Result)
+	onChange func(isolated bool, failedServers int)
+
+	// aliveAt is the time of the last sign of life of any server, in Unix nanoseconds, and isolated
+	// whether the box was isolated when that was last checked.
+	aliveAt  atomic.Int64
+	isolated atomic.Bool
+
+	mu sync.Mutex
+	// failedAt is the time of the last failed dial, by address.
+	failedAt map[string]time.Time
+}
+
+// Option configures an Observer.
+type Option func(*Observer)
+
+// WithOnDial sets a function that receives the result of each dial.
+func WithOnDial(f func(Result)) Option {
+	return func(o *Observer) { o.onDial = f }
+}
+
+// WithOnChange sets a function that is called when the box becomes isolated, with the number of
+// servers that it failed to reach, and when a server shows life again.
+func WithOnChange(f func(isolated bool, failedServers int)) Option {
+	return func(o *Observer) { o.onChange = f }
+}
+
+// NewObserver returns an Observer of the connections that dial opens.
+func NewObserver(dial DialFunc, opts ...Option) *Observer {
+	o := &Observer{dial: dial, onDial: func(Result) {}, onChange: func(bool, int) {}, failedAt: make(map[string]time.Time)}
+	for _, opt := range opts {
+		opt(o)
+	}
+
+	return o
+}
+
+// DialContext opens a connection to a server.
+func (o *Observer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := o.dial(ctx, network, address)
+	r := resultOf(err)
+	o.onDial(r)
+	switch r {
+	case OK:
+		o.recordAlive()
+
+		return &observedConn{Conn: c, observer: o}, nil
+	case Canceled:
+		// The server had no time to answer.
+	case Refused, TimedOut, Failed:
+		o.recordFailure(address, clock.Now())
+	}
+
+	return nil, err
+}
+
+// Isolated reports whether the box reaches no server, as far as its connections show.
+func (o *Observer) Isolated() bool {
+	if !o.isolated.Load() {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.update(clock.Now())
+
+	return o.isolated.Load()
+}
+
+// recordAlive records a sign of life of a server.
+func (o *Observer) recordAlive() {
+	o.aliveAt.Store(clock.Now().UnixNano())
+	if !o.isolated.Load() {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.update(clock.Now())
+}
+
+func (o *Observer) recordFailure(address string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failedAt[address] = now
+	o.update(now)
+}
+
+// update drops what is no evidence any more, and decides whether the box is isolated. The caller
+// holds mu.
+func (o *Observer) update(now time.Time) {
+	alive, oldest := o.aliveAt.Load(), now.Add(-evidenceTTL)
+	for address, at := range o.failedAt {
+		if at.UnixNano() <= alive || at.Before(oldest) {
+			delete(o.failedAt, address)
+		}
+	}
+	failed := len(o.failedAt)
+	if isolated := failed >= minFailedServers; o.isolated.Swap(isolated) != isolated {
+		o.onChange(isolated, failed)
+	}
+}
+
+// observedConn is a connection to a server. What is read from it shows that the server lives.
+type observedConn struct {
+	net.Conn
+	observer *Observer
+}
+
+// Read reads from the connection.
+func (c *observedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.observer.recordAlive()
+	}
+
+	return n, err
+}
