--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -26,7 +26,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
-	cutPairs  map[hostPair]bool
+	cutPairs  map[hostPair]CutForm
 	frozen    map[string]chan struct{}
 	packets   map[string]*packetConn
 	// idleTimeouts holds the time after which a host forgets an idle connection.
@@ -52,7 +52,7 @@
 	return &Network{
 		listeners:    make(map[string]*listener),
 		conns:        make(map[*conn]struct{}),
-		cutPairs:     make(map[hostPair]bool),
+		cutPairs:     make(map[hostPair]CutForm),
 		frozen:       make(map[string]chan struct{}),
 		idleTimeouts: make(map[string]time.Duration),
 		closed:       make(chan struct{}),
@@ -93,17 +93,10 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[addr]
-	isCut := n.cutPairs[pairOf(from, to)]
+	form, isCut := n.cutPairs[pairOf(from, to)]
 	n.mu.Unlock()
 	if isCut {
-		// A cut link drops all packets, so the dial waits for its timeout. It then returns
-		// ErrRefused like a dial to an address without a listener.
-		select {
-		case <-ctx.Done():
-		case <-n.closed:
-		}
-
-		return nil, ErrRefused
+		return nil, n.dialCut(ctx, form)
 	}
 	if l == nil {
 		return nil, ErrRefused
@@ -126,15 +119,11 @@
 	return dialed, nil
 }
 
-// Cut cuts two hosts off from each other: open connections break, and dials time out.
-func (n *Network) Cut(a, b string) {
-	n.mu.Lock()
-	n.cutPairs[pairOf(a, b)] = true
-	n.mu.Unlock()
-	n.closeWhere(func(c *conn) bool { return pairOf(c.host, c.peer) == pairOf(a, b) })
-}
+// Cut cuts two hosts off from each other: open connections break, and dials return ErrRefused after
+// their timeout, like a dial to an address without a listener.
+func (n *Network) Cut(a, b string) { n.Partition(a, b, cutBroken) }
 
-// Heal reverts Cut.
+// Heal reverts Cut and Partition.
 func (n *Network) Heal(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -187,13 +176,7 @@
 // Blackhole blackholes the open connections of the host permanently: written data is lost, and the
 // peer does not see them close. New connections work.
 func (n *Network) Blackhole(host string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for c := range n.conns {
-		if c.host == host || c.peer == host {
-			c.blackholed.Store(true)
-		}
-	}
+	n.silenceWhere(func(c *conn) bool { return c.host == host || c.peer == host })
 }
 
 // SetIdleTimeout makes the host drop the state of connections that were idle for longer than
@@ -265,7 +248,8 @@
 	closeOnce sync.Once
 	// blackholed is set when written data and the close are lost; see Blackhole.
 	blackholed atomic.Bool
-	// reset is set when the peer has dropped the state of the connection; see SetIdleTimeout.
+	// reset is set when the peer has dropped the state of the connection, see SetIdleTimeout, or a cut
+	// has reset it.
 	reset atomic.Bool
 	// lastWriteAt is the time of the last write of this end, guarded by the mutex of the network.
 	lastWriteAt time.Time
--- a/internal/standin/memnet/packet.go
+++ b/internal/standin/memnet/packet.go
@@ -54,7 +54,8 @@
 	host, _, _ := net.SplitHostPort(to.String())
 	c.n.mu.Lock()
 	target := c.n.packets[to.String()]
-	lost := target == nil || c.n.cutPairs[pairOf(from, host)] || c.n.frozen[from] != nil || c.n.frozen[host] != nil
+	_, isCut := c.n.cutPairs[pairOf(from, host)]
+	lost := target == nil || isCut || c.n.frozen[from] != nil || c.n.frozen[host] != nil
 	c.n.mu.Unlock()
 	if !lost {
 		select {
