Boxes cut off from servers reach them through other boxes

What callers saw: boxes that had lost their links to all servers refused everything at once, 0 of 134 first tries served against 231 of 232 elsewhere.

Cause: a box had no way to a server but its own, and refused as soon as that failed, though other boxes reached all servers all the time. Class: what one part of the system has lost alone is taken for lost by all.

Change: package tunnel. When a direct connection fails or is late, the box asks another one for a tunnel (HTTP CONNECT at the address of boxes) and keeps all its decisions; only bytes pass on, so requests, reports, moves and orders all work, and budget, limits and claims are charged once. Both sides prove that they know the configuration. The direct way is probed once a second and taken again. Package keepalive: connections to servers and boxes fail after three seconds of silence (they had no probes at all), so that calls do not hang on dead idle connections; TCP_USER_TIMEOUT and the probes agree.

--- a/box/box.go
+++ b/box/box.go
@@ -31,7 +31,6 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
-	"github.com/slatebridge/slatebridge/reach"
 	"github.com/slatebridge/slatebridge/retry"
 )
 
@@ -80,8 +79,8 @@
 	logger   *zap.Logger
 	// peerClient makes calls to other boxes.
 	peerClient *http.Client
-	// observer watches the connections to servers; nil if none was set.
-	observer  *reach.Observer
+	// links are the ways to servers; nil if none were set.
+	links     *ServerLinks
 	bootID    string
 	startedAt time.Time
 	// assumedConfirmedAt stands in for the time of the last confirmation until there is one. If it
@@ -199,10 +198,22 @@
 // Handler returns the handler of caller requests.
 func (b *Box) Handler() *forward.Handler { return b.handler }
 
-// StateHandler returns the handler that serves the configuration and the server entries to boxes
-// that lag behind.
-func (b *Box) StateHandler() http.Handler {
-	return mesh.StateHandler(mesh.StateSource{Config: b.configDocument.Load, Servers: b.entries.document})
+// PeerHandler returns the handler of requests of other boxes. It serves the configuration and the
+// server entries to those that lag behind, and tunnels to those that do not reach a server.
+func (b *Box) PeerHandler() http.Handler {
+	state := mesh.StateHandler(mesh.StateSource{Config: b.configDocument.Load, Servers: b.entries.document})
+	if b.links == nil {
+		return state
+	}
+	tunnels := b.links.handler(b)
+
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			tunnels.ServeHTTP(w, r)
+		} else {
+			state.ServeHTTP(w, r)
+		}
+	})
 }
 
 // Ready reports whether the box can serve callers.
--- a/box/config_updates.go
+++ b/box/config_updates.go
@@ -27,6 +27,9 @@
 	event.Log(c.box.logger, event.CatalogTaken, zap.Int64("version", m.catalog.Version), zap.String("from", m.from))
 	c.publish()
 	c.box.configDocument.Store(mesh.NewConfigDocument(m.raw))
+	if c.box.links != nil {
+		c.box.links.keys.Set(m.raw)
+	}
 	c.pushConfig(clock.Now())
 }
 
--- a/box/control.go
+++ b/box/control.go
@@ -150,6 +150,8 @@
 	quarantineSentAt time.Time
 	// joinedRunning reports whether a peer was found that was running well before this box.
 	joinedRunning bool
+	// detours is the number of servers that were connected to through tunnels at the last tick.
+	detours int
 	// resumedAt is when the last suspension was noticed.
 	resumedAt time.Time
 }
@@ -251,6 +253,7 @@
 	c.expireTombstones(now)
 	c.expirePeers(now)
 	c.updateAllocators(now)
+	c.updateServerLinks(now)
 	c.gossip(now)
 	if reads := c.isStoreReader(now); c.box.isReader.Swap(reads) != reads {
 		c.box.wakeFollowers()
--- a/box/gossip.go
+++ b/box/gossip.go
@@ -307,7 +307,7 @@
 		Kind: kind, Box: c.settings.Box, Hall: c.settings.Hall, Boot: c.box.bootID, Address: c.settings.Listen.Mesh,
 		LinkRate: c.settings.LinkRate, SentAt: c.nextTimestamp(now),
 		ConfigAge: ageMicros(now, c.configConfirmedAt), ServersPosition: c.serversPosition, ServersAge: ageMicros(now, c.serversConfirmedAt),
-		StoreReachable: c.storeReachable(now), CanLead: c.canLead(), Leaving: c.leaving,
+		StoreReachable: c.storeReachable(now), CanLead: c.canLead(), Leaving: c.leaving, Isolated: c.box.isolated(),
 		Term: c.term, LeaderAge: ageMicros(now, c.leaderSeenAt), Restarts: c.recentRestarts(now), LeavingServers: c.recentLeavingServers(now), Limits: c.recentLimits(now),
 	}
 	_, m.QuarantinePosition = c.box.quarantine.positions()
--- a/box/options.go
+++ b/box/options.go
@@ -1,10 +1,6 @@
 package box
 
-import (
-	"net/http"
-
-	"github.com/slatebridge/slatebridge/reach"
-)
+import "net/http"
 
 // Option configures a Box.
 type Option func(*Box)
@@ -15,11 +11,11 @@
 	return func(b *Box) { b.peerClient = client }
 }
 
-// WithObserver sets the Observer of the box's own connections to servers. Without one, the box never
-// counts as isolated.
-func WithObserver(o *reach.Observer) Option {
-	return func(b *Box) { b.observer = o }
+// WithServerLinks sets the links through which the client for servers connects. Without them, the box
+// neither notices that it reaches no server nor helps other boxes.
+func WithServerLinks(l *ServerLinks) Option {
+	return func(b *Box) { b.links = l }
 }
 
 // isolated reports whether this box reaches no server by connections of its own.
-func (b *Box) isolated() bool { return b.observer != nil && b.observer.Isolated() }
+func (b *Box) isolated() bool { return b.links != nil && b.links.observer.Isolated() }
--- a/box/ready.go
+++ b/box/ready.go
@@ -18,7 +18,7 @@
 	b := c.box
 	s := Status{
 		Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.serversByName), Complete: c.complete(),
-		Leader: c.term.Box, FencingToken: c.term.Token, Boxes: c.liveBoxes(), Isolated: b.isolated(),
+		Leader: c.term.Box, FencingToken: c.term.Token, Boxes: c.liveBoxes(), Isolated: b.isolated(), Detours: c.detours,
 		Suspects: b.fleet.Suspects(), Resting: b.fleet.CoolingDown(), Leaving: b.fleet.Leaving(), Limited: b.fleet.RateLimits(), Slow: b.handler.LocalSlowServers(), InFlight: b.handler.InFlight(),
 		ReadsStore: b.isReader.Load(), FailedTopics: c.failedTopics(), Quarantine: b.quarantine.ledger.Suspects(now), Suspended: c.suspendedTotal,
 	}
--- /dev/null
+++ b/box/server_links.go
@@ -0,0 +1,124 @@
+package box
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/reach"
+	"github.com/slatebridge/slatebridge/tunnel"
+)
+
+const (
+	// returnDelay is how long after the direct way to a server works again the idle connections are
+	// closed, so that tunnels are given up for direct connections.
+	returnDelay = 500 * time.Millisecond
+	// returnInterval is the least time between two such closes. Connections to servers are dear, and
+	// links may fail and return again and again.
+	returnInterval = 10 * time.Second
+)
+
+// ServerLinks are the ways of a box to the servers: its own connections, and tunnels through other
+// boxes while these fail.
+type ServerLinks struct {
+	observer *reach.Observer
+	dialer   *tunnel.Dialer
+	keys     *tunnel.Keyring
+	metrics  *tunnel.Metrics
+	logger   *zap.Logger
+
+	mu sync.Mutex
+	// closeIdle closes the idle connections to servers, and closedAt is when that was last due.
+	closeIdle func()
+	closedAt  time.Time
+}
+
+// NewServerLinks returns the links of a box that connects to servers by dialServer and to other boxes
+// by dialPeer.
+func NewServerLinks(s Settings, dialServer, dialPeer reach.DialFunc, logger *zap.Logger, reg prometheus.Registerer) *ServerLinks {
+	l := &ServerLinks{
+		keys: tunnel.NewKeyring(s.Bounds.MaxRevocationDelay, clock.Now), metrics: tunnel.NewMetrics(reg), logger: logger,
+		closeIdle: func() {},
+	}
+	m := reach.NewMetrics(reg)
+	l.observer = reach.NewObserver(dialServer, reach.WithOnDial(m.Dialed), reach.WithOnChange(func(isolated bool, failedServers int) {
+		m.Changed(isolated, failedServers)
+		if isolated {
+			event.Log(logger, event.ServersUnreached, zap.Int("servers", failedServers))
+		} else {
+			event.Log(logger, event.ServersReached)
+		}
+	}))
+	l.dialer = tunnel.NewDialer(tunnel.DialerConfig{
+		Box: s.Box, Hall: s.Hall, Observer: l.observer, DialPeer: dialPeer, Keys: l.keys, Random: rand.Float64, Metrics: l.metrics,
+	}, tunnel.WithOnDetour(l.onDetour), tunnel.WithOnReturn(l.onReturn))
+
+	return l
+}
+
+// SetCloseIdle sets the function that closes the idle connections to servers.
+func (l *ServerLinks) SetCloseIdle(closeIdle func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeIdle = closeIdle
+}
+
+// DialContext opens a connection to a server.
+func (l *ServerLinks) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return l.dialer.DialContext(ctx, network, address)
+}
+
+func (l *ServerLinks) onDetour(address, helper string) {
+	event.Log(l.logger, event.TunnelsBegan, zap.String("address", address), zap.String("through", helper))
+}
+
+// onReturn closes the idle connections soon, so that tunnels are given up for direct connections.
+func (l *ServerLinks) onReturn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := clock.Now()
+	if now.Sub(l.closedAt) < returnInterval {
+		return
+	}
+	l.closedAt = now
+	time.AfterFunc(returnDelay, l.closeIdle)
+}
+
+// handler returns the handler of requests for tunnels through this box.
+func (l *ServerLinks) handler(b *Box) http.Handler {
+	return tunnel.NewHandler(tunnel.HandlerConfig{
+		Observer: l.observer, Keys: l.keys, IsServer: b.fleet.HasAddress, OtherServer: b.fleet.OtherAddress, Stopping: b.handler.Stopping,
+		Alternates: l.dialer.SampleHelpers, Metrics: l.metrics,
+	})
+}
+
+// updateServerLinks tells the dialer which boxes are heard, and has it look for links that work again.
+func (c *control) updateServerLinks(now time.Time) {
+	l := c.box.links
+	if l == nil {
+		return
+	}
+	detours := l.dialer.Detours()
+	if detours == 0 && c.detours > 0 {
+		event.Log(c.box.logger, event.TunnelsEnded)
+	}
+	if c.detours = detours; detours > 0 {
+		go l.dialer.Probe(c.ctx)
+	}
+	list := make([]tunnel.Helper, 0, len(c.peers))
+	for _, o := range c.peers {
+		if o.lastMessage.Leaving || o.address == "" || (!o.live() && now.Sub(o.indirectSeenAt) >= minPeerTimeout) {
+			continue
+		}
+		list = append(list, tunnel.Helper{Box: o.id, Address: o.address, Hall: o.hall, Isolated: o.lastMessage.Isolated})
+	}
+	l.dialer.SetHelpers(list)
+}
--- a/box/status.go
+++ b/box/status.go
@@ -50,6 +50,8 @@
 	Boxes int `json:"boxes"`
 	// Isolated reports whether the box reaches no server by connections of its own.
 	Isolated bool `json:"isolated"`
+	// Detours counts the servers to which connections go through other boxes.
+	Detours int `json:"detours"`
 	// Suspects are the servers suspected dead, and Slow maps the servers that this box found slow
 	// to the factor by which they exceed their usual time.
 	Suspects []slatebridge.ServerID           `json:"suspects"`
@@ -103,7 +105,7 @@
 		{"store", fmt.Sprintf("read for the hall: %t, topics whose last call failed: %v", s.ReadsStore, s.FailedTopics)},
 		{"orders", fmt.Sprintf("leader: %s, fencing token %d", s.Leader, s.FencingToken)},
 		{"boxes", s.Boxes},
-		{"isolated", s.Isolated},
+		{"isolated", fmt.Sprintf("%t, servers reached through other boxes: %d", s.Isolated, s.Detours)},
 		{"suspects", s.Suspects},
 		{"slow", slow},
 		{"resting", resting},
--- a/box/status_test.go
+++ b/box/status_test.go
@@ -80,7 +80,7 @@
 	// store          read for the hall: false, topics whose last call failed: []
 	// orders         leader: box-2, fencing token 3
 	// boxes          4
-	// isolated       false
+	// isolated       false, servers reached through other boxes: 0
 	// suspects       []
 	// slow           []
 	// resting        []
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -18,6 +18,7 @@
 	"github.com/slatebridge/slatebridge/connpool"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/keepalive"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/platform"
 	"github.com/slatebridge/slatebridge/reach"
@@ -49,10 +50,11 @@
 	go logWriter.RunReports(ctx.Done(), logger)
 	reg := newRegistry()
 	onIdleClosed := func() { event.Log(logger, event.ChannelsDropped) }
-	servers := newServerObserver(logger, reg)
-	client := newServerClient(servers.DialContext, onIdleClosed)
+	links := newServerLinks(s, logger, reg)
+	client := newServerClient(links.DialContext, onIdleClosed)
+	links.SetCloseIdle(client.CloseIdleConnections)
 	store := platform.NewStore(s.Store, newStoreClient(onIdleClosed))
-	b := box.New(s, platform.New(store, client), client, logger, reg, box.WithObserver(servers), box.WithPeerClient(newPeerClient(onIdleClosed)))
+	b := box.New(s, platform.New(store, client), client, logger, reg, box.WithServerLinks(links), box.WithPeerClient(newPeerClient(onIdleClosed)))
 	// The address for other boxes has a UDP socket for messages and, below, an HTTP listener for
 	// state.
 	meshSocket, err := mesh.Listen(ctx, s.Listen.Mesh)
@@ -63,7 +65,7 @@
 	box.HandleStatus(operators, b.Status)
 	box.HandleLiftQuarantine(operators, b.LiftQuarantine)
 	internalServers, err := Listen(ctx, logger,
-		ListenerConfig{Name: "boxes", Addr: s.Listen.Mesh, Handler: b.StateHandler()},
+		ListenerConfig{Name: "boxes", Addr: s.Listen.Mesh, Handler: b.PeerHandler()},
 		ListenerConfig{Name: "operators", Addr: s.Listen.Operators, Handler: operators},
 		ListenerConfig{Name: "ready", Addr: s.Listen.Ready, Handler: readyHandler(b)},
 	)
@@ -159,19 +161,11 @@
 	event.Log(logger, event.Stopped, event.Error(err), zap.Int64("in_flight", b.Handler().InFlight()))
 }
 
-// newServerObserver returns the Observer of this box's own connections to backend servers.
-func newServerObserver(logger *zap.Logger, reg prometheus.Registerer) *reach.Observer {
-	m := reach.NewMetrics(reg)
-	dialer := &net.Dialer{Timeout: forward.ConnectTimeout(), KeepAlive: -1}
-
-	return reach.NewObserver(dialer.DialContext, reach.WithOnDial(m.Dialed), reach.WithOnChange(func(isolated bool, failedServers int) {
-		m.Changed(isolated, failedServers)
-		if isolated {
-			event.Log(logger, event.ServersUnreached, zap.Int("servers", failedServers))
-		} else {
-			event.Log(logger, event.ServersReached)
-		}
-	}))
+// newServerLinks returns the links to backend servers.
+func newServerLinks(s box.Settings, logger *zap.Logger, reg prometheus.Registerer) *box.ServerLinks {
+	dial := keepalive.NewDialer(forward.ConnectTimeout()).DialContext
+
+	return box.NewServerLinks(s, dial, dial, logger, reg)
 }
 
 // newServerClient returns the client for calls to backend servers over connections that dial opens.
@@ -191,10 +185,10 @@
 
 // newPeerClient returns the client for calls to other boxes; see newServerClient for onIdleClosed.
 func newPeerClient(onIdleClosed func()) *http.Client {
-	dialer := &net.Dialer{Timeout: forward.ConnectTimeout(), KeepAlive: -1}
+	dial := keepalive.NewDialer(forward.ConnectTimeout()).DialContext
 
 	return &http.Client{Transport: connpool.New(&http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: serverIdleTimeout,
+		DialContext: dial, DisableCompression: true, IdleConnTimeout: serverIdleTimeout,
 	}, connpool.WithOnIdleClosed(onIdleClosed))}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -68,6 +68,8 @@
 	ServerUnlimited       ID = 354
 	ServersUnreached      ID = 360
 	ServersReached        ID = 361
+	TunnelsBegan          ID = 362
+	TunnelsEnded          ID = 363
 	RouteChosen           ID = 400
 	RouteRefused          ID = 401
 	AttemptFailed         ID = 402
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -212,6 +212,35 @@
 	return m.Server, true
 }
 
+// HasAddress reports whether a server has an entry with the address.
+func (f *Fleet) HasAddress(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.Address == address {
+			return true
+		}
+	}
+
+	return false
+}
+
+// OtherAddress returns the address of some server that may receive work, other than the given address;
+// empty if there is none.
+func (f *Fleet) OtherAddress(address string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	// The order of a map is random.
+	for _, m := range f.members {
+		if m.Address != address && m.available(now) {
+			return m.Address
+		}
+	}
+
+	return ""
+}
+
 // Hall returns the hall of this box.
 func (f *Fleet) Hall() slatebridge.HallID { return f.hall }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -77,6 +77,9 @@
 	h.drain.stopping.Store(true)
 }
 
+// Stopping reports whether the box is about to stop.
+func (h *Handler) Stopping() bool { return h.drain.stopping.Load() }
+
 // InFlight returns the number of requests being served.
 func (h *Handler) InFlight() int64 {
 	return h.drain.inFlight.Load()
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -31,7 +31,9 @@
 	packets   map[string]*packetConn
 	// idleTimeouts holds the time after which a host forgets an idle connection.
 	idleTimeouts map[string]time.Duration
-	closed       chan struct{}
+	// keepAliveIdle and keepAliveTimeout are the times of keep-alive probes; see SetKeepAlive.
+	keepAliveIdle, keepAliveTimeout time.Duration
+	closed                          chan struct{}
 }
 
 type hostPair struct {
--- a/internal/standin/memnet/partition.go
+++ b/internal/standin/memnet/partition.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"syscall"
+	"time"
 )
 
 // CutForm is the way in which two hosts are cut off from each other.
@@ -27,8 +28,16 @@
 	return [...]string{"broken", "silent", "reset", "new connections refused", "one way"}[f]
 }
 
+// SetKeepAlive makes connections that a cut has silenced break with a reset, as keep-alive probes do:
+// one is sent after each idle time, and the connection breaks when the last answer is timeout old.
+func (n *Network) SetKeepAlive(idle, timeout time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.keepAliveIdle, n.keepAliveTimeout = idle, timeout
+}
+
 // Partition cuts two hosts off from each other in the given form, until Heal. Connections that went
-// silent stay so.
+// silent stay so, or break; see SetKeepAlive.
 func (n *Network) Partition(a, b string, form CutForm) {
 	n.mu.Lock()
 	n.cutPairs[pairOf(a, b)] = form
@@ -39,17 +48,42 @@
 		n.closeWhere(between)
 	case CutSilent:
 		n.silenceWhere(between)
+		n.resetLater(between)
 	case CutReset:
-		n.closeWhere(func(c *conn) bool {
-			if between(c) {
-				c.reset.Store(true)
-			}
-
-			return between(c)
-		})
+		n.resetWhere(between)
 	case CutNew:
 	case CutOneWay:
 		n.silenceWhere(func(c *conn) bool { return c.host == a && c.peer == b })
+		n.resetLater(between)
+	}
+}
+
+// resetWhere resets the matching ends of connections.
+func (n *Network) resetWhere(match func(c *conn) bool) {
+	n.closeWhere(func(c *conn) bool {
+		if match(c) {
+			c.blackholed.Store(false)
+			c.reset.Store(true)
+		}
+
+		return match(c)
+	})
+}
+
+// resetLater resets those of the matching ends of connections that are open now once keep-alive probes
+// have failed.
+func (n *Network) resetLater(match func(c *conn) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.keepAliveTimeout == 0 {
+		return
+	}
+	for c := range n.conns {
+		if !match(c) {
+			continue
+		}
+		lastAnswer := time.Since(c.lastWriteAt) % n.keepAliveIdle
+		time.AfterFunc(n.keepAliveTimeout-lastAnswer, func() { n.resetWhere(func(v *conn) bool { return v == c }) })
 	}
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -80,6 +80,8 @@
 	CanLead bool `cbor:"14,keyasint,omitempty"`
 	// Leaving reports whether the box is shutting down.
 	Leaving bool `cbor:"15,keyasint,omitempty"`
+	// Isolated reports whether the box reaches no server by connections of its own.
+	Isolated bool `cbor:"34,keyasint,omitempty"`
 	// Work is the box's own in-flight work in a Report, and that of all boxes of the hall in a
 	// RelayDigest.
 	Work Work `cbor:"16,keyasint,omitempty"`
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -99,16 +99,12 @@
 	return o
 }
 
-// DialContext opens a connection to a server.
+// DialContext opens a connection to a server for this box.
 func (o *Observer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := o.dial(ctx, network, address)
-	r := resultOf(err)
-	o.onDial(r)
-	switch r {
+	c, err := o.DialForPeer(ctx, network, address)
+	switch resultOf(err) {
 	case OK:
-		o.recordAlive()
-
-		return &observedConn{Conn: c, observer: o}, nil
+		return c, nil
 	case Canceled:
 		// The server had no time to answer.
 	case Refused, TimedOut, Failed:
@@ -118,6 +114,30 @@
 	return nil, err
 }
 
+// DialForPeer opens a connection to a server for another box, which does not reach it. A failure is no
+// evidence of this box's own links, since most such servers have failed.
+func (o *Observer) DialForPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := o.dial(ctx, network, address)
+	o.onDial(resultOf(err))
+	if err != nil {
+		return nil, err
+	}
+	o.recordAlive()
+
+	return &observedConn{Conn: c, observer: o}, nil
+}
+
+// Dismiss drops the failed dials to a server as evidence: other boxes do not reach it either.
+func (o *Observer) Dismiss(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.failedAt, address)
+	o.update(clock.Now())
+}
+
+// AliveSince reports whether any server has shown life to this box since the given time.
+func (o *Observer) AliveSince(at time.Time) bool { return o.aliveAt.Load() >= at.UnixNano() }
+
 // Isolated reports whether the box reaches no server, as far as its connections show.
 func (o *Observer) Isolated() bool {
 	if !o.isolated.Load() {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -67,6 +67,19 @@
 		dialAll(t, o, "a", "b", "c")
 		wantIsolated(t, o, false)
 	})
+	t.Run("a failure for another box shows nothing", func(t *testing.T) {
+		o := NewObserver((&testServers{err: syscall.ECONNREFUSED}).dial)
+		for _, a := range []string{"a", "b", "c"} {
+			_, _ = o.DialForPeer(t.Context(), "tcp", a)
+		}
+		wantIsolated(t, o, false)
+	})
+	t.Run("a server that others do not reach either ends it", func(t *testing.T) {
+		isolated(t, func(_ *testServers, o *Observer) {
+			o.Dismiss("b")
+			wantIsolated(t, o, false)
+		})
+	})
 	t.Run("a new connection ends it", func(t *testing.T) {
 		isolated(t, func(s *testServers, o *Observer) {
 			time.Sleep(time.Millisecond)
