A box that may have lost its own links has no server held for dead by others

What others saw: a box that silently loses its links to all servers finds those of its stalled streams silent after 35 to 100 ms, and tells its hall, which stops using them. Two boxes of a hall confirm each other, and the relay tells the other halls.

Cause: a server's silence counted as the server's fault whatever the box heard of other servers. Class, as before: what one has lost alone is taken for lost by all.

Change: a suspicion is passed on only if some server has shown life to the box itself since it asked the silent one. The box's own choice of servers is as before.

Evidence: TestIsolatedBoxConvictsNoServer failed before in the two silent forms (three and four servers suspected by others within 2 s of the cut), passes with it. Ruled out: waiting for a second question before others are told; a stream's pause leaves no time.

--- a/box/box.go
+++ b/box/box.go
@@ -154,9 +154,10 @@
 	b.status.Store(&Status{})
 	b.handler = forward.New(forward.Config{
 		Codec: p.HeaderCodec, Fleet: b.fleet, HTTPClient: client, ServerClient: p.ServerClient,
-		State:     func() forward.State { return *b.state.Load() },
-		Bounds:    forwardBounds(s.Bounds),
-		OnSuspect: func() { b.post(&serverReportPushDue{}) },
+		State:             func() forward.State { return *b.state.Load() },
+		Bounds:            forwardBounds(s.Bounds),
+		ServersAliveSince: b.serversAliveSince,
+		OnSuspect:         func() { b.post(&serverReportPushDue{}) },
 		OnServerRestart: func(asked catalog.Server, incarnation string) {
 			b.post(&serverRestarted{mesh.Restart{Name: asked.Name, PreviousIncarnation: asked.Incarnation, NewIncarnation: incarnation}})
 		},
--- a/box/options.go
+++ b/box/options.go
@@ -1,6 +1,9 @@
 package box
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Option configures a Box.
 type Option func(*Box)
@@ -19,3 +22,8 @@
 
 // isolated reports whether this box reaches no server by connections of its own.
 func (b *Box) isolated() bool { return b.links != nil && b.links.observer.Isolated() }
+
+// serversAliveSince reports whether any server has shown life to this box itself since the given time.
+func (b *Box) serversAliveSince(at time.Time) bool {
+	return b.links == nil || b.links.observer.AliveSince(at)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -134,11 +134,12 @@
 	activity     activity
 	startedAt    time.Time
 	// hallPeers is the number of other live boxes in the hall, and jitterBound the longest jitter.
-	hallPeers       atomic.Int64
-	jitterBound     atomic.Int64
-	onSuspect       func()
-	onServerRestart func(queried catalog.Server, incarnation string)
-	onServerLeaving func(id slatebridge.ServerID)
+	hallPeers         atomic.Int64
+	jitterBound       atomic.Int64
+	serversAliveSince func(at time.Time) bool
+	onSuspect         func()
+	onServerRestart   func(queried catalog.Server, incarnation string)
+	onServerLeaving   func(id slatebridge.ServerID)
 	// stalledAt is when this process was last found to have stalled, in Unix nanoseconds.
 	stalledAt atomic.Int64
 	latencies latencyStats
@@ -182,6 +183,9 @@
 	Bounds       Bounds
 	// Random returns random numbers from 0 to 1.
 	Random func() float64
+	// ServersAliveSince reports whether any server has shown life to this box itself since the given
+	// time; nil if that is not known, and the box always relies on its links.
+	ServersAliveSince func(at time.Time) bool
 	// OnSuspect is called when a server becomes suspect or slow.
 	OnSuspect func()
 	// OnServerRestart is called when an incarnation of a server other than the queried one
@@ -211,10 +215,13 @@
 		random: c.Random, logger: c.Logger, metrics: c.Metrics,
 		budget: retry.New(c.Bounds.Retry, retry.WithStartTime(clock.Now()), retry.WithRounding(c.Random())), monitor: newMonitor(),
 		activity: activity{started: make(chan struct{}, 1)}, onSuspect: c.OnSuspect, onServerRestart: c.OnServerRestart, onServerLeaving: c.OnServerLeaving,
-		startedAt: clock.Now(), latencies: newLatencyStats(), livenessQueue: make(chan slatebridge.ServerID, livenessQueueSize),
+		serversAliveSince: c.ServersAliveSince, startedAt: clock.Now(), latencies: newLatencyStats(), livenessQueue: make(chan slatebridge.ServerID, livenessQueueSize),
 		ledger: c.Ledger, requestTrial: c.RequestTrial, requestGrant: c.RequestGrant, requestRetry: c.RequestRetry, requestRoom: c.RequestRoom, onServerLimit: c.OnServerLimit,
 	}
 	h.bounds.Store(&c.Bounds)
+	if h.serversAliveSince == nil {
+		h.serversAliveSince = func(time.Time) bool { return true }
+	}
 
 	return h
 }
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -266,9 +266,8 @@
 type monitor struct {
 	mu       sync.Mutex
 	attempts map[*streamAttempt]bool
-	// suspects maps the servers that this box suspects to a count: one for the suspicion, for
-	// whatever reason, and one for each later query without a response.
-	suspects map[slatebridge.ServerID]int
+	// suspects are the servers that this box suspects.
+	suspects map[slatebridge.ServerID]localSuspect
 	// refusing is the set of servers that refuse connections.
 	refusing map[slatebridge.ServerID]bool
 	// slow maps the servers that this box has found slow to their slowness, as in Report.
@@ -277,9 +276,18 @@
 	queries map[slatebridge.ServerID]*reportQuery
 }
 
+// localSuspect is a server that this box itself suspects.
+type localSuspect struct {
+	// count is one for the suspicion, for whatever reason, and one for each later query without a
+	// response.
+	count int
+	// since is when the suspicion began.
+	since time.Time
+}
+
 func newMonitor() *monitor {
 	return &monitor{
-		attempts: make(map[*streamAttempt]bool), suspects: make(map[slatebridge.ServerID]int), refusing: make(map[slatebridge.ServerID]bool),
+		attempts: make(map[*streamAttempt]bool), suspects: make(map[slatebridge.ServerID]localSuspect), refusing: make(map[slatebridge.ServerID]bool),
 		slow: make(map[slatebridge.ServerID]float64), queries: make(map[slatebridge.ServerID]*reportQuery),
 	}
 }
@@ -289,9 +297,13 @@
 func (m *monitor) countSuspicion(id slatebridge.ServerID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.suspects[id]++
+	s := m.suspects[id]
+	if s.count++; s.count == 1 {
+		s.since = clock.Now()
+	}
+	m.suspects[id] = s
 
-	return m.suspects[id] == 1
+	return s.count == 1
 }
 
 // isSuspect reports whether this box suspects the server.
@@ -299,7 +311,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.suspects[id] > 0
+	return m.suspects[id].count > 0
 }
 
 // clearSuspect clears the suspicion of a server and any record that it refuses connections.
@@ -352,7 +364,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.refusing[id], m.suspects[id] >= minSilentCount
+	return m.refusing[id], m.suspects[id].count >= minSilentCount
 }
 
 func (m *monitor) add(a *streamAttempt) *streamAttempt {
--- a/forward/suspicion.go
+++ b/forward/suspicion.go
@@ -215,12 +215,20 @@
 	return maps.Clone(h.monitor.slow)
 }
 
-// LocalSuspects returns the servers that this box itself suspects.
+// LocalSuspects returns the servers that this box itself suspects, for other boxes. A server is left
+// out if no server at all has responded to this box since it asked that one: the links of the box may
+// have failed, and not the server.
 func (h *Handler) LocalSuspects() []slatebridge.ServerID {
 	h.monitor.mu.Lock()
 	defer h.monitor.mu.Unlock()
+	var out []slatebridge.ServerID
+	for id, s := range h.monitor.suspects {
+		if h.serversAliveSince(s.since.Add(-reportTimeout)) {
+			out = append(out, id)
+		}
+	}
 
-	return slices.Collect(maps.Keys(h.monitor.suspects))
+	return out
 }
 
 // suspect marks a server as suspect, and queries it until it responds or has left.
