--- a/daemon/box.go
+++ b/daemon/box.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge/box"
@@ -42,15 +41,40 @@
 	maxIdleConnsPerServer = 64
 )
 
-// RunBox runs an entry box until ctx ends, and then drains it.
-func RunBox(ctx context.Context, s box.Settings) error {
+// BoxOption configures a box.
+type BoxOption func(*boxRunner)
+
+// WithServerDial sets the function that opens connections to backend servers.
+func WithServerDial(dial reach.DialFunc) BoxOption {
+	return func(r *boxRunner) { r.dialServer = dial }
+}
+
+// boxRunner runs a box.
+type boxRunner struct {
+	dialServer reach.DialFunc
+}
+
+// NewBoxRunner returns a function that runs an entry box until its context ends, and then drains it.
+func NewBoxRunner(opts ...BoxOption) func(ctx context.Context, s box.Settings) error {
+	r := &boxRunner{dialServer: keepalive.NewDialer(forward.ConnectTimeout()).DialContext}
+	for _, o := range opts {
+		o(r)
+	}
+
+	return r.run
+}
+
+// RunBox runs an entry box without options; see NewBoxRunner.
+func RunBox(ctx context.Context, s box.Settings) error { return NewBoxRunner()(ctx, s) }
+
+func (r *boxRunner) run(ctx context.Context, s box.Settings) error {
 	logWriter := event.NewAsyncWriter(os.Stdout)
 	defer logWriter.Close(logFlushTimeout)
 	logger := logWriter.Logger(zap.InfoLevel).With(zap.String("box", string(s.Box)))
 	go logWriter.RunReports(ctx.Done(), logger)
 	reg := newRegistry()
 	onIdleClosed := func() { event.Log(logger, event.ChannelsDropped) }
-	links := newServerLinks(s, logger, reg)
+	links := box.NewServerLinks(s, r.dialServer, keepalive.NewDialer(forward.ConnectTimeout()).DialContext, logger, reg)
 	client := newServerClient(links.DialContext, onIdleClosed)
 	links.SetCloseIdle(client.CloseIdleConnections)
 	store := platform.NewStore(s.Store, newStoreClient(onIdleClosed))
@@ -161,13 +185,6 @@
 	event.Log(logger, event.Stopped, event.Error(err), zap.Int64("in_flight", b.Handler().InFlight()))
 }
 
-// newServerLinks returns the links to backend servers.
-func newServerLinks(s box.Settings, logger *zap.Logger, reg prometheus.Registerer) *box.ServerLinks {
-	dial := keepalive.NewDialer(forward.ConnectTimeout()).DialContext
-
-	return box.NewServerLinks(s, dial, dial, logger, reg)
-}
-
 // newServerClient returns the client for calls to backend servers over connections that dial opens.
 // It calls onIdleClosed when it closes its idle connections because they appear to be dead.
 func newServerClient(dial reach.DialFunc, onIdleClosed func()) *http.Client {
