--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -100,17 +100,12 @@
 // It fails with ECONNREFUSED if the server refuses connections of this box and of helpers, or if no
 // other box is known.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	now := clock.Now()
-	p := d.links.plan(address, d.observer.Isolated(), now)
-	if !p.tunnel {
-		return d.dialDirect(ctx, network, address)
-	}
-	helpers := d.helpers.pick(maxHelpers, now)
-	if len(helpers) == 0 {
+	p := d.links.plan(address, d.observer.Isolated(), clock.Now())
+	if !p.tunnel || d.helpers.empty() {
 		return d.dialDirect(ctx, network, address)
 	}
 
-	return d.newRace(network, address, p, helpers).run(ctx)
+	return d.newRace(network, address, p).run(ctx)
 }
 
 // Probe tries the direct way to a server that is connected to through tunnels, if one is due. It is to
--- a/tunnel/helpers.go
+++ b/tunnel/helpers.go
@@ -50,6 +50,14 @@
 	s.known = list
 }
 
+// empty reports whether no box is known that may help.
+func (s *helperSet) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.known) == 0 && len(s.learned) == 0
+}
+
 // learn adds boxes that a helper named.
 func (s *helperSet) learn(list []Helper, now time.Time) {
 	s.mu.Lock()
@@ -85,26 +93,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.candidates(now)
-	order := make(map[string]float64, len(list))
 	preferHall := s.hallIsSound(list)
-	for _, h := range list {
+	ranked := make([]rankedHelper, len(list))
+	for i, h := range list {
+		ranked[i] = rankedHelper{index: i, rank: s.random()}
 		switch {
 		case h.Isolated, now.Before(s.avoidUntil[h.Address]):
-			order[h.Address] = 2 + s.random()
-		case h.Hall == s.hall && preferHall:
-			order[h.Address] = s.random()
-		default:
-			order[h.Address] = 1 + s.random()
+			ranked[i].rank += 2
+		case h.Hall != s.hall, !preferHall:
+			ranked[i].rank++
 		}
 	}
-	slices.SortFunc(list, func(a, b Helper) int { return cmp.Compare(order[a.Address], order[b.Address]) })
+	slices.SortFunc(ranked, func(a, b rankedHelper) int { return cmp.Compare(a.rank, b.rank) })
+	out := make([]Helper, 0, n)
+	for _, r := range ranked[:min(n, len(ranked))] {
+		out = append(out, list[r.index])
+	}
+
+	return out
+}
 
-	return list[:min(n, len(list))]
+// rankedHelper is a candidate with a lower rank the earlier it is to be tried.
+type rankedHelper struct {
+	index int
+	rank  float64
 }
 
 // candidates returns all helpers, each once. The caller holds mu.
 func (s *helperSet) candidates(now time.Time) []Helper {
-	list := slices.Clone(s.known)
+	list := s.known[:len(s.known):len(s.known)]
 	for address, v := range s.learned {
 		isKnown := slices.ContainsFunc(s.known, func(h Helper) bool { return h.Address == address })
 		if !isKnown && now.Sub(v.at) <= learnedRetention {
--- a/tunnel/race.go
+++ b/tunnel/race.go
@@ -19,8 +19,9 @@
 	network string
 	address string
 	plan    plan
-	// helpers are those not asked yet.
+	// helpers are those not asked yet. They are picked when the first one is needed, which is rare.
 	helpers []Helper
+	picked  bool
 	results chan raceResult
 	// pending counts the ways without a result.
 	pending int
@@ -43,8 +44,8 @@
 	took   time.Duration
 }
 
-func (d *Dialer) newRace(network, address string, p plan, helpers []Helper) *race {
-	return &race{d: d, network: network, address: address, plan: p, helpers: helpers, results: make(chan raceResult, 1+len(helpers))}
+func (d *Dialer) newRace(network, address string, p plan) *race {
+	return &race{d: d, network: network, address: address, plan: p, results: make(chan raceResult, 1+maxHelpers)}
 }
 
 func (r *race) run(parent context.Context) (net.Conn, error) {
@@ -111,6 +112,9 @@
 
 // askNext asks the next helper, if there is one.
 func (r *race) askNext(ctx context.Context) {
+	if !r.picked {
+		r.helpers, r.picked = r.d.helpers.pick(maxHelpers, clock.Now()), true
+	}
 	if len(r.helpers) == 0 {
 		return
 	}
