A box whose links work again tries the direct way first at all servers

Cause: each server's detour ended by itself only.

Change: a direct connection in place of a tunnel ends all detours. Where that is wrong, the next connection costs the hedge delay, 50 to 100 ms, once.

--- a/tunnel/links.go
+++ b/tunnel/links.go
@@ -103,7 +103,8 @@
 }
 
 // directConnected records that the direct way to a server works, and took the given time. It reports
-// whether connections went through tunnels before.
+// whether connections to it went through tunnels before. If so, the box's own links most likely work
+// again, and the direct way comes first at all servers.
 func (l *links) directConnected(address string, took time.Duration) (recovered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -115,8 +116,10 @@
 	recovered = v.detoured
 	l.forget(address, v)
 	if recovered {
-		for _, other := range l.byServer {
-			other.probedAt = time.Time{}
+		for a, other := range l.byServer {
+			if other.detoured {
+				l.forget(a, other)
+			}
 		}
 	}
 
--- a/tunnel/links_test.go
+++ b/tunnel/links_test.go
@@ -51,7 +51,7 @@
 		l.want("a", true, tunnelOnly)
 		l.want("b", true, both)
 	})
-	t.Run("a direct connection ends the detour, and makes probes of others due", func(t *testing.T) {
+	t.Run("a direct connection in place of a tunnel ends all detours", func(t *testing.T) {
 		l := newLinkTest(t)
 		l.tunnelConnected("a", l.now)
 		l.tunnelConnected("b", l.now)
@@ -59,7 +59,15 @@
 			t.Error("no recovery was reported")
 		}
 		l.want("a", false, directFirst)
-		l.want("b", false, both)
+		l.want("b", false, directFirst)
+	})
+	t.Run("a direct connection to a server without tunnels ends none", func(t *testing.T) {
+		l := newLinkTest(t)
+		l.tunnelConnected("a", l.now)
+		if l.directConnected("b", time.Millisecond) {
+			t.Error("a recovery was reported")
+		}
+		l.want("a", false, tunnelOnly)
 	})
 	t.Run("a server that helpers do not reach either gets no tunnels for longer and longer", func(t *testing.T) {
 		l := newLinkTest(t)
