Connections to servers outlast a side that does not read

Cause: with TCP_USER_TIMEOUT of 2.5 s on connections to servers, a server that holds a long body, or a caller that reads slowly, would have had its connection ended by it: the kernel counts a closed window as undelivered data too.

Change: the box's own connections have probes only, two without an answer end an idle connection after three seconds as before; calls with data on its way have their own timeouts.

--- a/keepalive/keepalive.go
+++ b/keepalive/keepalive.go
@@ -6,7 +6,6 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,32 +17,29 @@
 	// Idle is the time without any packet after which a probe is sent, and the pause between two
 	// probes. The kernel takes whole seconds.
 	Idle = time.Second
-	// userTimeout is the silence after which a connection with data on its way fails. On Linux it also
-	// decides when probes give up, whatever their count.
-	userTimeout = 2500 * time.Millisecond
-	// Timeout is the longest silence of a connection, counted from the last packet: the first probe
-	// after userTimeout ends it.
-	Timeout = 3 * time.Second
-	// count is the number of probes within Timeout.
-	count = int(Timeout / Idle)
+	// count is the number of probes without an answer that end a connection.
+	count = 2
+	// Timeout is the silence after which an idle connection fails.
+	Timeout = (1 + count) * Idle
+	// undeliveredTimeout is how long data may wait for the other side. On Linux it decides for probes
+	// as well, whatever their count, where it is set. It also ends connections whose other side does
+	// not read, such as that of a slow caller, and so is long.
+	undeliveredTimeout = 15 * time.Second
 )
 
 func config() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: Idle, Interval: Idle, Count: count}
 }
 
-// NewDialer returns a dialer of connections that fail after Timeout of silence. Opening one may take
-// dialTimeout.
+// NewDialer returns a dialer of connections that fail after Timeout of silence while no data is on its
+// way. Calls with data on its way have timeouts of their own. Opening a connection may take dialTimeout.
 func NewDialer(dialTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: dialTimeout, KeepAliveConfig: config(),
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
-	}
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: config()}
 }
 
-// Set makes an accepted connection fail after Timeout of silence. Connections other than those of TCP
-// stay as they are.
-func Set(c net.Conn) error {
+// LimitUndelivered makes an accepted connection fail when data for the other side, or a probe, has
+// waited for too long. Connections other than those of TCP stay as they are.
+func LimitUndelivered(c net.Conn) error {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
 		return nil
@@ -55,14 +51,9 @@
 	if err != nil {
 		return errors.Wrap(err, "keepalive: descriptor")
 	}
-
-	return setUserTimeout(raw)
-}
-
-func setUserTimeout(c syscall.RawConn) error {
 	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	err = raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(undeliveredTimeout.Milliseconds()))
 	})
 
 	return errors.Wrap(errors.CombineErrors(err, sockErr), "keepalive: user timeout")
--- a/tunnel/handler.go
+++ b/tunnel/handler.go
@@ -176,7 +176,7 @@
 	_, endErr := buffered.WriteString("\r\n")
 	err = errors.CombineErrors(errors.CombineErrors(err, endErr), buffered.Flush())
 	err = errors.CombineErrors(err, box.SetDeadline(time.Time{}))
-	if err = errors.CombineErrors(err, keepalive.Set(box)); err != nil {
+	if err = errors.CombineErrors(err, keepalive.LimitUndelivered(box)); err != nil {
 		_ = box.Close()
 	}
 
