--- /dev/null
+++ b/box/server_links_test.go
@@ -0,0 +1,88 @@
+package box
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/mesh"
+)
+
+// refuse is a dial that fails.
+func refuse(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+
+// newLinkedControl returns the control of a box whose links to servers and boxes are all cut.
+func newLinkedControl(ctx context.Context) *control {
+	s := Settings{Box: "box-1", Hall: "a", Bounds: Bounds{MaxStaleness: 2 * time.Second}}
+	reg := prometheus.NewRegistry()
+	links := NewServerLinks(s, refuse, refuse, zap.NewNop(), reg)
+
+	return newControl(ctx, New(s, Platform{}, nil, zap.NewNop(), reg, WithServerLinks(links)))
+}
+
+// addPeer adds a box that was just heard.
+func (c *control) addPeer(id slatebridge.BoxID, hall slatebridge.HallID, change func(o *peerBox)) {
+	o := c.ensurePeer(id)
+	o.hall, o.address, o.bootID, o.lost = hall, string(id)+":7340", "boot", false
+	change(o)
+}
+
+// TestHelpers checks which boxes may help this one.
+func TestHelpers(t *testing.T) {
+	c := newLinkedControl(t.Context())
+	now := clock.Now()
+	c.addPeer("live", "a", func(*peerBox) {})
+	c.addPeer("isolated", "a", func(o *peerBox) { o.lastMessage = mesh.Message{Isolated: true} })
+	c.addPeer("leaving", "a", func(o *peerBox) { o.lastMessage = mesh.Message{Leaving: true} })
+	c.addPeer("lost", "a", func(o *peerBox) { o.lost = true })
+	c.addPeer("named by others", "b", func(o *peerBox) { o.lost, o.indirectSeenAt = true, now })
+	c.updateServerLinks(now)
+	var got []string
+	for _, h := range c.box.links.dialer.SampleHelpers(100) {
+		got = append(got, string(h.Box))
+	}
+	slices.Sort(got)
+	// Boxes that are isolated or in other halls are no use to others.
+	if diff := cmp.Diff([]string{"live"}, got); diff != "" {
+		t.Errorf("helpers for others (-want +got):\n%s", diff)
+	}
+}
+
+// TestIsolatedFlag checks that a box that reaches no server says so in its messages.
+func TestIsolatedFlag(t *testing.T) {
+	c := newLinkedControl(t.Context())
+	if m := c.message(mesh.Report, clock.Now()); m.Isolated {
+		t.Error("isolated before any connection failed")
+	}
+	for i := range 3 {
+		if _, err := c.box.links.DialContext(t.Context(), "tcp", fmt.Sprintf("10.0.0.%d:80", i)); err == nil {
+			t.Fatal("connected")
+		}
+	}
+	if m := c.message(mesh.Report, clock.Now()); !m.Isolated {
+		t.Error("not isolated after three servers refused connections")
+	}
+}
+
+// BenchmarkUpdateServerLinks measures what each tick costs a relay of the largest hall.
+func BenchmarkUpdateServerLinks(b *testing.B) {
+	c := newLinkedControl(b.Context())
+	const boxes = 250
+	for i := range boxes {
+		c.addPeer(slatebridge.BoxID(fmt.Sprintf("box-%d", i)), "a", func(*peerBox) {})
+	}
+	now := clock.Now()
+	for b.Loop() {
+		c.updateServerLinks(now)
+	}
+}
