One box alone has no server of another hall held for dead by its hall

What others saw: a box that silently loses its links to the servers of another hall, while it reaches those of its own, takes them for dead after 35 to 100 ms, and its hall stops using them for 0.7 s or longer, on its word alone.

Cause: a report of a box of the own hall was applied to servers of any hall. That of a box of another hall was not, for the reason that the link may be at fault; the reason holds here too.

Change: of a server of another hall than the sender's, two boxes have to find it dead.

Tests: platform.TestHallVerdictStaysLocal failed before (three servers suspected).

--- a/box/suspicion.go
+++ b/box/suspicion.go
@@ -89,8 +89,10 @@
 		if !c.trustsReport(msg, id) || c.box.fleet.ProgressedSince(id, at.Add(-progressWindow)) {
 			continue
 		}
-		c.box.fleet.SuspectReported(id, at.Add(suspicionTTL))
 		changed = (forward && c.recordDead(id, msg.Box, at)) || changed
+		if c.appliesReport(msg, id) {
+			c.box.fleet.SuspectReported(id, at.Add(suspicionTTL))
+		}
 	}
 	c.applyConfirmedDead(msg, at, forward)
 	for id, slowness := range msg.SlowServers {
@@ -129,6 +131,15 @@
 	return ok && (msg.Hall == c.settings.Hall || msg.Hall == s.Hall)
 }
 
+// appliesReport reports whether a trusted report that a server is dead keeps this box from using it. Of
+// a server of another hall than the sender's, two boxes have to find it dead: a single one may have lost
+// its own links to that hall.
+func (c *control) appliesReport(msg mesh.Message, id slatebridge.ServerID) bool {
+	s, ok := c.box.fleet.Server(id)
+
+	return ok && (s.Hall == msg.Hall || c.suspicions[id].confirmed || slices.Contains(msg.ConfirmedDead, id))
+}
+
 // recordDead records that a box found a server dead, and reports whether it is the first or the
 // second one to do so.
 func (c *control) recordDead(id slatebridge.ServerID, box slatebridge.BoxID, at time.Time) bool {
