--- a/box/options.go
+++ b/box/options.go
@@ -1,9 +1,6 @@
 package box
 
-import (
-	"net/http"
-	"time"
-)
+import "net/http"
 
 // Option configures a Box.
 type Option func(*Box)
@@ -19,11 +16,3 @@
 func WithServerLinks(l *ServerLinks) Option {
 	return func(b *Box) { b.links = l }
 }
-
-// isolated reports whether this box reaches no server by connections of its own.
-func (b *Box) isolated() bool { return b.links != nil && b.links.observer.Isolated() }
-
-// serversAliveSince reports whether any server has shown life to this box itself since the given time.
-func (b *Box) serversAliveSince(at time.Time) bool {
-	return b.links == nil || b.links.observer.AliveSince(at)
-}
--- a/box/server_links.go
+++ b/box/server_links.go
@@ -100,6 +100,14 @@
 	})
 }
 
+// isolated reports whether this box reaches no server by connections of its own.
+func (b *Box) isolated() bool { return b.links != nil && b.links.observer.Isolated() }
+
+// serversAliveSince reports whether any server has shown life to this box itself since the given time.
+func (b *Box) serversAliveSince(at time.Time) bool {
+	return b.links == nil || b.links.observer.AliveSince(at)
+}
+
 // updateServerLinks tells the dialer which boxes are heard, and has it look for links that work again.
 func (c *control) updateServerLinks(now time.Time) {
 	l := c.box.links
@@ -113,12 +121,19 @@
 	if c.detours = detours; detours > 0 {
 		go l.dialer.Probe(c.ctx)
 	}
+	l.dialer.SetHelpers(c.helpers(now))
+}
+
+// helpers returns the boxes that may help this one: those that it or another box hears, and that do not
+// stop.
+func (c *control) helpers(now time.Time) []tunnel.Helper {
 	list := make([]tunnel.Helper, 0, len(c.peers))
 	for _, o := range c.peers {
-		if o.lastMessage.Leaving || o.address == "" || (!o.live() && now.Sub(o.indirectSeenAt) >= minPeerTimeout) {
-			continue
+		heard := o.live() || now.Sub(o.indirectSeenAt) < minPeerTimeout
+		if heard && o.address != "" && !o.lastMessage.Leaving {
+			list = append(list, tunnel.Helper{Box: o.id, Address: o.address, Hall: o.hall, Isolated: o.lastMessage.Isolated})
 		}
-		list = append(list, tunnel.Helper{Box: o.id, Address: o.address, Hall: o.hall, Isolated: o.lastMessage.Isolated})
 	}
-	l.dialer.SetHelpers(list)
+
+	return list
 }
--- a/box/server_links_test.go
+++ b/box/server_links_test.go
@@ -16,6 +16,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/tunnel"
 )
 
 // refuse is a dial that fails.
@@ -46,15 +47,21 @@
 	c.addPeer("leaving", "a", func(o *peerBox) { o.lastMessage = mesh.Message{Leaving: true} })
 	c.addPeer("lost", "a", func(o *peerBox) { o.lost = true })
 	c.addPeer("named by others", "b", func(o *peerBox) { o.lost, o.indirectSeenAt = true, now })
-	c.updateServerLinks(now)
-	var got []string
-	for _, h := range c.box.links.dialer.SampleHelpers(100) {
-		got = append(got, string(h.Box))
+	names := func(list []tunnel.Helper) []string {
+		var out []string
+		for _, h := range list {
+			out = append(out, string(h.Box))
+		}
+		slices.Sort(out)
+
+		return out
 	}
-	slices.Sort(got)
-	// Boxes that are isolated or in other halls are no use to others.
-	if diff := cmp.Diff([]string{"live"}, got); diff != "" {
-		t.Errorf("helpers for others (-want +got):\n%s", diff)
+	if diff := cmp.Diff([]string{"isolated", "live", "named by others"}, names(c.helpers(now))); diff != "" {
+		t.Errorf("helpers of this box (-want +got):\n%s", diff)
+	}
+	c.updateServerLinks(now)
+	if diff := cmp.Diff([]string{"live"}, names(c.box.links.dialer.SampleHelpers(100))); diff != "" {
+		t.Errorf("helpers that it names to others, of its hall only (-want +got):\n%s", diff)
 	}
 }
 
