--- a/forward/forward.go
+++ b/forward/forward.go
@@ -38,6 +38,9 @@
 	MaxTokens    int
 	// ExpectedTokens is the caller's estimate of the output size; zero if it gave none.
 	ExpectedTokens int
+	// PromptParts are the IDs of the parts of the prompt, in order; empty if they are not stated.
+	// Requests share all parts but the last, which belongs to the request or to its session.
+	PromptParts []string
 }
 
 // Attempt holds what a server receives with one attempt besides the caller's own headers.
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -390,6 +390,22 @@
 	return a.nextPath, a.nextReservation
 }
 
+// countStreams returns the number of stream attempts in flight whose path contains the server, and how
+// many of them have had no event.
+func (m *monitor) countStreams(id slatebridge.ServerID) (streams, unstarted int) {
+	for _, a := range m.all() {
+		path, started, _ := a.state()
+		if !path.Contains(id) {
+			continue
+		}
+		if streams++; !started {
+			unstarted++
+		}
+	}
+
+	return streams, unstarted
+}
+
 func (m *monitor) all() []*streamAttempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -356,6 +356,9 @@
 	if r.head.FaultAddress != "" {
 		fields = append(fields, zap.String("fault", r.head.FaultAddress))
 	}
+	if len(c.PromptParts) > 0 {
+		fields = append(fields, zap.Strings("parts", c.PromptParts))
+	}
 	event.Log(h.logger, event.AttemptEnded, append(fields, noticeFields(r.head.Notice)...)...)
 }
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -229,7 +229,9 @@
 // handleServerEnd handles the detected end of a server, or its refusal of connections: any request
 // in flight there may have caused it. A leaving server ends by itself.
 func (h *Handler) handleServerEnd(s catalog.Server, reason string) {
-	event.Log(h.logger, event.ServerEnded, zap.String("server", string(s.ID)), zap.String("why", reason))
+	streams, unstarted := h.monitor.countStreams(s.ID)
+	event.Log(h.logger, event.ServerEnded, zap.String("server", string(s.ID)), zap.String("why", reason),
+		zap.Int("streams", streams), zap.Int("unstarted", unstarted))
 	if entry, ok := h.fleet.Server(s.ID); ok {
 		s = entry
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -305,7 +305,8 @@
 	var end attemptEnd
 	defer func() { t.h.recordStreamEnd(t.ctx, t.c, a, end) }()
 	first := path[0].Server
-	event.Log(t.h.logger, event.StreamSent, zap.String("request", t.c.ID), zap.Int("attempt", t.attempts), zap.Stringer("path", path))
+	event.Log(t.h.logger, event.StreamSent, zap.String("request", t.c.ID), zap.Int("attempt", t.attempts), zap.Stringer("path", path),
+		zap.Strings("parts", t.c.PromptParts))
 	r := t.h.send(ctx, t.c, Attempt{
 		Server: first, Path: path, Grant: plan.grant, Timeout: clock.Until(t.c.deadline), Account: t.c.account, LastEventID: max(0, t.lastEventID),
 		Priority: t.c.priority, Prioritized: t.c.prioritized,
