--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -239,7 +239,7 @@
 
 // beginTrial claims a trial for this box: it writes the trial to the topic on condition that all
 // records there are known here, so that only one of two competing boxes succeeds.
-func (s *replicatedLedger) beginTrial(ctx context.Context, f quarantine.Fingerprint, t quarantine.Trial) error {
+func (s *replicatedLedger) beginTrial(ctx context.Context, subject quarantine.Subject, f quarantine.Fingerprint, t quarantine.Trial) error {
 	ctx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
 	defer cancel()
 	for range maxTrialClaimAttempts {
@@ -267,7 +267,7 @@
 		if err := s.catchUp(ctx, at); err != nil {
 			return err
 		}
-		if v, _ := s.ledger.Verdict(f, clock.Now()); v != quarantine.TrialOnly {
+		if d := s.ledger.Decide(subject, clock.Now()); d.Verdict != quarantine.TrialOnly || d.Blamed != f {
 			return errTrialUnavailable
 		}
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -169,9 +169,9 @@
 	lastInvalidLimit atomic.Pointer[invalidLimit]
 }
 
-// TrialFunc claims one trial of a quarantined request for this box, so that no other box tries it
+// TrialFunc claims one trial of what is blamed in a request for this box, so that no other box tries it
 // at the same time. It fails if another trial is running or the claim cannot be stored.
-type TrialFunc func(ctx context.Context, f quarantine.Fingerprint, t quarantine.Trial) error
+type TrialFunc func(ctx context.Context, s quarantine.Subject, blamed quarantine.Fingerprint, t quarantine.Trial) error
 
 // livenessQueueSize bounds how many servers may wait for a liveness check.
 const livenessQueueSize = 16
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,19 +52,46 @@
 	plainAttempts int
 	// tried lists the servers or paths that were tried, for the log.
 	tried []string
-	// cachedFingerprint is the fingerprint of the request, computed on first use.
-	cachedFingerprint quarantine.Fingerprint
-	fingerprintOnce   sync.Once
+	// cachedSubject is what the quarantine knows the request by, computed on first use.
+	cachedSubject quarantine.Subject
+	subjectOnce   sync.Once
 	// done is set once the caller has its final response.
 	done *atomic.Bool
 }
 
-// fingerprint identifies the content of the request. It is computed on first use: usually at the
-// end of an attempt, and before the first attempt while the quarantine ledger has entries.
-func (c *inboundRequest) fingerprint() quarantine.Fingerprint {
-	c.fingerprintOnce.Do(func() { c.cachedFingerprint = quarantine.NewFingerprint(c.account, c.host, c.method, c.target, c.body) })
+// subject identifies the content of the request and the shared parts of its prompt. It is computed on
+// first use: usually at the end of an attempt, and before the first attempt while the quarantine ledger
+// has entries.
+func (c *inboundRequest) subject() quarantine.Subject {
+	c.subjectOnce.Do(func() {
+		c.cachedSubject = quarantine.Subject{
+			Request: quarantine.NewFingerprint(c.account, c.host, c.method, c.target, c.body),
+			Account: quarantine.NewAccountHash(c.account),
+		}
+		for _, id := range c.sharedParts() {
+			c.cachedSubject.Parts = append(c.cachedSubject.Parts, quarantine.NewPartFingerprint(c.service, id))
+		}
+	})
+
+	return c.cachedSubject
+}
+
+// sharedParts returns the IDs of the prompt parts that other requests have as well.
+func (c *inboundRequest) sharedParts() []string {
+	return c.PromptParts[:max(0, len(c.PromptParts)-1)]
+}
+
+// fingerprint identifies the content of the request.
+func (c *inboundRequest) fingerprint() quarantine.Fingerprint { return c.subject().Request }
 
-	return c.cachedFingerprint
+// blamedFields returns the log fields for what the quarantine blames in the request.
+func (c *inboundRequest) blamedFields(blamed quarantine.Fingerprint) []zap.Field {
+	fields := []zap.Field{zap.Stringer("same", blamed)}
+	if i := slices.Index(c.subject().Parts, blamed); i >= 0 {
+		fields = append(fields, zap.String("part", c.sharedParts()[i]))
+	}
+
+	return fields
 }
 
 // drainState counts requests in flight and records whether the box is shutting down.
@@ -248,7 +276,7 @@
 	fields := append(h.finalLogFields(c), zap.Int("code", int(e.Code)), zap.String("ran", string(e.Execution)),
 		zap.String("why", e.Detail), zap.Duration("retry_after_ms", e.RetryAfter))
 	if e.Code == result.HeldBack || e.Code == result.OnTrial {
-		fields = append(fields, zap.Stringer("same", c.fingerprint()))
+		fields = append(fields, c.blamedFields(h.ledger.Decide(c.subject(), clock.Now()).Blamed)...)
 	}
 	if e.Code == result.NoServer || e.Code == result.NoPipeline {
 		fields = append(fields, zap.Any("unusable", h.fleet.UnusableServers(c.service)))
--- a/forward/monitor.go
+++ b/forward/monitor.go
@@ -46,6 +46,11 @@
 	events int
 	// started is set at the first event of this attempt.
 	started bool
+	// pathEvents is the number of events on the current path, the first of which came at
+	// firstOnPathAt. progressed is set once they show that the prompt crashes no servers.
+	pathEvents    int
+	firstOnPathAt time.Time
+	progressed    bool
 	// meanGap is a moving average of the time between two events, and gapFactor how many times as
 	// long the stream may be silent.
 	meanGap   time.Duration
@@ -84,8 +89,9 @@
 	suspectGapFactor = 1.6
 )
 
-// recordEvent records an event and returns the path that it arrived on.
-func (a *streamAttempt) recordEvent() fleet.Path {
+// recordEvent records an event. It returns the path that the event arrived on, and whether the stream
+// has progressed on that path with this event.
+func (a *streamAttempt) recordEvent() (path fleet.Path, progressed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := clock.Now()
@@ -95,8 +101,14 @@
 	a.lastEventAt, a.started, a.checkBackoff = now, true, initialCheckBackoff
 	a.pauseFrom, a.waitsForRepair = now, false
 	a.events++
+	if a.pathEvents++; a.pathEvents == 1 {
+		a.firstOnPathAt = now
+	}
+	if !a.progressed && quarantine.HasProgressed(a.pathEvents, now.Sub(a.firstOnPathAt)) {
+		a.progressed, progressed = true, true
+	}
 
-	return a.path
+	return a.path, progressed
 }
 
 // suspicions lists the suspects, and those of them that two boxes have confirmed.
@@ -168,7 +180,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return a.path, a.ledgerAttempt
+	ledgerAttempt := a.ledgerAttempt
+	ledgerAttempt.Progressed = a.progressed
+
+	return a.path, ledgerAttempt
 }
 
 func (a *streamAttempt) state() (path fleet.Path, started bool, silent time.Duration) {
@@ -221,6 +236,7 @@
 	previous, unanswered := a.reservation, a.unansweredReservation
 	a.unansweredPath, a.unansweredReservation = nil, nil
 	a.path, a.ledgerAttempt, a.reservation, a.lastEventAt, a.waitsForRepair = p, ledgerAttempt, reservation, clock.Now(), false
+	a.pathEvents, a.progressed = 0, false
 	a.mu.Unlock()
 	previous.Release()
 	unanswered.Release()
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -43,14 +43,23 @@
 // unansweredAttempt is an attempt that ended without a response, or that a stream left for another
 // path.
 type unansweredAttempt struct {
-	fingerprint   quarantine.Fingerprint
+	subject       quarantine.Subject
 	ledgerAttempt quarantine.Attempt
 	servers       []slatebridge.ServerID
 	endedAt       time.Time
+	// parts are the IDs of the shared prompt parts, for the log.
+	parts []string
 	// requestDone is set once the caller has its final response.
 	requestDone *atomic.Bool
 }
 
+// newUnanswered describes an attempt of the request that has ended now.
+func newUnanswered(c *inboundRequest, attempt quarantine.Attempt, servers []slatebridge.ServerID) unansweredAttempt {
+	return unansweredAttempt{
+		subject: c.subject(), ledgerAttempt: attempt, servers: servers, endedAt: clock.Now(), parts: c.sharedParts(), requestDone: c.done,
+	}
+}
+
 // unansweredAttempts holds the recent attempts without a response.
 type unansweredAttempts struct {
 	mu   sync.Mutex
@@ -89,18 +98,19 @@
 	if h.ledger.Empty() {
 		return nil
 	}
-	v, _ := h.ledger.Verdict(c.fingerprint(), clock.Now())
 
-	return quarantineError(v)
+	return quarantineError(h.ledger.Decide(c.subject(), clock.Now()))
 }
 
 // quarantineError returns the error for a request that may not be sent; nil if it may.
-func quarantineError(v quarantine.Verdict) *result.Error {
-	switch v {
-	case quarantine.Held:
+func quarantineError(d quarantine.Decision) *result.Error {
+	switch {
+	case d.Verdict == quarantine.Held && d.Blamed.IsPart():
 		// Without a retry delay: a retry would only crash another server.
+		return result.New(result.HeldBack, "servers have ended each time they began to answer a request with a part of this prompt")
+	case d.Verdict == quarantine.Held:
 		return result.New(result.HeldBack, "servers have ended each time they began to run this request")
-	case quarantine.TrialRunning:
+	case d.Verdict == quarantine.TrialRunning:
 		return result.New(result.OnTrial, "servers have ended under this request, and it is being tried once more").WithRetryAfter(trialRetryAfter)
 	default:
 		return nil
@@ -114,30 +124,30 @@
 	if h.ledger.Empty() {
 		return attempt, nil
 	}
-	var verdict quarantine.Verdict
-	verdict, attempt.CrashStreak = h.ledger.Verdict(c.fingerprint(), attempt.StartedAt)
-	if verdict != quarantine.TrialOnly {
-		return attempt, quarantineError(verdict)
+	d := h.ledger.Decide(c.subject(), attempt.StartedAt)
+	attempt.CrashStreak, attempt.Suspected = d.CrashStreak, d.Suspected
+	if d.Verdict != quarantine.TrialOnly {
+		return attempt, quarantineError(d)
 	}
 	// The request itself is counted at its first server.
-	if others := h.fleet.DirectRequests(servers[0]) - 1; !quarantine.TrialAllowed(others, h.ledger.SinceLastCrash(c.fingerprint(), attempt.StartedAt)) {
+	if others := h.fleet.DirectRequests(servers[0]) - 1; !quarantine.TrialAllowed(others, h.ledger.SinceLastCrash(d.Blamed, attempt.StartedAt)) {
 		return attempt, result.New(result.OnTrial, "servers have just ended under this request, and it would be tried beside %.0f others", others).WithRetryAfter(trialRetryAfter)
 	}
 	trial := quarantine.Trial{ID: rand.Uint32() | 1}
 	for _, id := range servers {
 		trial.Servers = append(trial.Servers, fleet.ShortID(id))
 	}
-	if err := h.requestTrial(ctx, c.fingerprint(), trial); err != nil {
-		event.Log(h.logger, event.TrialRefused, zap.String("request", c.ID), zap.Stringer("same", c.fingerprint()), event.Error(err))
-		if verdict, _ = h.ledger.Verdict(c.fingerprint(), clock.Now()); verdict != quarantine.TrialOnly {
-			return attempt, quarantineError(verdict)
+	if err := h.requestTrial(ctx, c.subject(), d.Blamed, trial); err != nil {
+		event.Log(h.logger, event.TrialRefused, append(c.blamedFields(d.Blamed), zap.String("request", c.ID), event.Error(err))...)
+		if d = h.ledger.Decide(c.subject(), clock.Now()); d.Verdict != quarantine.TrialOnly {
+			return attempt, quarantineError(d)
 		}
 
 		return attempt, result.New(result.OnTrial, "servers have ended under this request, and the boxes could not agree to try it").WithRetryAfter(trialRetryAfter)
 	}
-	attempt.TrialID, attempt.StartedAt = trial.ID, clock.Now()
-	event.Log(h.logger, event.TrialBegun, zap.String("request", c.ID), zap.Stringer("same", c.fingerprint()),
-		zap.Int("row", attempt.CrashStreak), zap.String("server", string(servers[0])))
+	attempt.TrialID, attempt.TrialOf, attempt.StartedAt = trial.ID, d.Blamed, clock.Now()
+	event.Log(h.logger, event.TrialBegun, append(c.blamedFields(d.Blamed), zap.String("request", c.ID),
+		zap.Int("row", d.BlamedStreak), zap.String("server", string(servers[0])))...)
 
 	return attempt, nil
 }
@@ -148,7 +158,7 @@
 func (h *Handler) recordRequestDone(c *inboundRequest) {
 	c.done.Store(true)
 	if !h.ledger.Empty() {
-		h.ledger.RecordFailure(c.fingerprint(), clock.Now())
+		h.ledger.RecordFailureOf(c.subject(), clock.Now())
 	}
 }
 
@@ -159,7 +169,7 @@
 		return nil, false
 	}
 	now := clock.Now()
-	if v, _ := h.ledger.Verdict(c.fingerprint(), now); v == quarantine.Allowed {
+	if h.ledger.Decide(c.subject(), now).Verdict == quarantine.Allowed {
 		return nil, false
 	}
 
@@ -169,10 +179,11 @@
 // recordUnanswered records that an attempt ended without a response, with the given error, and
 // finds out whether one of its servers has crashed.
 func (h *Handler) recordUnanswered(ctx context.Context, c *inboundRequest, ledgerAttempt quarantine.Attempt, servers []catalog.Server, err error) {
-	u := unansweredAttempt{fingerprint: c.fingerprint(), ledgerAttempt: ledgerAttempt, endedAt: clock.Now(), requestDone: c.done}
+	ids := make([]slatebridge.ServerID, 0, len(servers))
 	for _, s := range servers {
-		u.servers = append(u.servers, s.ID)
+		ids = append(ids, s.ID)
 	}
+	u := newUnanswered(c, ledgerAttempt, ids)
 	h.unanswered.add(u)
 	ended := false
 	for _, id := range u.servers {
@@ -185,13 +196,13 @@
 		h.awaitCrashCheck(context.WithoutCancel(ctx), servers[0], u)
 	}
 	if ledgerAttempt.TrialID != 0 {
-		h.ledger.FinishTrial(u.fingerprint, ledgerAttempt.TrialID, clock.Now())
+		h.ledger.FinishTrial(ledgerAttempt.TrialOf, ledgerAttempt.TrialID, clock.Now())
 	}
 }
 
 // awaitCrashCheck queries a server to find out whether it has crashed, and waits for the result,
-// which decides how the request proceeds. Requests without previous crashes wait for
-// crashCheckTimeout at most.
+// which decides how the request proceeds. Requests that are not suspected wait for crashCheckTimeout
+// at most.
 func (h *Handler) awaitCrashCheck(ctx context.Context, s catalog.Server, u unansweredAttempt) {
 	checked := make(chan struct{})
 	go func() {
@@ -202,7 +213,7 @@
 			h.queryAfter(ctx, s, clock.Now())
 		}
 	}()
-	if u.ledgerAttempt.CrashStreak > 0 {
+	if u.ledgerAttempt.Suspected {
 		<-checked
 
 		return
@@ -241,7 +252,7 @@
 	detectedAt := clock.Now()
 	for _, a := range h.monitor.all() {
 		if path, ledgerAttempt := a.current(); path.Contains(s.ID) {
-			h.recordCrash(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: ledgerAttempt, endedAt: detectedAt, requestDone: a.request.done}, s.ID)
+			h.recordCrash(newUnanswered(a.request, ledgerAttempt, nil), s.ID)
 		}
 	}
 	for _, u := range h.unanswered.sentTo(s.ID, detectedAt) {
@@ -253,18 +264,32 @@
 	if s, ok := h.fleet.Server(id); ok && (s.Leaving || s.EntryInvalid) {
 		return
 	}
-	if !h.ledger.RecordCrash(u.fingerprint, u.ledgerAttempt, id, clock.Now()) {
+	findings := h.ledger.RecordCrashUnder(u.subject, u.ledgerAttempt, id, clock.Now())
+	if len(findings) == 0 {
 		return
 	}
 	if u.requestDone.Load() {
-		h.ledger.RecordFailure(u.fingerprint, clock.Now())
+		h.ledger.RecordFailureOf(u.subject, clock.Now())
+	}
+	for _, finding := range findings {
+		h.logEndedAgain(u, id, finding)
 	}
-	if u.ledgerAttempt.CrashStreak == 0 {
+}
+
+// logEndedAgain logs a crash that is not the first one under a request or a prompt part.
+func (h *Handler) logEndedAgain(u unansweredAttempt, id slatebridge.ServerID, finding quarantine.CrashFinding) {
+	if finding.CrashStreak <= 1 || (!finding.Blamed.IsPart() && u.ledgerAttempt.CrashStreak == 0) {
 		return
 	}
-	verdict, streak := h.ledger.Verdict(u.fingerprint, clock.Now())
-	event.Log(h.logger, event.EndedAgain, zap.Stringer("same", u.fingerprint), zap.String("server", string(id)), zap.Int("row", streak),
-		zap.Bool("trial", u.ledgerAttempt.TrialID != 0), zap.Stringer("verdict", verdict))
+	d := h.ledger.Decide(u.subject, clock.Now())
+	fields := []zap.Field{
+		zap.Stringer("same", finding.Blamed), zap.String("server", string(id)), zap.Int("row", finding.CrashStreak),
+		zap.Bool("trial", u.ledgerAttempt.TrialID != 0), zap.Stringer("verdict", d.Verdict),
+	}
+	if i := slices.Index(u.subject.Parts, finding.Blamed); i >= 0 {
+		fields = append(fields, zap.String("part", u.parts[i]))
+	}
+	event.Log(h.logger, event.EndedAgain, fields...)
 }
 
 // serverIDs returns the IDs of the servers of the path.
@@ -301,13 +326,13 @@
 	path, ledgerAttempt := a.current()
 	switch {
 	case end.complete:
-		h.ledger.RecordSuccess(c.fingerprint(), clock.Now())
+		h.ledger.RecordSuccessOf(c.subject(), clock.Now())
 	case end.err != nil:
 		h.recordUnanswered(ctx, c, ledgerAttempt, serverEntries(path), end.err)
 	case ledgerAttempt.TrialID != 0 && end.unsent:
-		h.ledger.CancelTrial(c.fingerprint(), ledgerAttempt.TrialID, clock.Now())
+		h.ledger.CancelTrial(ledgerAttempt.TrialOf, ledgerAttempt.TrialID, clock.Now())
 	case ledgerAttempt.TrialID != 0:
-		h.ledger.FinishTrial(c.fingerprint(), ledgerAttempt.TrialID, clock.Now())
+		h.ledger.FinishTrial(ledgerAttempt.TrialOf, ledgerAttempt.TrialID, clock.Now())
 	}
 }
 
@@ -318,10 +343,10 @@
 	case o.fate == mayHaveRun:
 		h.recordUnanswered(ctx, c, o.ledgerAttempt, []catalog.Server{o.server}, o.err)
 	case o.fate == answered && o.remainder == nil && o.resp.StatusCode < http.StatusMultipleChoices:
-		h.ledger.RecordSuccess(c.fingerprint(), clock.Now())
+		h.ledger.RecordSuccessOf(c.subject(), clock.Now())
 	case o.ledgerAttempt.TrialID != 0 && (o.fate == unsent || o.fate == withheld):
-		h.ledger.CancelTrial(c.fingerprint(), o.ledgerAttempt.TrialID, clock.Now())
+		h.ledger.CancelTrial(o.ledgerAttempt.TrialOf, o.ledgerAttempt.TrialID, clock.Now())
 	case o.ledgerAttempt.TrialID != 0:
-		h.ledger.FinishTrial(c.fingerprint(), o.ledgerAttempt.TrialID, clock.Now())
+		h.ledger.FinishTrial(o.ledgerAttempt.TrialOf, o.ledgerAttempt.TrialID, clock.Now())
 	}
 }
--- a/forward/relay_events.go
+++ b/forward/relay_events.go
@@ -19,7 +19,11 @@
 		if err != nil {
 			return err
 		}
-		t.h.fleet.RecordProgress(a.recordEvent())
+		path, progressed := a.recordEvent()
+		t.h.fleet.RecordProgress(path)
+		if progressed {
+			t.h.ledger.RecordProgress(t.c.subject().Parts, clock.Now())
+		}
 		if ev.id > 0 && t.lastEventID != noEventID {
 			if ev.id <= t.lastEventID {
 				continue
--- a/forward/repair.go
+++ b/forward/repair.go
@@ -286,9 +286,10 @@
 	}
 	h.refusals.forget(r.next)
 	_, previous := a.current()
-	h.unanswered.add(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: previous, servers: serverIDs(r.path), endedAt: clock.Now(), requestDone: a.request.done})
-	_, streak := h.ledger.Verdict(a.request.fingerprint(), clock.Now())
-	if !a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: streak, StartedAt: clock.Now()}, r.reservation) {
+	h.unanswered.add(newUnanswered(a.request, previous, serverIDs(r.path)))
+	now := clock.Now()
+	d := h.ledger.Decide(a.request.subject(), now)
+	if !a.switchPath(r.next, quarantine.Attempt{ID: rand.Uint32(), CrashStreak: d.CrashStreak, StartedAt: now, Suspected: d.Suspected}, r.reservation) {
 		h.metrics.repairDone(repairNotNeeded)
 
 		return nil
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -211,7 +211,7 @@
 		if ended := h.fleet.EndedInPath(path); len(ended) > 0 {
 			_, ledgerAttempt := a.current()
 			for _, id := range ended {
-				h.recordCrash(unansweredAttempt{fingerprint: a.request.fingerprint(), ledgerAttempt: ledgerAttempt, requestDone: a.request.done}, id)
+				h.recordCrash(newUnanswered(a.request, ledgerAttempt, nil), id)
 			}
 			go h.recoverStream(ctx, a, path, started, silent, ended)
 		}
--- a/quarantine/early_suspects.go
+++ b/quarantine/early_suspects.go
@@ -7,13 +7,14 @@
 )
 
 // maxEarly limits the early suspects reported at once. A box that is not alone in its hall starts
-// fewer requests than this at one server within quickCrashTime.
-const maxEarly = 32
+// fewer requests than half of this at one server within quickCrashTime. The other half is kept for
+// prompt parts, which most of these requests share.
+const maxEarly = 64
 
 // recordEarly queues a suspect to be reported to other boxes by messages alone, not through the
 // store, since a copy of the request may be on its way to them. The caller holds mu.
 func (l *Ledger) recordEarly(f Fingerprint) {
-	if len(l.early) >= maxEarly {
+	if len(l.early) >= maxEarly || (!f.IsPart() && len(l.early) >= maxEarly/2) {
 		return
 	}
 	l.early[f] = true
@@ -64,6 +65,8 @@
 	if _, ok := l.droppedAt[f]; ok || l.successes.outweighCrash(f) {
 		return false, nil
 	}
+	// Whether a part was proven harmless before or after this crash is not known here. The next proof
+	// drops the entry.
 	s := l.suspect(f, now)
 	before := s.entry
 	s.entry = before.Merge(e)
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -47,13 +47,15 @@
 // Crash is an attempt during which a server crashed.
 type Crash struct {
 	_ struct{} `cbor:",toarray"`
-	// AttemptID is the random number of the attempt.
-	AttemptID uint32
+	// Source identifies what counts as one crash: the random number of the attempt or, in the entry
+	// of a part, its account and server (see partSource).
+	Source uint32
 	// Server is the incarnation that crashed, and TrialID the trial that the attempt was; zero if
 	// none.
 	Server  slatebridge.ServerID
 	TrialID uint32
-	// Delayed reports whether the attempt had run for longer than quickCrashTime.
+	// Delayed reports whether the attempt had run for longer than quickCrashTime or, in the entry of a
+	// part, had progressed.
 	Delayed bool
 }
 
@@ -72,7 +74,7 @@
 	Canceled bool
 }
 
-// Entry is what is known of one request. Entries are immutable; methods return new ones. Merge
+// Entry is what is known of one request or prompt part. Entries are immutable; methods return new ones. Merge
 // combines the entries of two boxes in any order.
 type Entry struct {
 	_ struct{} `cbor:",toarray"`
@@ -81,7 +83,8 @@
 	CrashStreak int
 	Crashes     []Crash
 	Trials      []Trial
-	// Succeeded reports whether the request was ever answered completely.
+	// Succeeded reports whether the request was ever answered completely, or the part recently proven
+	// harmless before its crashes.
 	Succeeded bool
 }
 
@@ -140,12 +143,17 @@
 func mergeCrashes(a, b []Crash) []Crash {
 	out := slices.Clone(a)
 	for _, crash := range b {
-		if !slices.ContainsFunc(out, func(v Crash) bool { return v.AttemptID == crash.AttemptID }) {
+		i := slices.IndexFunc(out, func(v Crash) bool { return v.Source == crash.Source })
+		if i < 0 {
 			out = append(out, crash)
+
+			continue
 		}
+		out[i].TrialID = max(out[i].TrialID, crash.TrialID)
+		out[i].Delayed = out[i].Delayed && crash.Delayed
 	}
 	slices.SortFunc(out, func(a, b Crash) int {
-		return cmp.Or(compareTrueFirst(a.TrialID != 0, b.TrialID != 0), cmp.Compare(a.AttemptID, b.AttemptID))
+		return cmp.Or(compareTrueFirst(a.TrialID != 0, b.TrialID != 0), cmp.Compare(a.Source, b.Source))
 	})
 
 	return out[:min(len(out), maxCrashes)]
@@ -253,7 +261,7 @@
 func (o legacyEntry) toEntry() Entry {
 	e := Entry{CrashStreak: o.CrashStreak, Trials: o.Trials, Succeeded: o.Succeeded}
 	for _, crash := range o.Crashes {
-		e.Crashes = append(e.Crashes, Crash{AttemptID: crash.Attempt, Server: crash.Server, TrialID: crash.Trial})
+		e.Crashes = append(e.Crashes, Crash{Source: crash.Attempt, Server: crash.Server, TrialID: crash.Trial})
 	}
 
 	return e
--- a/quarantine/entry_test.go
+++ b/quarantine/entry_test.go
@@ -20,7 +20,7 @@
 				if rapid.Bool().Draw(t, "trial") {
 					e = e.WithTrial(Trial{ID: n})
 				} else {
-					e = e.WithCrash(Crash{AttemptID: n, Server: "s", TrialID: n}, e.CrashStreak, time.Duration(n)*quickCrashTime/2)
+					e = e.WithCrash(Crash{Source: n, Server: "s", TrialID: n}, e.CrashStreak, time.Duration(n)*quickCrashTime/2)
 				}
 			}
 
@@ -46,7 +46,7 @@
 
 // FuzzApply checks that invalid data in the store does no harm.
 func FuzzApply(f *testing.F) {
-	good, err := Entry{CrashStreak: 2, Crashes: []Crash{{AttemptID: 1, Server: "s1"}}, Trials: []Trial{{ID: 1, Servers: []uint32{7}}}}.Encode()
+	good, err := Entry{CrashStreak: 2, Crashes: []Crash{{Source: 1, Server: "s1"}}, Trials: []Trial{{ID: 1, Servers: []uint32{7}}}}.Encode()
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -71,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := Entry{CrashStreak: 2, Crashes: []Crash{{AttemptID: 7, Server: "s", TrialID: 9}}, Succeeded: true}
+	want := Entry{CrashStreak: 2, Crashes: []Crash{{Source: 7, Server: "s", TrialID: 9}}, Succeeded: true}
 	if diff := cmp.Diff(want, got, cmpopts.EquateEmpty(), cmpopts.IgnoreUnexported(Entry{}, Crash{}, Trial{})); diff != "" {
 		t.Error(diff)
 	}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -13,9 +13,16 @@
 const FingerprintSize = 16
 
 // Fingerprint identifies the content of a request: repeated requests with the same account, host,
-// method, path and body share it. It discloses nothing about the body to those who do not know it.
+// method, path and body share it. Others identify a part of prompts. It discloses nothing about the
+// body to those who do not know it.
 type Fingerprint [FingerprintSize]byte
 
+// partBit is the bit of the first byte that is set in the fingerprints of prompt parts only.
+const partBit = 0x80
+
+// IsPart reports whether the fingerprint is that of a prompt part.
+func (f Fingerprint) IsPart() bool { return f[0]&partBit != 0 }
+
 // displayDigits is the number of hexadecimal digits in logs and the status, enough to distinguish
 // the requests of a day.
 const displayDigits = 12
@@ -49,5 +56,8 @@
 	_, _ = h.Write(h.prefix)
 	_, _ = h.Write(body)
 
-	return Fingerprint(h.Sum(h.sum[:0])[:FingerprintSize])
+	f := Fingerprint(h.Sum(h.sum[:0])[:FingerprintSize])
+	f[0] &^= partBit
+
+	return f
 }
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -28,9 +28,15 @@
 	// CrashStreak is the crash streak known when the attempt began.
 	CrashStreak int
 	StartedAt   time.Time
+	// TrialOf is what the trial was granted for: the request or a part of its prompt.
+	TrialOf Fingerprint
+	// Progressed reports whether the attempt has progressed on its path (see HasProgressed).
+	Progressed bool
+	// Suspected is that of the Decision on the attempt.
+	Suspected bool
 }
 
-// Ledger holds the suspects: requests under which servers have crashed. It is safe for concurrent
+// Ledger holds the suspects: requests and prompt parts under which servers have crashed. It is safe for concurrent
 // use.
 type Ledger struct {
 	// count is the number of suspects, so that no work is done while there are none.
@@ -39,6 +45,7 @@
 	mu        sync.Mutex
 	suspects  map[Fingerprint]*suspect
 	successes successCounts
+	proofs    proofs
 	// droppedAt is when requests were last dropped as suspects, mostly because they were answered
 	// completely.
 	droppedAt map[Fingerprint]time.Time
@@ -53,7 +60,7 @@
 	early map[Fingerprint]bool
 }
 
-// suspect is a request under which servers have crashed.
+// suspect is a request or a prompt part under which servers have crashed.
 type suspect struct {
 	entry Entry
 	// lastCrashAt is when the last crash became known, and lastTrialAt the last trial.
@@ -67,7 +74,7 @@
 // New returns an empty Ledger.
 func New() *Ledger {
 	return &Ledger{
-		suspects: make(map[Fingerprint]*suspect), successes: newSuccessCounts(), droppedAt: make(map[Fingerprint]time.Time),
+		suspects: make(map[Fingerprint]*suspect), successes: newSuccessCounts(), proofs: newProofs(), droppedAt: make(map[Fingerprint]time.Time),
 		unpublished: make(map[Fingerprint]time.Time), changed: make(chan struct{}, 1),
 		early: make(map[Fingerprint]bool),
 	}
@@ -89,7 +96,7 @@
 		return false
 	}
 	s := l.suspect(f, now)
-	s.entry = s.entry.WithCrash(Crash{AttemptID: a.ID, Server: server, TrialID: a.TrialID}, a.CrashStreak, now.Sub(a.StartedAt))
+	s.entry = s.entry.WithCrash(Crash{Source: a.ID, Server: server, TrialID: a.TrialID}, a.CrashStreak, now.Sub(a.StartedAt))
 	s.lastCrashAt = now
 	l.recordServerCrash(server, now)
 	switch {
@@ -169,8 +176,11 @@
 	}
 	for f, s := range l.suspects {
 		ttl := suspectTTL
-		if l.holdDuration(f, s.entry) >= baseHold {
+		switch {
+		case l.holdDuration(f, s.entry) >= baseHold:
 			ttl = 2 * finalHold
+		case f.IsPart() && !s.shared:
+			ttl = unsharedPartTTL
 		}
 		if now.Sub(latest(s.lastCrashAt, s.lastTrialAt)) > ttl {
 			l.drop(f, s.shared, now)
@@ -187,7 +197,7 @@
 	if len(l.suspects) >= MaxSuspects {
 		l.evictOne()
 	}
-	s = &suspect{lastCrashAt: now, entry: Entry{Succeeded: l.successes.known(f)}}
+	s = &suspect{lastCrashAt: now, entry: Entry{Succeeded: l.successes.known(f) || l.proofs.get(f) != proof{}}}
 	l.suspects[f] = s
 	l.count.Store(int64(len(l.suspects)))
 
@@ -211,18 +221,30 @@
 // drop removes a suspect, also at the other boxes if publish is set. The caller holds mu.
 func (l *Ledger) drop(f Fingerprint, publish bool, now time.Time) {
 	delay := droppedDelay
-	if s, ok := l.suspects[f]; ok && s.entry.needsTrial(trialGrace) {
+	if s, ok := l.suspects[f]; ok && f.needsTrial(s.entry) {
 		delay = urgentDelay
 	}
 	delete(l.suspects, f)
 	delete(l.unpublished, f)
 	l.count.Store(int64(len(l.suspects)))
-	l.droppedAt[f] = now
+	if !f.IsPart() {
+		l.droppedAt[f] = now
+	}
 	if publish {
 		l.schedulePublish(f, now, delay)
 	}
 }
 
+// needsTrial reports whether what has the entry may only be sent as a trial, once the grace after its
+// last crash has passed.
+func (f Fingerprint) needsTrial(e Entry) bool {
+	if f.IsPart() {
+		return e.partNeedsTrial()
+	}
+
+	return e.needsTrial(trialGrace)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- /dev/null
+++ b/quarantine/parts.go
@@ -0,0 +1,272 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/slatebridge/slatebridge"
+)
+
+const (
+	// A stream has progressed once it has had progressEvents events on its path, over at least
+	// progressTime: its prompt parts do not crash servers that begin to answer.
+	progressEvents = 8
+	progressTime   = 250 * time.Millisecond
+	// provenStreakBeforeTrial is streakBeforeTrial for a part that was recently proven harmless. It is
+	// not higher, because a part may begin to crash servers when new weights are loaded.
+	provenStreakBeforeTrial = 4
+	// unsharedPartTTL is how long the crashes under a part are remembered that is not in the store.
+	// Boxes without requests with that part do not learn that it was proven harmless.
+	unsharedPartTTL = time.Minute
+	// accountsForAll is the number of client accounts in whose trials servers have crashed under a
+	// part from which the part is held back for all accounts.
+	accountsForAll = 2
+)
+
+// HasProgressed reports whether a stream with this number of events on its path, the first of which
+// came the given time ago, shows that its prompt parts crash no servers.
+func HasProgressed(events int, sinceFirst time.Duration) bool {
+	return events >= progressEvents && sinceFirst >= progressTime
+}
+
+// Subject is what may crash the servers that run a request: the request itself, or a part of its
+// prompt that it shares with other requests.
+type Subject struct {
+	Request Fingerprint
+	// Parts are the fingerprints of all parts of the prompt but the last, which no other request has.
+	Parts []Fingerprint
+	// Account identifies the client account.
+	Account AccountHash
+}
+
+// AccountHash identifies a client account in entries. Two accounts may share one.
+type AccountHash uint16
+
+// NewAccountHash returns the hash of a client account's name.
+func NewAccountHash(account string) AccountHash {
+	sum := sha256.Sum256([]byte(account))
+
+	return AccountHash(binary.LittleEndian.Uint16(sum[:]))
+}
+
+// NewPartFingerprint returns the fingerprint of a prompt part of requests to a service.
+func NewPartFingerprint(service, part string) Fingerprint {
+	f := NewFingerprint("", service, "", "", []byte(part))
+	f[0] |= partBit
+
+	return f
+}
+
+// partSource returns the source of a crash under a part: all requests of an account at one crashed
+// server count once.
+func partSource(account AccountHash, server slatebridge.ServerID) uint32 {
+	sum := sha256.Sum256([]byte(server))
+
+	return uint32(account)<<16 | uint32(binary.LittleEndian.Uint16(sum[:]))
+}
+
+// account returns the client account whose requests a crash under a part was counted for.
+func (c Crash) account() AccountHash { return AccountHash(c.Source >> 16) }
+
+// accounts returns the client accounts under whose requests servers crashed, and those for which one
+// did so in a trial.
+func (e Entry) accounts() (all, inTrials []AccountHash) {
+	for _, c := range e.Crashes {
+		if !slices.Contains(all, c.account()) {
+			all = append(all, c.account())
+		}
+		if c.TrialID != 0 && !slices.Contains(inTrials, c.account()) {
+			inTrials = append(inTrials, c.account())
+		}
+	}
+
+	return all, inTrials
+}
+
+// partNeedsTrial is needsTrial for the entry of a part.
+func (e Entry) partNeedsTrial() bool {
+	n := streakBeforeTrial
+	if e.Succeeded {
+		n = provenStreakBeforeTrial
+	}
+
+	return e.CrashStreak > n || (e.CrashStreak == n && e.quickStreak() >= n)
+}
+
+// recordPartCrash records a crash under a part. It reports whether the crash is new. A crash does not
+// count if the part has been proven harmless since the attempt began. If the attempt had progressed,
+// only a complete answer proves that. The caller holds mu.
+func (l *Ledger) recordPartCrash(f Fingerprint, account AccountHash, a Attempt, server slatebridge.ServerID, now time.Time) bool {
+	p := l.proofs.get(f)
+	if p.completeAt.After(a.StartedAt) || (!a.Progressed && p.progressAt.After(a.StartedAt)) {
+		return false
+	}
+	s := l.suspect(f, now)
+	streak := s.entry.CrashStreak
+	if streak > 0 && !a.StartedAt.After(s.lastCrashAt) {
+		// The attempt began before the latest crash was known.
+		streak--
+	}
+	crash := Crash{Source: partSource(account, server), Server: server, TrialID: a.TrialID, Delayed: a.Progressed}
+	before := s.entry
+	s.entry = before.Merge(Entry{CrashStreak: streak + 1, Crashes: []Crash{crash}, Trials: before.finishedTrial(a.TrialID)})
+	if len(s.entry.Crashes) == len(before.Crashes) && s.entry.CrashStreak == before.CrashStreak && a.TrialID == 0 {
+		return false
+	}
+	s.lastCrashAt = now
+	l.recordServerCrash(server, now)
+	switch {
+	case s.entry.partNeedsTrial():
+		l.schedulePublish(f, now, urgentDelay)
+	case s.shared:
+		l.schedulePublish(f, now, failureDelay)
+	case !a.Progressed:
+		l.recordEarly(f)
+	}
+
+	return true
+}
+
+// RecordProgress records that a stream with these prompt parts has progressed (see HasProgressed).
+func (l *Ledger) RecordProgress(parts []Fingerprint, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range parts {
+		p := l.proofs.get(f)
+		p.progressAt = now
+		l.proofs.set(f, p)
+		if s, ok := l.suspects[f]; ok && !s.entry.hasDelayedCrash() {
+			l.drop(f, s.shared, now)
+		}
+	}
+}
+
+// recordPartSuccess records that a request with the part was answered completely. The caller holds mu.
+func (l *Ledger) recordPartSuccess(f Fingerprint, now time.Time) {
+	l.proofs.set(f, proof{progressAt: now, completeAt: now})
+	if s, ok := l.suspects[f]; ok {
+		l.drop(f, s.shared, now)
+	}
+}
+
+func (e Entry) hasDelayedCrash() bool {
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Delayed })
+}
+
+// partVerdict returns the verdict on a part of a request. The caller holds mu.
+//
+// Servers that crash under one account's requests restrict other accounts only once that happens to
+// them too, so that no account can have the parts of another one held back.
+func (l *Ledger) partVerdict(f Fingerprint, s *suspect, subject Subject, now time.Time) Verdict {
+	if !s.entry.partNeedsTrial() || l.explained(f, s.entry) {
+		return Allowed
+	}
+	all, inTrials := s.entry.accounts()
+	if !slices.Contains(all, subject.Account) && len(all) < accountsForAll {
+		return Allowed
+	}
+	if s.trialRunning(now) {
+		return TrialRunning
+	}
+	hold := l.holdDuration(f, s.entry)
+	if now.Sub(latest(s.lastCrashAt, s.lastTrialAt)) >= hold {
+		return TrialOnly
+	}
+	convicted := slices.Contains(inTrials, subject.Account) || len(inTrials) >= accountsForAll
+	if hold >= baseHold && (!convicted || l.tiedWithOther(f, s.entry, subject)) {
+		return TrialOnly
+	}
+
+	return Held
+}
+
+// explained reports whether a part that was never proven harmless explains the crashes under one that
+// was: it was there at two of them at least, and at half.
+//
+// Scenario: most requests of a route share a part. One in six has another part as well, which crashes
+// servers, so that streams with the shared part are at every crash.
+func (l *Ledger) explained(f Fingerprint, e Entry) bool {
+	if !e.Succeeded {
+		return false
+	}
+	for other, s := range l.suspects {
+		if other == f || !other.IsPart() || s.entry.Succeeded || !s.entry.partNeedsTrial() {
+			continue
+		}
+		if n := s.entry.commonCrashes(e); n >= streakBeforeTrial && 2*n >= len(e.Crashes) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// commonCrashes returns the number of crashes in o of servers that also crashed under this entry.
+func (e Entry) commonCrashes(o Entry) int {
+	n := 0
+	for _, c := range o.Crashes {
+		if e.hasCrashed(c.Server) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// tiedWithOther reports whether something that is not in the request may have caused the crashes as
+// well as the part: it ran in the same trials, and has as high a crash streak. Only a trial of a
+// request without it tells which one it was.
+func (l *Ledger) tiedWithOther(f Fingerprint, e Entry, subject Subject) bool {
+	for other, s := range l.suspects {
+		if other == f || other == subject.Request || slices.Contains(subject.Parts, other) || s.entry.CrashStreak < e.CrashStreak {
+			continue
+		}
+		if slices.ContainsFunc(e.Crashes, func(c Crash) bool { return s.entry.crashedInTrial(c.TrialID) }) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// crashedInTrial reports whether a server crashed in the trial.
+func (e Entry) crashedInTrial(trialID uint32) bool {
+	return trialID != 0 && slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.TrialID == trialID })
+}
+
+// proof is when a part was last proven harmless: by a stream that had progressed, and by a complete
+// answer.
+type proof struct {
+	progressAt, completeAt time.Time
+}
+
+// proofs holds the recent proofs of parts. They live in two generations, like successCounts.
+type proofs struct {
+	recent, older map[Fingerprint]proof
+}
+
+func newProofs() proofs {
+	return proofs{recent: make(map[Fingerprint]proof), older: make(map[Fingerprint]proof)}
+}
+
+// get returns the proofs of a part; zero if it has none.
+func (p *proofs) get(f Fingerprint) proof {
+	if v, ok := p.recent[f]; ok {
+		return v
+	}
+
+	return p.older[f]
+}
+
+func (p *proofs) set(f Fingerprint, v proof) {
+	if len(p.recent) >= generationSize {
+		p.recent, p.older = p.older, p.recent
+		clear(p.recent)
+	}
+	p.recent[f] = v
+}
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -95,6 +95,9 @@
 		if _, ok := l.suspects[f]; ok {
 			l.drop(f, false, now)
 		}
+		if f.IsPart() {
+			l.proofs.set(f, proof{progressAt: now, completeAt: now})
+		}
 
 		return nil
 	}
--- a/quarantine/status.go
+++ b/quarantine/status.go
@@ -35,6 +35,8 @@
 	// Fingerprint is the displayed part of the fingerprint.
 	Fingerprint string `json:"same"`
 	Verdict     string `json:"verdict"`
+	// PromptPart reports whether it is a part of prompts rather than a request.
+	PromptPart bool `json:"prompt_part"`
 	// CrashStreak is the number of consecutive crashes under the request.
 	CrashStreak int `json:"row"`
 	// Servers are the servers that crashed under the request, and Trials the number of its trials,
@@ -45,7 +47,22 @@
 	SinceLastCrash time.Duration `json:"ago"`
 }
 
-// Suspects returns the requests that may be sent as trials only or not at all, those with the
+// statusVerdict returns the verdict on a request, or on a part in the requests under which servers
+// crashed last.
+func (l *Ledger) statusVerdict(f Fingerprint, s *suspect, now time.Time) Verdict {
+	if !f.IsPart() {
+		return l.verdict(f, s, now)
+	}
+	v := Allowed
+	all, _ := s.entry.accounts()
+	for _, account := range all {
+		v = max(v, l.partVerdict(f, s, Subject{Account: account}, now))
+	}
+
+	return v
+}
+
+// Suspects returns the requests and prompt parts that may be sent as trials only or not at all, those with the
 // highest crash streak first.
 func (l *Ledger) Suspects(now time.Time) []Suspect {
 	if l.Empty() {
@@ -55,11 +72,11 @@
 	defer l.mu.Unlock()
 	var out []Suspect
 	for f, s := range l.suspects {
-		v := l.verdict(f, s, now)
+		v := l.statusVerdict(f, s, now)
 		if v == Allowed {
 			continue
 		}
-		o := Suspect{Fingerprint: f.String(), Verdict: v.String(), CrashStreak: s.entry.CrashStreak, Trials: len(s.entry.Trials), SinceLastCrash: now.Sub(s.lastCrashAt)}
+		o := Suspect{Fingerprint: f.String(), PromptPart: f.IsPart(), Verdict: v.String(), CrashStreak: s.entry.CrashStreak, Trials: len(s.entry.Trials), SinceLastCrash: now.Sub(s.lastCrashAt)}
 		for _, crash := range s.entry.Crashes {
 			o.Servers = append(o.Servers, crash.Server)
 		}
