--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -130,7 +130,7 @@
 		return attempt, quarantineError(d)
 	}
 	// The request itself is counted at its first server.
-	if others := h.fleet.DirectRequests(servers[0]) - 1; !quarantine.TrialAllowed(others, h.ledger.SinceLastCrash(d.Blamed, attempt.StartedAt)) {
+	if others := h.fleet.DirectRequests(servers[0]) - 1; !d.TrialAllowed(others, h.ledger.SinceLastCrash(d.Blamed, attempt.StartedAt)) {
 		return attempt, result.New(result.OnTrial, "servers have just ended under this request, and it would be tried beside %.0f others", others).WithRetryAfter(trialRetryAfter)
 	}
 	trial := quarantine.Trial{ID: rand.Uint32() | 1}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -105,7 +105,7 @@
 	}
 	s := l.suspect(f, now)
 	streak := s.entry.CrashStreak
-	if streak > 0 && !a.StartedAt.After(s.lastCrashAt) {
+	if streak > 0 && a.StartedAt.Before(s.lastCrashAt) {
 		// The attempt began before the latest crash was known.
 		streak--
 	}
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -14,6 +14,9 @@
 	Blamed Fingerprint
 	// CrashStreak is the crash streak of the request itself, and BlamedStreak that of Blamed.
 	CrashStreak, BlamedStreak int
+	// Ambiguous reports whether a trial of the request would not tell whether the request itself or
+	// the blamed part crashes servers. One of another request with that part would.
+	Ambiguous bool
 	// Suspected reports whether a server has crashed under anything in the request that was not
 	// proven harmless recently.
 	Suspected bool
@@ -44,6 +47,8 @@
 		}
 	}
 
+	d.Ambiguous = d.Blamed != subject.Request && d.CrashStreak >= d.BlamedStreak
+
 	return d
 }
 
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -45,6 +45,12 @@
 	return otherRequests <= maxOtherRequests || since >= trialDelay
 }
 
+// TrialAllowed is TrialAllowed for the decision: a trial that would not tell what is to blame waits for
+// trialDelay in any case, so that one that does may come first.
+func (d Decision) TrialAllowed(otherRequests float64, since time.Duration) bool {
+	return since >= trialDelay || (!d.Ambiguous && TrialAllowed(otherRequests, since))
+}
+
 // Verdict is the decision on a request.
 type Verdict int
 
