--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -105,8 +105,8 @@
 	}
 	s := l.suspect(f, now)
 	streak := s.entry.CrashStreak
-	if streak > 0 && a.StartedAt.Before(s.lastCrashAt) {
-		// The attempt began before the latest crash was known.
+	if streak > 0 && (a.StartedAt.Before(s.lastCrashAt) || s.entry.hasCrashed(server)) {
+		// The attempt began before the latest crash was known, or this crash is known.
 		streak--
 	}
 	crash := Crash{Source: partSource(account, server), Server: server, TrialID: a.TrialID, Delayed: a.Progressed}
@@ -226,6 +226,10 @@
 		if other == f || other == subject.Request || slices.Contains(subject.Parts, other) || s.entry.CrashStreak < e.CrashStreak {
 			continue
 		}
+		if s.entry.Succeeded && !e.Succeeded {
+			// The other one was proven harmless before.
+			continue
+		}
 		if slices.ContainsFunc(e.Crashes, func(c Crash) bool { return s.entry.crashedInTrial(c.TrialID) }) {
 			return true
 		}
