--- a/box/box.go
+++ b/box/box.go
@@ -167,6 +167,9 @@
 		RequestRoom: b.rooms.claim,
 		Random:      rand.Float64, Logger: logger, Metrics: forward.NewMetrics(reg),
 	})
+	if b.links != nil {
+		b.links.setLateness(func() bool { return b.handler.Load().Late(clock.Now()) })
+	}
 
 	return b
 }
--- a/box/peers.go
+++ b/box/peers.go
@@ -279,10 +279,12 @@
 
 // expirePeers marks silent boxes as lost, and forgets them after peerRetention.
 func (c *control) expirePeers(now time.Time) {
+	// Messages that have arrived may not have been read yet.
+	ownLag := c.box.handler.Load().RecentLag(now)
 	for id, o := range c.peers {
 		o.retryUnresponsive(now)
 		silent := now.Sub(o.lastSeenAt)
-		if !o.lost && silent > o.silenceTimeout() {
+		if !o.lost && silent > o.silenceTimeout()+ownLag {
 			o.lost = true
 			event.Log(c.box.logger, event.PeerLost, zap.String("peer", string(id)), zap.Duration("silent_ms", silent))
 		}
--- a/box/server_links.go
+++ b/box/server_links.go
@@ -36,6 +36,8 @@
 	logger   *zap.Logger
 
 	mu sync.Mutex
+	// isLate reports whether the box is late with its own work.
+	isLate func() bool
 	// closeIdle closes the idle connections to servers, and closedAt is when that was last due.
 	closeIdle func()
 	closedAt  time.Time
@@ -46,10 +48,10 @@
 func NewServerLinks(s Settings, dialServer, dialPeer reach.DialFunc, logger *zap.Logger, reg prometheus.Registerer) *ServerLinks {
 	l := &ServerLinks{
 		keys: tunnel.NewKeyring(s.Bounds.MaxRevocationDelay, clock.Now), metrics: tunnel.NewMetrics(reg), logger: logger,
-		closeIdle: func() {},
+		closeIdle: func() {}, isLate: func() bool { return false },
 	}
 	m := reach.NewMetrics(reg)
-	l.observer = reach.NewObserver(dialServer, reach.WithOnDial(m.Dialed), reach.WithOnChange(func(isolated bool, failedServers int) {
+	l.observer = reach.NewObserver(dialServer, reach.WithOnDial(m.Dialed), reach.WithLateness(l.late), reach.WithOnChange(func(isolated bool, failedServers int) {
 		m.Changed(isolated, failedServers)
 		if isolated {
 			event.Log(logger, event.ServersUnreached, zap.Int("servers", failedServers))
@@ -71,6 +73,21 @@
 	l.closeIdle = closeIdle
 }
 
+// setLateness sets the function that reports whether the box is late with its own work.
+func (l *ServerLinks) setLateness(isLate func() bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isLate = isLate
+}
+
+func (l *ServerLinks) late() bool {
+	l.mu.Lock()
+	isLate := l.isLate
+	l.mu.Unlock()
+
+	return isLate()
+}
+
 // DialContext opens a connection to a server.
 func (l *ServerLinks) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	return l.dialer.DialContext(ctx, network, address)
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -19,6 +19,7 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/keepalive"
 	"github.com/slatebridge/slatebridge/mesh"
+	"github.com/slatebridge/slatebridge/ownload"
 	"github.com/slatebridge/slatebridge/platform"
 	"github.com/slatebridge/slatebridge/reach"
 )
@@ -107,10 +108,13 @@
 		MaxHeaderBytes:    maxCallerHeaderBytes,
 		ErrorLog:          zap.NewStdLog(zap.NewNop()),
 	}
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Callers)
+	tcp, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Callers)
 	if err != nil {
 		return err
 	}
+	load := b.Handler().Load()
+	ln := ownload.NewListener(tcp, load, ownload.NewMetrics(reg, load).ConnectionClosed)
+	callers.ConnState = ln.ConnState
 	go func() { _ = callers.Serve(ln) }()
 	event.Log(logger, event.Started, zap.String("version", Version), zap.String("hall", string(s.Hall)))
 	watchSettings(ctx, s, logger, func(next box.Settings) {
@@ -162,10 +166,10 @@
 const maxCallerHeaderBytes = 64 << 10
 
 // readyHandler answers the platform's readiness checks: status 503 while the box is not ready for
-// callers.
+// callers, or has no room for new connections.
 func readyHandler(b *box.Box) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !b.Ready() {
+		if !b.Ready() || b.Handler().Load().Full() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
--- a/event/event.go
+++ b/event/event.go
@@ -26,6 +26,8 @@
 	LinesDropped          ID = 107
 	ChannelsDropped       ID = 108
 	BoxSuspended          ID = 109
+	OwnLoadLimited        ID = 110
+	OwnLoadLifted         ID = 111
 	RecordAccepted        ID = 200
 	RecordRefused         ID = 201
 	LogUnreachable        ID = 202
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,7 +16,9 @@
 	"github.com/slatebridge/slatebridge/allowance"
 	"github.com/slatebridge/slatebridge/catalog"
 	"github.com/slatebridge/slatebridge/clock"
+	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/ownload"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/result"
 	"github.com/slatebridge/slatebridge/retry"
@@ -165,6 +167,8 @@
 	roomUnanswered eventLimiter
 	onServerLimit  func(id slatebridge.ServerID, limit allowance.Observation)
 	unanswered     unansweredAttempts
+	// load limits what the box takes from callers while it is late.
+	load *ownload.Limiter
 	// lastInvalidLimit is the last rate limit of a server that could not be parsed.
 	lastInvalidLimit atomic.Pointer[invalidLimit]
 }
@@ -221,6 +225,7 @@
 		serversAliveSince: c.ServersAliveSince, startedAt: clock.Now(), latencies: newLatencyStats(), livenessQueue: make(chan slatebridge.ServerID, livenessQueueSize),
 		ledger: c.Ledger, requestTrial: c.RequestTrial, requestGrant: c.RequestGrant, requestRetry: c.RequestRetry, requestRoom: c.RequestRoom, onServerLimit: c.OnServerLimit,
 	}
+	h.load = ownload.New(func() int { return int(h.InFlight()) }, ownload.WithOnChange(h.logLoad))
 	h.bounds.Store(&c.Bounds)
 	if h.serversAliveSince == nil {
 		h.serversAliveSince = func(time.Time) bool { return true }
@@ -229,6 +234,18 @@
 	return h
 }
 
+// Load returns the limit on what the box takes from callers.
+func (h *Handler) Load() *ownload.Limiter { return h.load }
+
+// logLoad logs that the box began or ceased to limit what it takes from callers.
+func (h *Handler) logLoad(c ownload.Change) {
+	e := event.OwnLoadLimited
+	if c.Limit == 0 {
+		e = event.OwnLoadLifted
+	}
+	event.Log(h.logger, e, zap.Int("limit", c.Limit), zap.Int("in_flight", c.InFlight), zap.Duration("lag_ms", c.Lag))
+}
+
 // RetryBudget returns the retry budget, which all boxes share.
 func (h *Handler) RetryBudget() *retry.Budget { return h.budget }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -122,6 +122,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, e := h.admit(w, r)
+	if e == nil && !h.load.AcceptRequest(clock.Now()) {
+		e = result.New(result.Overloaded, "this box is late with its own work").WithRetryAfter(overload.MinRetryAfter)
+	}
 	if e != nil {
 		h.refuse(w, c, e)
 
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -174,11 +174,14 @@
 	if now.Sub(w.lastTick) > w.interval+maxSchedulingDelay {
 		h.stalledAt.Store(now.UnixNano())
 	}
+	lag := now.Sub(w.lastTick) - w.interval
 	w.lastTick = now
 	if total := clock.SuspendedTotal(); total > w.suspendedTotal {
+		lag -= total - w.suspendedTotal
 		w.suspendedTotal = total
 		h.resumeFromSuspend(now)
 	}
+	h.load.Observe(max(0, lag), now, now.Add(w.interval))
 	if n := h.fleet.RetiredCount(); n != w.retiredCount {
 		w.retiredCount = n
 		h.moveOffEnded(ctx)
@@ -189,8 +192,10 @@
 		return
 	}
 	current := suspicions{suspects: h.fleet.Suspects(), confirmed: h.fleet.ConfirmedSuspects()}
+	// Events that have arrived may not have been read yet.
+	quietUntil := now.Add(-h.load.RecentLag(now))
 	for _, a := range attempts {
-		if a.checkDue(now, current) {
+		if a.checkDue(quietUntil, current) {
 			go h.checkStalled(ctx, a)
 		}
 	}
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/ownload"
 )
 
 // TestWatchInterval checks that the short interval applies from the start of an activity to its
@@ -16,7 +17,7 @@
 func TestWatchInterval(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		checks := 0
-		h := &Handler{activity: activity{started: make(chan struct{}, 1)}, monitor: newMonitor(), httpClient: &http.Client{}, livenessQueue: make(chan slatebridge.ServerID)}
+		h := &Handler{activity: activity{started: make(chan struct{}, 1)}, load: ownload.New(func() int { return 0 }), monitor: newMonitor(), httpClient: &http.Client{}, livenessQueue: make(chan slatebridge.ServerID)}
 		h.fleet = fleet.New("a", clock.Now)
 		w := &watcher{h: h, interval: idleWatchInterval, lastTick: clock.Now()}
 		count := func(d time.Duration) int {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -64,6 +64,7 @@
 	dial     DialFunc
 	onDial   func(Result)
 	onChange func(isolated bool, failedServers int)
+	isLate   func() bool
 
 	// aliveAt is the time of the last sign of life of any server, in Unix nanoseconds, and isolated
 	// whether the box was isolated when that was last checked.
@@ -89,9 +90,15 @@
 	return func(o *Observer) { o.onChange = f }
 }
 
+// WithLateness sets a function that reports whether the box is late with its own work, so that
+// connections time out that servers have accepted.
+func WithLateness(isLate func() bool) Option {
+	return func(o *Observer) { o.isLate = isLate }
+}
+
 // NewObserver returns an Observer of the connections that dial opens.
 func NewObserver(dial DialFunc, opts ...Option) *Observer {
-	o := &Observer{dial: dial, onDial: func(Result) {}, onChange: func(bool, int) {}, failedAt: make(map[string]time.Time)}
+	o := &Observer{dial: dial, onDial: func(Result) {}, onChange: func(bool, int) {}, isLate: func() bool { return false }, failedAt: make(map[string]time.Time)}
 	for _, opt := range opts {
 		opt(o)
 	}
@@ -107,7 +114,11 @@
 		return c, nil
 	case Canceled:
 		// The server had no time to answer.
-	case Refused, TimedOut, Failed:
+	case TimedOut:
+		if !o.isLate() {
+			o.recordFailure(address, clock.Now())
+		}
+	case Refused, Failed:
 		o.recordFailure(address, clock.Now())
 	}
 
