--- a/forward/stream.go
+++ b/forward/stream.go
@@ -328,6 +328,9 @@
 		return t.relayErrorResponse(first, r)
 	}
 	err := t.relayEvents(a, r)
+	if errors.Is(err, io.EOF) && t.endedEarly(a, r) {
+		err = io.ErrUnexpectedEOF
+	}
 	if errors.Is(err, io.EOF) {
 		end.complete = true
 		t.complete(r.resp)
@@ -343,6 +346,18 @@
 	return callerGone(t.ctx)
 }
 
+// endedEarly reports whether a stream that ended between two events was broken off nevertheless. That of
+// an answer with neither a length nor chunks looks the same as its end: it has broken off if it had no
+// event although the caller has none, or if its server is known to have ended.
+func (t *streamRequest) endedEarly(a *streamAttempt, r attemptResult) bool {
+	if r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0 {
+		return false
+	}
+	path, _ := a.current()
+
+	return (t.eventCount == 0 && t.c.LastEventID == 0) || t.h.confirmedEnded(path[0].Server.ID)
+}
+
 func (t *streamRequest) recordRan(id slatebridge.ServerID) {
 	if !slices.Contains(t.ranOn, id) {
 		t.ranOn = append(t.ranOn, id)
