--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -36,6 +36,15 @@
 	Suspected bool
 }
 
+// trialOf returns the ID of the trial that the attempt is of f; zero if it is none.
+func (a Attempt) trialOf(f Fingerprint) uint32 {
+	if a.TrialOf != f {
+		return 0
+	}
+
+	return a.TrialID
+}
+
 // Ledger holds the suspects: requests and prompt parts under which servers have crashed. It is safe for concurrent
 // use.
 type Ledger struct {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -20,6 +20,9 @@
 	// unsharedPartTTL is how long the crashes under a part are remembered that is not in the store.
 	// Boxes without requests with that part do not learn that it was proven harmless.
 	unsharedPartTTL = time.Minute
+	// provenHold is how long a part that was recently proven harmless is held back after the first trial
+	// in which a server crashed. Most requests of an account may have it.
+	provenHold = time.Minute
 	// accountsForAll is the number of client accounts in whose trials servers have crashed under a
 	// part from which the part is held back for all accounts.
 	accountsForAll = 2
@@ -109,10 +112,10 @@
 		// The attempt began before the latest crash was known, or this crash is known.
 		streak--
 	}
-	crash := Crash{Source: partSource(account, server), Server: server, TrialID: a.TrialID, Delayed: a.Progressed}
+	crash := Crash{Source: partSource(account, server), Server: server, TrialID: a.trialOf(f), Delayed: a.Progressed}
 	before := s.entry
-	s.entry = before.Merge(Entry{CrashStreak: streak + 1, Crashes: []Crash{crash}, Trials: before.finishedTrial(a.TrialID)})
-	if len(s.entry.Crashes) == len(before.Crashes) && s.entry.CrashStreak == before.CrashStreak && a.TrialID == 0 {
+	s.entry = before.Merge(Entry{CrashStreak: streak + 1, Crashes: []Crash{crash}, Trials: before.finishedTrial(crash.TrialID)})
+	if len(s.entry.Crashes) == len(before.Crashes) && s.entry.CrashStreak == before.CrashStreak && crash.TrialID == 0 {
 		return false
 	}
 	s.lastCrashAt = now
@@ -173,20 +176,20 @@
 	if s.trialRunning(now) {
 		return TrialRunning
 	}
-	hold := l.holdDuration(f, s.entry)
-	if now.Sub(latest(s.lastCrashAt, s.lastTrialAt)) >= hold {
+	if now.Sub(latest(s.lastCrashAt, s.lastTrialAt)) >= s.entry.partHold() {
 		return TrialOnly
 	}
-	convicted := slices.Contains(inTrials, subject.Account) || len(inTrials) >= accountsForAll
-	if hold >= baseHold && (!convicted || l.tiedWithOther(f, s.entry, subject)) {
+	applies := slices.Contains(inTrials, subject.Account) || len(inTrials) >= accountsForAll
+	if s.entry.crashedTrials() > 0 && (!applies || !l.partConvicted(f, s.entry, subject)) {
 		return TrialOnly
 	}
 
 	return Held
 }
 
-// explained reports whether a part that was never proven harmless explains the crashes under one that
-// was: it was there at two of them at least, and at half.
+// explained reports whether a part that was proven harmless had too few crashes that nothing else
+// explains: at the other servers, something crashed as well that never was proven harmless and needs a
+// trial.
 //
 // Scenario: most requests of a route share a part. One in six has another part as well, which crashes
 // servers, so that streams with the shared part are at every crash.
@@ -194,43 +197,42 @@
 	if !e.Succeeded {
 		return false
 	}
-	for other, s := range l.suspects {
-		if other == f || !other.IsPart() || s.entry.Succeeded || !s.entry.partNeedsTrial() {
-			continue
-		}
-		if n := s.entry.commonCrashes(e); n >= streakBeforeTrial && 2*n >= len(e.Crashes) {
-			return true
+	unexplained := 0
+	for _, c := range e.Crashes {
+		if !l.explainedCrash(f, c.Server) {
+			unexplained++
 		}
 	}
 
-	return false
+	return unexplained < provenStreakBeforeTrial
 }
 
-// commonCrashes returns the number of crashes in o of servers that also crashed under this entry.
-func (e Entry) commonCrashes(o Entry) int {
-	n := 0
-	for _, c := range o.Crashes {
-		if e.hasCrashed(c.Server) {
-			n++
+func (l *Ledger) explainedCrash(f Fingerprint, server slatebridge.ServerID) bool {
+	for other, s := range l.suspects {
+		if other != f && !s.entry.Succeeded && s.entry.CrashStreak >= streakBeforeTrial && s.entry.hasCrashed(server) {
+			return true
 		}
 	}
 
-	return n
+	return false
 }
 
-// tiedWithOther reports whether something that is not in the request may have caused the crashes as
-// well as the part: it ran in the same trials, and has as high a crash streak. Only a trial of a
-// request without it tells which one it was.
-func (l *Ledger) tiedWithOther(f Fingerprint, e Entry, subject Subject) bool {
+// partConvicted reports whether a server crashed in a trial of the part, and nothing that is not in the
+// request may have caused that as well: something with as high a crash streak that ran there. Only a
+// trial of a request without it tells which one it was.
+func (l *Ledger) partConvicted(f Fingerprint, e Entry, subject Subject) bool {
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool {
+		return c.TrialID != 0 && !l.hasRival(f, e, subject, c.Server)
+	})
+}
+
+func (l *Ledger) hasRival(f Fingerprint, e Entry, subject Subject, server slatebridge.ServerID) bool {
 	for other, s := range l.suspects {
-		if other == f || other == subject.Request || slices.Contains(subject.Parts, other) || s.entry.CrashStreak < e.CrashStreak {
-			continue
-		}
-		if s.entry.Succeeded && !e.Succeeded {
-			// The other one was proven harmless before.
+		if other == f || other == subject.Request || slices.Contains(subject.Parts, other) {
 			continue
 		}
-		if slices.ContainsFunc(e.Crashes, func(c Crash) bool { return s.entry.crashedInTrial(c.TrialID) }) {
+		provenOnly := s.entry.Succeeded && !e.Succeeded
+		if !provenOnly && s.entry.CrashStreak >= e.CrashStreak && s.entry.hasCrashed(server) {
 			return true
 		}
 	}
@@ -238,9 +240,23 @@
 	return false
 }
 
-// crashedInTrial reports whether a server crashed in the trial.
-func (e Entry) crashedInTrial(trialID uint32) bool {
-	return trialID != 0 && slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.TrialID == trialID })
+// partHold returns how long a part is held back after its last trial or crash.
+func (e Entry) partHold() time.Duration {
+	trials, crashed := e.countedTrials(), e.crashedTrials()
+	switch {
+	case e.CrashStreak < heldStreak || crashed == 0:
+		if trials < trialsBeforeHold {
+			return 0
+		}
+
+		return min(baseHold, uncertainHold<<(trials-trialsBeforeHold))
+	case trials >= trialsBeforeHold:
+		return finalHold
+	case e.Succeeded && crashed == 1:
+		return provenHold
+	default:
+		return baseHold
+	}
 }
 
 // proof is when a part was last proven harmless: by a stream that had progressed, and by a complete
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/slatebridge/slatebridge"
@@ -22,8 +23,8 @@
 	Suspected bool
 }
 
-// Decide returns the decision on a request: the strictest verdict on anything in it, and among those
-// the one with the highest crash streak.
+// Decide returns the decision on a request: the strictest verdict on anything in it. Among those it
+// blames what was not proven harmless, and then what has the highest crash streak.
 func (l *Ledger) Decide(subject Subject, now time.Time) Decision {
 	d := Decision{Blamed: subject.Request}
 	if l.Empty() {
@@ -31,9 +32,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	proven := false
 	if s, ok := l.suspects[subject.Request]; ok {
 		d.Verdict, d.CrashStreak, d.BlamedStreak = l.verdict(subject.Request, s, now), s.entry.CrashStreak, s.entry.CrashStreak
-		d.Suspected = d.CrashStreak > 0
+		d.Suspected, proven = d.CrashStreak > 0, s.entry.Succeeded
 	}
 	for _, f := range subject.Parts {
 		s, ok := l.suspects[f]
@@ -42,8 +44,9 @@
 		}
 		d.Suspected = d.Suspected || !s.entry.Succeeded
 		v := l.partVerdict(f, s, subject, now)
-		if v > d.Verdict || (v == d.Verdict && v != Allowed && s.entry.CrashStreak >= d.BlamedStreak) {
-			d.Verdict, d.Blamed, d.BlamedStreak = v, f, s.entry.CrashStreak
+		stronger := cmp.Or(compareTrueFirst(s.entry.Succeeded, proven), cmp.Compare(s.entry.CrashStreak, d.BlamedStreak)) >= 0
+		if v > d.Verdict || (v == d.Verdict && v != Allowed && stronger) {
+			d.Verdict, d.Blamed, d.BlamedStreak, proven = v, f, s.entry.CrashStreak, s.entry.Succeeded
 		}
 	}
 
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/slatebridge/slatebridge"
 )
 
 const (
@@ -104,11 +106,10 @@
 // trials if its crash streak has reached heldStreak and a server crashed in a trial. For any other
 // request, it is uncertain whether it causes the crashes, however often it was tried.
 func (l *Ledger) holdDuration(f Fingerprint, e Entry) time.Duration {
-	trials := e.countedTrials()
-	// A part that crashes servers after it was proven harmless does so since new weights were loaded.
 	if f.IsPart() {
-		e.Succeeded = false
+		return e.partHold()
 	}
+	trials := e.countedTrials()
 	switch {
 	case !e.Succeeded && e.CrashStreak >= heldStreak && e.crashedTrials() > 0 && trials >= trialsBeforeHold:
 		return finalHold
@@ -130,20 +131,19 @@
 // crashes, and no other request with as high a streak ran there.
 func (l *Ledger) isPoison(f Fingerprint, e Entry) bool {
 	return e.CrashStreak >= heldStreak && slices.ContainsFunc(e.Crashes, func(crash Crash) bool {
-		return crash.TrialID != 0 && l.isTopSuspect(f, e, crash)
+		return crash.TrialID != 0 && l.isTopSuspect(f, e, crash.Server)
 	})
 }
 
-// isTopSuspect reports whether what has the entry has a higher crash streak than all else under which
-// the server of the crash crashed, but for what ran in the same trial: the request and the parts of its
-// prompt. Streams that moved on after earlier crashes have a streak as well.
+// isTopSuspect reports whether the request has a higher crash streak than all other requests under which
+// the server crashed. Streams that moved on after earlier crashes have a streak as well.
 //
 // If a request crashes three of eight first servers within half a second, the streams there move to
 // the others, beside its trial. If another request with a streak of two were enough to make the
 // trial inconclusive, more servers would crash before the request is held back.
-func (l *Ledger) isTopSuspect(f Fingerprint, e Entry, crash Crash) bool {
+func (l *Ledger) isTopSuspect(f Fingerprint, e Entry, server slatebridge.ServerID) bool {
 	for other, s := range l.suspects {
-		if other != f && s.entry.CrashStreak >= e.CrashStreak && s.entry.hasCrashed(crash.Server) && !s.entry.crashedInTrial(crash.TrialID) {
+		if other != f && !other.IsPart() && s.entry.CrashStreak >= e.CrashStreak && s.entry.hasCrashed(server) {
 			return false
 		}
 	}
