--- a/explain/cause.go
+++ b/explain/cause.go
@@ -108,7 +108,11 @@
 	switch result.Code(end.Number("code")) {
 	case result.NotCurrent, result.NotReady:
 		return Cause{CauseConfigNotCurrent, why}, true
-	case result.HeldBack, result.OnTrial:
+	case result.HeldBack, result.PartHeldBack, result.OnTrial:
+		if part := end.Text("part"); part != "" {
+			why += "; the part is " + part
+		}
+
 		return Cause{CausePoisonRequest, why + "; its fingerprint is " + end.Text("same")}, true
 	case result.Resting:
 		return Cause{CauseServersCoolingDown, why}, true
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -70,6 +70,7 @@
 		"room kept for more urgent requests":      {[]string{refused(2003, "the room left is kept for more urgent requests")}, CauseRoomKept},
 		"no free memory":                          {[]string{refused(2003, "no path has memory left")}, CauseNoCapacity},
 		"an exhausted retry budget":               {[]string{refused(2003, "the budget for retries is used up")}, CauseRetryBudgetExhausted},
+		"a quarantined prompt part":               {[]string{sent, line(900, "b1", event.AttemptEnded, map[string]any{"request": "r", fieldServer: "s1", "error": "EOF"}), refused(3010, "servers have ended")}, CausePoisonRequest},
 		"a quarantined request":                   {[]string{sent, line(900, "b1", event.AttemptEnded, map[string]any{"request": "r", fieldServer: "s1", "error": "EOF"}), refused(3006, "servers have ended")}, CausePoisonRequest},
 		"an answer in time":                       {[]string{sent, answered}, CauseAnswered},
 		"a server error":                          {[]string{line(900, "b1", event.AttemptEnded, map[string]any{"request": "r", fieldServer: "s1", "error": "reset"}), refused(4001, "it may have run")}, CauseServerError},
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -278,7 +278,7 @@
 	h.metrics.requestDone(c, e.Code)
 	fields := append(h.finalLogFields(c), zap.Int("code", int(e.Code)), zap.String("ran", string(e.Execution)),
 		zap.String("why", e.Detail), zap.Duration("retry_after_ms", e.RetryAfter))
-	if e.Code == result.HeldBack || e.Code == result.OnTrial {
+	if e.Code == result.HeldBack || e.Code == result.PartHeldBack || e.Code == result.OnTrial {
 		fields = append(fields, c.blamedFields(h.ledger.Decide(c.subject(), clock.Now()).Blamed)...)
 	}
 	if e.Code == result.NoServer || e.Code == result.NoPipeline {
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -107,7 +107,7 @@
 	switch {
 	case d.Verdict == quarantine.Held && d.Blamed.IsPart():
 		// Without a retry delay: a retry would only crash another server.
-		return result.New(result.HeldBack, "servers have ended each time they began to answer a request with a part of this prompt")
+		return result.New(result.PartHeldBack, "servers have ended each time they began to answer a request with a part of this prompt")
 	case d.Verdict == quarantine.Held:
 		return result.New(result.HeldBack, "servers have ended each time they began to run this request")
 	case d.Verdict == quarantine.TrialRunning:
--- a/result/code.go
+++ b/result/code.go
@@ -55,8 +55,10 @@
 	Resting Code = 3008
 	// Limited means that usable servers have announced rate limits, and none of them had a grant
 	// for the request in time.
-	Limited    Code = 3009
-	MayHaveRun Code = 4001
+	Limited Code = 3009
+	// PartHeldBack means that a part of the request's prompt is quarantined.
+	PartHeldBack Code = 3010
+	MayHaveRun   Code = 4001
 	// AnswerDropped means that the request was executed earlier and its response is no longer kept.
 	AnswerDropped     Code = 4002
 	AttemptsExhausted Code = 4003
