--- a/ownload/limiter.go
+++ b/ownload/limiter.go
@@ -20,10 +20,10 @@
 	// maxLag is the lag from which the box is late. Each event of a stream is late by it as well, and
 	// routes allow pauses of a few times as long.
 	maxLag = 60 * time.Millisecond
-	// lateAtOnce is the lag from which one observation suffices; otherwise it takes lateObservations
-	// in a row, because a single one may be a garbage collection.
-	lateAtOnce       = 3 * maxLag
+	// A single late observation may be a garbage collection. It takes lateObservations in a row, or one
+	// of longLag.
 	lateObservations = 3
+	longLag          = 3 * maxLag
 	// adjustInterval is the time between two changes of the limit.
 	adjustInterval = 200 * time.Millisecond
 	// lateShare is the share of the requests in flight that is allowed while the box is late.
@@ -35,8 +35,9 @@
 	usedShare = 0.8
 	// liftAfter is how long less than half of the limit must have been in use until it is lifted.
 	liftAfter = 3 * time.Second
-	// minLimit is the least limit, so that a box that is ready always takes some requests.
-	minLimit = 4
+	// minLimit is the least limit. A box that is ready always takes some requests, and one whose process
+	// was stopped while it had few takes more at once.
+	minLimit = 16
 	// healthyWindow is how long a box must have been in time for its findings about others to count as
 	// they are.
 	healthyWindow = 500 * time.Millisecond
@@ -121,7 +122,7 @@
 		l.lateInRow++
 	}
 	inFlight := float64(l.inFlight())
-	if lag >= lateAtOnce || l.lateInRow >= lateObservations {
+	if lag >= longLag || l.lateInRow >= lateObservations {
 		l.lower(inFlight, now)
 
 		return
@@ -195,10 +196,10 @@
 	return l.limit == 0 || recent <= maxLag || float64(l.inFlight()) <= l.limit
 }
 
-// late reports whether the next observation is overdue by lateAtOnce. It is made in turn with all
+// late reports whether the next observation is overdue by longLag. It is made in turn with all
 // else, but connections are accepted before that.
 func (l *Limiter) late(now time.Time) bool {
-	return !l.dueAt.IsZero() && now.Sub(l.dueAt) >= lateAtOnce
+	return !l.dueAt.IsZero() && now.Sub(l.dueAt) >= longLag
 }
 
 // Full reports whether the box has no room for new connections.
--- a/ownload/limiter_test.go
+++ b/ownload/limiter_test.go
@@ -229,15 +229,15 @@
 	t.Run("below what is in flight while late", func(t *testing.T) {
 		o := newObserver()
 		o.inFlight = 100
-		o.observe(1, lateAtOnce)
+		o.observe(1, longLag)
 		o.wantLimit(t, 85)
-		o.observe(50, lateAtOnce)
+		o.observe(50, longLag)
 		o.wantLimit(t, 85)
 		if o.Accept(o.now) || o.AcceptRequest(o.now) || !o.Full() {
 			t.Error("a late box takes more")
 		}
 		o.inFlight = 0
-		o.observe(1, lateAtOnce)
+		o.observe(1, longLag)
 		o.wantLimit(t, minLimit)
 		if !o.Accept(o.now) {
 			t.Error("a late box takes nothing at all")
@@ -246,7 +246,7 @@
 	t.Run("rises while it is in use, and is lifted once it is not", func(t *testing.T) {
 		o := newObserver()
 		o.inFlight = 100
-		o.observe(1, lateAtOnce)
+		o.observe(1, longLag)
 		o.inFlight = 80
 		o.observe(int(adjustInterval/tickInterval), 0)
 		o.wantLimit(t, 86)
@@ -262,9 +262,8 @@
 func TestAccept(t *testing.T) {
 	t.Run("connections that were not read yet count", func(t *testing.T) {
 		o := newObserver()
-		o.inFlight = 10
-		o.observe(1, lateAtOnce)
-		o.inFlight = 5
+		o.observe(1, longLag)
+		o.inFlight = minLimit - 3
 		for range 3 {
 			if !o.Accept(o.now) {
 				t.Fatal("a connection within the limit is refused")
@@ -280,7 +279,7 @@
 	t.Run("an observation that is overdue counts at once", func(t *testing.T) {
 		o := newObserver()
 		o.observe(1, 0)
-		if later := o.now.Add(tickInterval + lateAtOnce); o.Accept(later) || o.RecentLag(later) < lateAtOnce {
+		if later := o.now.Add(tickInterval + longLag); o.Accept(later) || o.RecentLag(later) < longLag {
 			t.Error("a connection is accepted although the box is late")
 		}
 	})
