--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -54,7 +54,7 @@
 	mu        sync.Mutex
 	suspects  map[Fingerprint]*suspect
 	successes successCounts
-	proofs    proofs
+	proofs    generations[proof]
 	// droppedAt is when requests were last dropped as suspects, mostly because they were answered
 	// completely.
 	droppedAt map[Fingerprint]time.Time
@@ -83,7 +83,7 @@
 // New returns an empty Ledger.
 func New() *Ledger {
 	return &Ledger{
-		suspects: make(map[Fingerprint]*suspect), successes: newSuccessCounts(), proofs: newProofs(), droppedAt: make(map[Fingerprint]time.Time),
+		suspects: make(map[Fingerprint]*suspect), successes: newSuccessCounts(), proofs: newGenerations[proof](), droppedAt: make(map[Fingerprint]time.Time),
 		unpublished: make(map[Fingerprint]time.Time), changed: make(chan struct{}, 1),
 		early: make(map[Fingerprint]bool),
 	}
@@ -206,7 +206,8 @@
 	if len(l.suspects) >= MaxSuspects {
 		l.evictOne()
 	}
-	s = &suspect{lastCrashAt: now, entry: Entry{Succeeded: l.successes.known(f) || l.proofs.get(f) != proof{}}}
+	_, proven := l.proofs.get(f)
+	s = &suspect{lastCrashAt: now, entry: Entry{Succeeded: proven || l.successes.known(f)}}
 	l.suspects[f] = s
 	l.count.Store(int64(len(l.suspects)))
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -17,6 +17,9 @@
 	// provenStreakBeforeTrial is streakBeforeTrial for a part that was recently proven harmless. It is
 	// not higher, because a part may begin to crash servers when new weights are loaded.
 	provenStreakBeforeTrial = 4
+	// causesBeforeTrial is the number of causes from which the crashes under such a part count against it
+	// nevertheless; see explained.
+	causesBeforeTrial = 3
 	// unsharedPartTTL is how long the crashes under a part are remembered that is not in the store.
 	// Boxes without requests with that part do not learn that it was proven harmless.
 	unsharedPartTTL = time.Minute
@@ -102,7 +105,7 @@
 // count if the part has been proven harmless since the attempt began. If the attempt had progressed,
 // only a complete answer proves that. The caller holds mu.
 func (l *Ledger) recordPartCrash(f Fingerprint, account AccountHash, a Attempt, server slatebridge.ServerID, now time.Time) bool {
-	p := l.proofs.get(f)
+	p, _ := l.proofs.get(f)
 	if p.completeAt.After(a.StartedAt) || (!a.Progressed && p.progressAt.After(a.StartedAt)) {
 		return false
 	}
@@ -140,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, f := range parts {
-		p := l.proofs.get(f)
+		p, _ := l.proofs.get(f)
 		p.progressAt = now
 		l.proofs.set(f, p)
 		if s, ok := l.suspects[f]; ok && !s.entry.hasDelayedCrash() {
@@ -187,34 +190,44 @@
 	return Held
 }
 
-// explained reports whether a part that was proven harmless had too few crashes that nothing else
-// explains: at the other servers, something crashed as well that never was proven harmless and needs a
-// trial.
+// explained reports whether something else explains the crashes under a part that was proven harmless:
+// fewer than causesBeforeTrial causes together ran at all servers that crashed. A cause was never proven
+// harmless and crashed servers again and again; a crash without one counts as a cause of its own.
 //
 // Scenario: most requests of a route share a part. One in six has another part as well, which crashes
-// servers, so that streams with the shared part are at every crash.
+// servers, so that streams with the shared part are at every crash. If the shared part is what crashes
+// them, each request explains only its own few crashes.
 func (l *Ledger) explained(f Fingerprint, e Entry) bool {
 	if !e.Succeeded {
 		return false
 	}
-	unexplained := 0
-	for _, c := range e.Crashes {
-		if !l.explainedCrash(f, c.Server) {
-			unexplained++
-		}
+	left, causes := e.Crashes, 0
+	for len(left) > 0 && causes < causesBeforeTrial {
+		left = withoutCrashesOf(left, l.likeliestCause(f, left))
+		causes++
 	}
 
-	return unexplained < provenStreakBeforeTrial
+	return causes < causesBeforeTrial
 }
 
-func (l *Ledger) explainedCrash(f Fingerprint, server slatebridge.ServerID) bool {
+// likeliestCause returns the entry of what explains most of the crashes, or one with the first of them.
+func (l *Ledger) likeliestCause(f Fingerprint, crashes []Crash) Entry {
+	best, most := Entry{Crashes: crashes[:1]}, 0
 	for other, s := range l.suspects {
-		if other != f && !s.entry.Succeeded && s.entry.CrashStreak >= streakBeforeTrial && s.entry.hasCrashed(server) {
-			return true
+		if other == f || s.entry.Succeeded || s.entry.CrashStreak < streakBeforeTrial {
+			continue
+		}
+		if n := len(crashes) - len(withoutCrashesOf(crashes, s.entry)); n > most {
+			best, most = s.entry, n
 		}
 	}
 
-	return false
+	return best
+}
+
+// withoutCrashesOf returns the crashes of servers that did not crash under the entry as well.
+func withoutCrashesOf(crashes []Crash, e Entry) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return e.hasCrashed(c.Server) })
 }
 
 // partConvicted reports whether a server crashed in a trial of the part, and nothing that is not in the
@@ -264,29 +277,3 @@
 type proof struct {
 	progressAt, completeAt time.Time
 }
-
-// proofs holds the recent proofs of parts. They live in two generations, like successCounts.
-type proofs struct {
-	recent, older map[Fingerprint]proof
-}
-
-func newProofs() proofs {
-	return proofs{recent: make(map[Fingerprint]proof), older: make(map[Fingerprint]proof)}
-}
-
-// get returns the proofs of a part; zero if it has none.
-func (p *proofs) get(f Fingerprint) proof {
-	if v, ok := p.recent[f]; ok {
-		return v
-	}
-
-	return p.older[f]
-}
-
-func (p *proofs) set(f Fingerprint, v proof) {
-	if len(p.recent) >= generationSize {
-		p.recent, p.older = p.older, p.recent
-		clear(p.recent)
-	}
-	p.recent[f] = v
-}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -57,14 +57,20 @@
 	return a
 }
 
-// crash has a request crash a new server at the box, and tells the others.
-func (s *partScenario) crash(box int, subject Subject) {
+// crash has a new server crash under the requests at the box, and tells the others.
+func (s *partScenario) crash(box int, subjects ...Subject) {
 	s.t.Helper()
-	a := s.begin(box, subject)
+	var attempts []Attempt
+	for _, subject := range subjects {
+		attempts = append(attempts, s.begin(box, subject))
+	}
 	s.now = s.now.Add(10 * time.Millisecond)
 	s.lastID++
-	s.ledgers[box].RecordCrashUnder(subject, a, slatebridge.ServerID(fmt.Sprint("s", s.lastID)), s.now)
-	s.ledgers[box].RecordFailureOf(subject, s.now)
+	server := slatebridge.ServerID(fmt.Sprint("s", s.lastID))
+	for i, subject := range subjects {
+		s.ledgers[box].RecordCrashUnder(subject, attempts[i], server, s.now)
+		s.ledgers[box].RecordFailureOf(subject, s.now)
+	}
 	s.share(box)
 }
 
@@ -133,10 +139,16 @@
 		s := newPartScenario(t, 1)
 		s.prove(0, s.subject("shop", "common"))
 		for range 2 {
-			s.crash(0, s.subject("shop", "common", "bad"))
+			s.crash(0, s.subject("shop", "common", "bad"), s.subject("shop", "common"))
+		}
+		for range causesBeforeTrial - 2 {
+			// Other causes crash servers as well.
 			s.crash(0, s.subject("shop", "common"))
 		}
 		s.wantVerdict(s.subject("shop", "common"), Allowed)
+		s.crash(0, s.subject("shop", "common", "bad"), s.subject("shop", "common"))
+		s.wantVerdict(s.subject("shop", "common", "bad"), Held)
+		s.wantVerdict(s.subject("shop", "common"), Allowed)
 	})
 	t.Run("a part that only ever came with it is tried alone", func(t *testing.T) {
 		s := newPartScenario(t, 1)
@@ -149,6 +161,9 @@
 		s.wantVerdict(s.subject("shop", "beside"), Allowed)
 		s.wantVerdict(s.subject("shop", "bad"), Held)
 	})
+}
+
+func TestProvenPartVerdicts(t *testing.T) {
 	t.Run("a part crashes servers that was answered before", func(t *testing.T) {
 		s := newPartScenario(t, 4)
 		for box := range s.ledgers {
@@ -159,6 +174,23 @@
 		}
 		s.wantVerdict(s.subject("shop", "bad"), Held)
 	})
+	t.Run("a part crashes servers that was answered before, and each request is sent twice", func(t *testing.T) {
+		s := newPartScenario(t, 4)
+		for box := range s.ledgers {
+			s.prove(box, s.subject("shop", "bad"))
+		}
+		crashes := 0
+		for d := (Decision{}); d.Verdict != Held && crashes < 20; d = s.ledgers[0].Decide(s.subject("shop", "bad"), s.now) {
+			subject := s.subject("shop", "bad")
+			for box := 0; box < 2 && s.ledgers[box].Decide(subject, s.now).Verdict <= TrialOnly; box++ {
+				s.crash(box, subject)
+				crashes++
+			}
+		}
+		if want := 2 * (causesBeforeTrial + 1); crashes > want {
+			t.Errorf("%d servers crashed, want %d at most", crashes, want)
+		}
+	})
 	t.Run("a part crashes servers of which each stream had events for long", func(t *testing.T) {
 		s := newPartScenario(t, 1)
 		for range provenStreakBeforeTrial + 1 {
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -9,45 +9,29 @@
 	// maxSuccesses limits the counted successes of a request, so that one that begins to crash
 	// servers is detected after ten crashes at each box.
 	maxSuccesses = 40
-	// generationSize is the minimum number of recently answered requests that are remembered.
-	// Popular requests are answered again before that many others are.
-	generationSize = 4096
 )
 
-// successCounts counts the recent successes of requests. Counts live in two generations, so that
-// requests not answered for long are forgotten.
+// successCounts counts the recent successes of requests.
 type successCounts struct {
-	recent, older map[Fingerprint]int
+	generations[int]
 }
 
 func newSuccessCounts() successCounts {
-	return successCounts{recent: make(map[Fingerprint]int), older: make(map[Fingerprint]int)}
+	return successCounts{newGenerations[int]()}
 }
 
 // count returns the successes of a request that no crash has used up.
 func (a *successCounts) count(f Fingerprint) int {
-	if n, ok := a.recent[f]; ok {
-		return n
-	}
+	n, _ := a.get(f)
 
-	return a.older[f]
+	return n
 }
 
 // known reports whether the request was answered recently.
 func (a *successCounts) known(f Fingerprint) bool {
-	_, recent := a.recent[f]
-	_, older := a.older[f]
-
-	return recent || older
-}
+	_, ok := a.get(f)
 
-// set sets the successes of a request.
-func (a *successCounts) set(f Fingerprint, n int) {
-	if len(a.recent) >= generationSize {
-		a.recent, a.older = a.older, a.recent
-		clear(a.recent)
-	}
-	a.recent[f] = n
+	return ok
 }
 
 // outweighCrash reports whether the successes of a request outweigh a crash under it.
