--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -79,7 +79,7 @@
 }
 
 // Allocate grants the request if a slot is available within its MaxWait. share is the share of each
-// limit that this allocator may grant: 1 while it hears from all boxes.
+// limit that this allocator may grant: 1 while it is in contact with all boxes.
 func (a *Allocator) Allocate(req GrantRequest, share float64, now time.Time) Grant {
 	s := a.grantsFor(req.Server, now)
 	for _, o := range req.Observations {
--- a/box/peers.go
+++ b/box/peers.go
@@ -93,7 +93,7 @@
 }
 
 // isResponsive reports whether it is worth reporting to the box: it is not leaving, it has not left
-// reports unanswered, and this box or another one hears it.
+// reports unanswered, and it is in contact with this box or another one.
 func (o *peerBox) isResponsive(now time.Time) bool {
 	if o.lastMessage.Leaving {
 		return false
--- a/box/relays.go
+++ b/box/relays.go
@@ -97,7 +97,7 @@
 	return slices.Sorted(maps.Keys(halls))
 }
 
-// markIndirectlySeen records boxes that another box hears.
+// markIndirectlySeen records boxes that are in contact with another box.
 func (c *control) markIndirectlySeen(hall slatebridge.HallID, list []relay.Candidate, at time.Time) {
 	for _, v := range list {
 		if v.Box == c.settings.Box {
@@ -132,8 +132,8 @@
 }
 
 // isStoreReader reports whether this box reads the store for its hall. Boxes other than relays
-// follow the best relay they hear. Within joinDelay after its start a box that hears no relay is a
-// store reader only if it is a seed. This does not delay the first read of a restarted box, which
+// follow the best relay they are in contact with. Within joinDelay after its start a box without such
+// a relay is a store reader only if it is a seed. This does not delay the first read of a restarted box, which
 // is due at once even if the box is not the store reader (see assumedConfirmedAt).
 func (c *control) isStoreReader(now time.Time) bool {
 	relays := c.relays(now)
--- a/box/room.go
+++ b/box/room.go
@@ -39,8 +39,8 @@
 	urgentClaimShare = 0.25
 	// maxFullServers is the number of full servers that an answer names.
 	maxFullServers = 32
-	// minLiveShare is the part of the boxes of the hall below which a ledger does not decide. A box that
-	// hears so few may itself be the one that is not heard.
+	// minLiveShare is the part of the boxes of the hall below which a ledger does not decide. A box in
+	// contact with so few may itself be the one that is cut off.
 	minLiveShare = 0.5
 	// roomShareMemory is how long a lost box of the hall counts as using its part of the room.
 	roomShareMemory = 5 * time.Second
--- a/box/server_links.go
+++ b/box/server_links.go
@@ -141,8 +141,8 @@
 	l.dialer.SetHelpers(c.helpers(now))
 }
 
-// helpers returns the boxes that may help this one: those that it or another box hears, and that do not
-// stop.
+// helpers returns the boxes that may help this one: those in contact with it or another box, and
+// that do not stop.
 func (c *control) helpers(now time.Time) []tunnel.Helper {
 	list := make([]tunnel.Helper, 0, len(c.peers))
 	for _, o := range c.peers {
--- a/box/work.go
+++ b/box/work.go
@@ -186,7 +186,7 @@
 	return sumWork(list...), silent
 }
 
-// sentReportTTL is how long a box remembers its own reports, to subtract them from the sums that
+// sentReportTTL is how long a box keeps its own reports, to subtract them from the sums that
 // relays send back. It exceeds twice minPeerTimeout.
 const sentReportTTL = 4 * time.Second
 
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -11,7 +11,7 @@
 type Notice struct {
 	// Leaving says that the server finishes its work and accepts no new requests.
 	Leaving bool
-	// Cooldown is how long the server wants no requests from the receiving box; zero if not
+	// Cooldown is how long the server asks the receiving box for no requests; zero if not
 	// announced.
 	Cooldown time.Duration
 	// InvalidCooldown is the announced cooldown if it can't be parsed.
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -21,8 +21,8 @@
 // Pick chooses a server of a service without a model and reserves capacity there. It returns false
 // if no server is available.
 //
-// Servers that only other boxes suspect are the last choice. Scenario: a slow box takes sound servers for
-// dead, its hall believes it, and the service has no others.
+// Servers that only other boxes suspect are the last choice. Scenario: a slow box suspects
+// servers that work, its reports spread in its hall, and the service has no others.
 func (f *Fleet) Pick(service string, exclude []slatebridge.ServerID) (catalog.Server, *Reservation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/overload/turn.go
+++ b/overload/turn.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxTurns bounds the turns that a schedule remembers.
+	// maxTurns bounds the turns that a schedule keeps.
 	maxTurns = 256
 	// turnShare is the share of the rate at which requests find room that is given to callers that
 	// return. Most of the room is left to new requests, since only those can still be served in
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -183,7 +183,7 @@
 		return TrialOnly
 	}
 	applies := slices.Contains(inTrials, subject.Account) || len(inTrials) >= accountsForAll
-	if s.entry.crashedTrials() > 0 && (!applies || !l.partConvicted(f, s.entry, subject)) {
+	if s.entry.crashedTrials() > 0 && (!applies || !l.confirmedByTrial(f, s.entry, subject)) {
 		return TrialOnly
 	}
 
@@ -230,16 +230,16 @@
 	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return e.hasCrashed(c.Server) })
 }
 
-// partConvicted reports whether a server crashed in a trial of the part, and nothing that is not in the
+// confirmedByTrial reports whether a server crashed in a trial of the part, and nothing that is not in the
 // request may have caused that as well: something with as high a crash streak that ran there. Only a
 // trial of a request without it tells which one it was.
-func (l *Ledger) partConvicted(f Fingerprint, e Entry, subject Subject) bool {
+func (l *Ledger) confirmedByTrial(f Fingerprint, e Entry, subject Subject) bool {
 	return slices.ContainsFunc(e.Crashes, func(c Crash) bool {
-		return c.TrialID != 0 && !l.hasRival(f, e, subject, c.Server)
+		return c.TrialID != 0 && !l.hasOtherCause(f, e, subject, c.Server)
 	})
 }
 
-func (l *Ledger) hasRival(f Fingerprint, e Entry, subject Subject, server slatebridge.ServerID) bool {
+func (l *Ledger) hasOtherCause(f Fingerprint, e Entry, subject Subject, server slatebridge.ServerID) bool {
 	for other, s := range l.suspects {
 		if other == f || other == subject.Request || slices.Contains(subject.Parts, other) {
 			continue
--- a/retry/pool.go
+++ b/retry/pool.go
@@ -12,10 +12,10 @@
 	// one box, the grantor, grants retries to all boxes that ask. Package box calls the grantor the
 	// allocator of the pool.
 	localShare = 0.25
-	// A box grants from the pool only while it hears more than the fraction grantQuorum of all
-	// boxes, itself included, so that two sides of a partition never both grant.
+	// A box grants from the pool only while it is in contact with more than the fraction grantQuorum
+	// of all boxes, itself included, so that two sides of a partition never both grant.
 	grantQuorum = 0.5
-	// The allotment of a box that hears at most the fraction minorityShare of all boxes, itself
+	// The allotment of a box in contact with at most the fraction minorityShare of all boxes, itself
 	// included, is its equal part of the whole remaining budget, since it may reach no grantor. The
 	// equal parts of such boxes and what the others granted before they detected the partition
 	// together stay within the budget.
--- a/tunnel/helpers.go
+++ b/tunnel/helpers.go
@@ -27,7 +27,7 @@
 	random func() float64
 
 	mu sync.Mutex
-	// known are the boxes that this one hears of, and learned those that helpers named, by address.
+	// known are the boxes in the state of this one, and learned those that helpers named, by address.
 	known   []Helper
 	learned map[string]learnedHelper
 	// avoidUntil is the end of the time for which a helper is avoided, by address.
@@ -43,7 +43,7 @@
 	return &helperSet{self: self, hall: hall, random: random, learned: make(map[string]learnedHelper), avoidUntil: make(map[string]time.Time)}
 }
 
-// setKnown replaces the boxes that this one hears of.
+// setKnown replaces the known boxes.
 func (s *helperSet) setKnown(list []Helper) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
