--- a/forward/watch.go
+++ b/forward/watch.go
@@ -116,6 +116,8 @@
 		if w.adjustInterval() {
 			ticker.Reset(w.interval)
 		}
+		// Only now is it known how long the interval is.
+		h.load.Expect(w.lastTick.Add(w.interval))
 	}
 }
 
@@ -181,7 +183,7 @@
 		w.suspendedTotal = total
 		h.resumeFromSuspend(now)
 	}
-	h.load.Observe(max(0, lag), now, now.Add(w.interval))
+	h.load.Observe(max(0, lag), now)
 	if n := h.fleet.RetiredCount(); n != w.retiredCount {
 		w.retiredCount = n
 		h.moveOffEnded(ctx)
--- a/forward/watch_test.go
+++ b/forward/watch_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/fleet"
@@ -61,3 +63,27 @@
 		}
 	})
 }
+
+// TestIdleBoxIsNotLate guards against taking a box for late because it watches less often once it is
+// idle: it would close the new connections of a time after each request.
+func TestIdleBoxIsNotLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &Handler{
+			activity: activity{started: make(chan struct{}, 1)}, load: ownload.New(func() int { return 0 }), monitor: newMonitor(), fleet: fleet.New("a", time.Now),
+			logger: zap.NewNop(), httpClient: &http.Client{}, livenessQueue: make(chan slatebridge.ServerID), state: func() State { return State{} },
+		}
+		go h.WatchStreams(t.Context())
+		for range 3 {
+			end := h.activity.begin()
+			time.Sleep(time.Second)
+			end()
+			for range 100 {
+				time.Sleep(10 * time.Millisecond)
+				if !h.load.Accept(clock.Now()) {
+					t.Fatal("an idle box closes a new connection")
+				}
+				h.load.Read()
+			}
+		}
+	})
+}
--- a/ownload/limiter.go
+++ b/ownload/limiter.go
@@ -62,7 +62,7 @@
 	limit float64
 	// unread is the number of accepted connections from which no request has been read.
 	unread int
-	// dueAt is when the next observation is due, and lag the last one. longestLag is the longest one
+	// dueAt is when the next observation is due, if that is known, and lag the last one. longestLag is the longest one
 	// within healthyWindow of longestAt.
 	dueAt      time.Time
 	lag        time.Duration
@@ -97,12 +97,13 @@
 	return l
 }
 
-// Observe records how late something was done that was due, and when the next observation is due.
-func (l *Limiter) Observe(lag time.Duration, now, nextDue time.Time) {
+// Observe records how late something was done that was due. Expect says when the next observation is
+// due.
+func (l *Limiter) Observe(lag time.Duration, now time.Time) {
 	l.mu.Lock()
 	before := l.limit > 0
 	l.observe(lag, now)
-	l.dueAt = nextDue
+	l.dueAt = time.Time{}
 	change := Change{Limit: int(l.limit), InFlight: l.inFlight(), Lag: lag}
 	changed := before != (l.limit > 0)
 	l.mu.Unlock()
@@ -111,6 +112,13 @@
 	}
 }
 
+// Expect records when the next observation is due.
+func (l *Limiter) Expect(due time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dueAt = due
+}
+
 func (l *Limiter) observe(lag time.Duration, now time.Time) {
 	l.lag = lag
 	if lag >= l.longestLag || now.Sub(l.longestAt) >= healthyWindow {
--- a/ownload/limiter_test.go
+++ b/ownload/limiter_test.go
@@ -110,6 +110,12 @@
 	}
 }
 
+// observe makes the observation that was due at the time.
+func (s *simulation) observe(due time.Time) {
+	s.limiter.Observe(s.now.Sub(due), s.now)
+	s.limiter.Expect(due.Add(tickInterval))
+}
+
 // accept accepts a new connection, which is read in turn.
 func (s *simulation) accept(counts bool) {
 	if s.limited && !s.limiter.Accept(s.now) {
@@ -153,7 +159,7 @@
 	s := newSimulation(limited)
 	start := s.now
 	end := start.Add(surgeEnd)
-	s.every(start, end, tickInterval, 0, func(due time.Time) { s.limiter.Observe(s.now.Sub(due), s.now, due.Add(tickInterval)) })
+	s.every(start, end, tickInterval, 0, s.observe)
 	counts := func(due time.Time) bool {
 		return due.Sub(start) > surgeFrom+settleTime && due.Before(end.Add(-2*time.Second))
 	}
@@ -198,7 +204,8 @@
 func (o *observer) observe(n int, lag time.Duration) {
 	for range n {
 		o.now = o.now.Add(tickInterval + lag)
-		o.Observe(lag, o.now, o.now.Add(tickInterval))
+		o.Observe(lag, o.now)
+		o.Expect(o.now.Add(tickInterval))
 	}
 }
 
@@ -289,6 +296,6 @@
 	l := New(func() int { return 10 })
 	now := time.Unix(0, 0)
 	for b.Loop() {
-		l.Observe(0, now, now)
+		l.Observe(0, now)
 	}
 }
--- a/ownload/listener_test.go
+++ b/ownload/listener_test.go
@@ -48,7 +48,7 @@
 	}
 	inFlight = 100
 	now := time.Now()
-	limiter.Observe(longLag, now, now.Add(time.Hour))
+	limiter.Observe(longLag, now)
 	if get() == nil {
 		t.Error("a request is answered although the box is late")
 	}
