--- a/forward/handler.go
+++ b/forward/handler.go
@@ -192,16 +192,19 @@
 	if c.route = c.state.Catalog.Route(r.Host, path); c.route == nil {
 		return c, result.New(result.UnknownRoute, "no route for host %s and path %s", r.Host, path)
 	}
-	if e := h.checkAPIKey(c); e != nil {
+	account, e := authorize(c.state.Catalog, c.route, c.APIKey, c.startedAt.Sub(c.state.ConfigVerifiedAt), h.bounds.Load().MaxConfigAge)
+	if e != nil {
 		return c, e
 	}
+	if account != nil {
+		c.account = account.Name
+	}
 	c.deadline = c.startedAt.Add(c.route.Timeout)
 	if c.Timeout > 0 && c.Timeout < c.route.Timeout {
 		c.deadline = c.startedAt.Add(c.Timeout)
 	}
 	c.service = c.route.ChooseService(h.random())
 	c.prioritized = c.state.Catalog.Prioritized(c.service)
-	account := c.state.Catalog.Account(c.APIKey)
 	c.priority = c.state.Catalog.Priority(c.service, c.route, account)
 	if c.route.Kind == catalog.Stream {
 		c.hasClasses, c.class = c.state.Catalog.HasClasses(c.service), c.state.Catalog.Class(c.service, c.route, account)
@@ -223,27 +226,6 @@
 	return r.URL.RequestURI()
 }
 
-// checkAPIKey finds the client account. It refuses the request if the key is not known, or if the
-// configuration is too old to tell whether the key is still valid.
-func (h *Handler) checkAPIKey(c *inboundRequest) *result.Error {
-	cfg := c.state.Catalog
-	account := cfg.Account(c.APIKey)
-	if account != nil {
-		c.account = account.Name
-	}
-	if !cfg.RequireAPIKey || c.route.AllowAnonymous {
-		return nil
-	}
-	if age := c.startedAt.Sub(c.state.ConfigVerifiedAt); age > h.bounds.Load().MaxConfigAge {
-		return result.New(result.NotCurrent, "the configuration was last proved current %s ago", age).WithRetryAfter(overload.MinRetryAfter)
-	}
-	if account == nil {
-		return result.New(result.UnknownKey, "the key is not known")
-	}
-
-	return nil
-}
-
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *inboundRequest) *result.Error {
 	limit := c.state.Catalog.Limits.MaxBodyBytes
 	if limit <= 0 {
