--- a/box/quarantine.go
+++ b/box/quarantine.go
@@ -278,19 +278,24 @@
 // pageTimeout bounds the read of one page of the topic.
 const pageTimeout = time.Second
 
-// catchUp reads the topic from the given position on.
+// catchUp reads the topic from the given position to its end.
 func (s *replicatedLedger) catchUp(ctx context.Context, from logstore.Position) error {
-	c, err := s.topic.Read(ctx, from, 0)
-	if errors.IsAny(err, logstore.ErrCompacted, logstore.ErrRolledBack) {
-		from = 0
-		c, err = s.topic.ListAll(ctx, pageTimeout, func() bool { return false })
-	}
-	s.box.metrics.storeCall(topicQuarantine, err)
-	if err == nil {
+	for {
+		c, err := s.topic.Read(ctx, from, 0)
+		if errors.IsAny(err, logstore.ErrCompacted, logstore.ErrRolledBack) {
+			from = 0
+			c, err = s.topic.ListAll(ctx, pageTimeout, func() bool { return false })
+		}
+		s.box.metrics.storeCall(topicQuarantine, err)
+		if err != nil {
+			return err
+		}
 		s.advance(from, c.NextPosition, c.Entries)
+		if !c.Partial() {
+			return nil
+		}
+		from = c.NextPosition
 	}
-
-	return err
 }
 
 // sendQuarantine sends the whole quarantine to the reporting boxes that lag behind, so that only
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -131,6 +131,16 @@
 	grace := f.recordSuccess()
 	if len(c.Entries) > 0 {
 		f.OnChanges(c, grace)
+	}
+	if c.Partial() {
+		// The rest is read at once. Until then nothing says that the copy is current.
+		if len(c.Entries) == 0 {
+			sleep(parent, f.Backoff())
+		}
+
+		return c.NextPosition, nil
+	}
+	if len(c.Entries) > 0 {
 		f.OnConfirmed(sentAt)
 		sleep(parent, coalesceDelay)
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -251,6 +251,54 @@
 	})
 }
 
+// TestPartialRead guards against a copy that counts as current although a read returned only a part of the
+// changes.
+func TestPartialRead(t *testing.T) {
+	t.Run("a part of the changes does not confirm the copy, and the rest is read at once", func(t *testing.T) {
+		const parts = 5
+		var confirmed *time.Time
+		ft := &fakeTopic{}
+		ctlOf := make(chan *runControl, 1)
+		var ctl *runControl
+		var firstAt, lastAt time.Time
+		ft.read = func(ctx context.Context, n int, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
+			if ctl == nil {
+				ctl = <-ctlOf
+				confirmed, firstAt = ctl.confirmedAt.Load(), time.Now()
+			}
+			if n > parts {
+				return idleRead(ctx, from, wait)
+			}
+			if ctl.confirmedAt.Load() != confirmed {
+				t.Errorf("the copy was confirmed after part %d of %d", n-1, parts)
+			}
+			lastAt = time.Now()
+			c, err := change(string(rune('a'+n)), from+1)
+			c.End = 10 + parts
+
+			return c, err
+		}
+		got := run(t, ft, 10*time.Second, func(ctl *runControl) { ctlOf <- ctl })
+		if len(got.changedKeys) != parts || lastAt != firstAt {
+			t.Errorf("%d of %d parts, the last %s after the first", len(got.changedKeys), parts, lastAt.Sub(firstAt))
+		}
+	})
+	t.Run("a part without changes neither confirms the copy nor is read without a pause", func(t *testing.T) {
+		ft := &fakeTopic{read: func(_ context.Context, _ int, from logstore.Position, _ time.Duration) (logstore.Changes, error) {
+			return logstore.Changes{NextPosition: from, End: from + 1}, nil
+		}}
+		run(t, ft, 3*time.Second, func(ctl *runControl) {
+			time.Sleep(2 * time.Second)
+			if age := time.Since(*ctl.confirmedAt.Load()); age < 2*time.Second {
+				t.Errorf("the copy was confirmed %s ago", age)
+			}
+		})
+		if ft.reads > 11 {
+			t.Errorf("%d reads in three seconds", ft.reads)
+		}
+	})
+}
+
 func TestFollowerReadSchedule(t *testing.T) {
 	t.Run("compacted records cause a new snapshot immediately", func(t *testing.T) {
 		ft := &fakeTopic{read: func(ctx context.Context, n int, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
--- a/logstore/topic.go
+++ b/logstore/topic.go
@@ -40,8 +40,14 @@
 	Entries []Entry
 	// NextPosition is the position to read from next.
 	NextPosition Position
+	// End is the position at which the topic ended when it was read. A response has a limited size, so
+	// that it may end before.
+	End Position
 }
 
+// Partial reports whether there were more changes than these when the topic was read.
+func (c Changes) Partial() bool { return c.End > c.NextPosition }
+
 // KeyedTopic is a topic of the store that keeps the newest record of each key. Its fields are
 // functions so that tests can replace them.
 type KeyedTopic struct {
