--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 BIN := $(CURDIR)/.bin
 LINT_VERSION := v2.12.0
 LINT := $(BIN)/golangci-lint
+CROWD_TESTS := ./platform/soak ./internal/standin/processes
 PROGRAMS := slatebridge slatebridge-box slatebridge-gateway slatebridge-controller slatebridge-standin
 
 .PHONY: all build demo test lint format generate docs golden bench clean
@@ -22,9 +23,13 @@
 	KEEP=$(KEEP) bash scripts/demo.sh $(BIN)
 
 # test runs every test with the race detector. Plays of hundreds of boxes in virtual time take
-# minutes of a busy machine.
+# minutes of a busy machine. Tests of crowds of callers measure the memory of the programs: they run
+# afterwards, one at a time.
 test:
-	$(GO) test -race -timeout 30m ./...
+	@status=0; \
+	$(GO) test -race -timeout 30m -skip '^TestCrowd' ./... || status=1; \
+	$(GO) test -timeout 30m -run '^TestCrowd' -p 1 -parallel 1 $(CROWD_TESTS) || status=1; \
+	exit $$status
 
 # The linter's cache stays in this checkout: results cached by another checkout name files there,
 # and are reported, generated code included, once that checkout is gone.
