--- a/box/settings.go
+++ b/box/settings.go
@@ -18,6 +18,10 @@
 	Store string
 	// LinkRate is the rate of the box's network link in bytes per second; zero if unknown.
 	LinkRate float64
+	// MemoryBytes is the memory of the box's machine, and Descriptors the number of descriptors that its
+	// process may have; zero if unknown.
+	MemoryBytes int64
+	Descriptors int
 	// Seeds are mesh addresses of boxes to contact first; they may be gone.
 	Seeds []string
 	// FirstStart marks the first start of the whole system.
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -19,7 +19,6 @@
 	"github.com/slatebridge/slatebridge/forward"
 	"github.com/slatebridge/slatebridge/keepalive"
 	"github.com/slatebridge/slatebridge/mesh"
-	"github.com/slatebridge/slatebridge/ownload"
 	"github.com/slatebridge/slatebridge/platform"
 	"github.com/slatebridge/slatebridge/reach"
 )
@@ -112,9 +111,9 @@
 	if err != nil {
 		return err
 	}
-	load := b.Handler().Load()
-	ln := ownload.NewListener(tcp, load, ownload.NewMetrics(reg, load).ConnectionClosed)
-	callers.ConnState = ln.ConnState
+	limitMemory(s.MemoryBytes)
+	ln := callerListener(s, tcp, b.Handler().Load(), reg)
+	ln.Attach(callers)
 	go func() { _ = callers.Serve(ln) }()
 	event.Log(logger, event.Started, zap.String("version", Version), zap.String("hall", string(s.Hall)))
 	watchSettings(ctx, s, logger, func(next box.Settings) {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/intake"
 	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/result"
@@ -27,10 +27,12 @@
 	Request
 	method string
 	// target is the path and query exactly as the caller sent them.
-	target    string
-	host      string
-	header    http.Header
-	body      []byte
+	target string
+	host   string
+	header http.Header
+	body   intake.Body
+	// bodyRead is set once the body has been read to its end, or if there is none.
+	bodyRead  bool
 	startedAt time.Time
 	deadline  time.Time
 	route     *catalog.Route
@@ -65,7 +67,7 @@
 func (c *inboundRequest) subject() quarantine.Subject {
 	c.subjectOnce.Do(func() {
 		c.cachedSubject = quarantine.Subject{
-			Request: quarantine.NewFingerprint(c.account, c.host, c.method, c.target, c.body),
+			Request: quarantine.NewFingerprint(c.account, c.host, c.method, c.target, c.body.Parts()...),
 			Account: quarantine.NewAccountHash(c.account),
 		}
 		for _, id := range c.sharedParts() {
@@ -178,7 +180,7 @@
 // refusal can be logged.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request) (*inboundRequest, *result.Error) {
 	c := &inboundRequest{
-		method: r.Method, target: target(r), host: r.Host, startedAt: clock.Now(), state: h.awaitSync(r.Context()),
+		bodyRead: r.ContentLength == 0, method: r.Method, target: target(r), host: r.Host, startedAt: clock.Now(), state: h.awaitSync(r.Context()),
 		done: new(atomic.Bool),
 	}
 	var err error
@@ -212,6 +214,9 @@
 	c.header = endToEndHeaders(r.Header)
 
 	if e := h.readBody(w, r, c); e != nil {
+		// The rest of the body is not waited for.
+		w.Header().Set("Connection", "close")
+
 		return c, e
 	}
 
@@ -226,35 +231,6 @@
 	return r.URL.RequestURI()
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *inboundRequest) *result.Error {
-	limit := c.state.Catalog.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return result.New(result.TooLarge, "the body has %d bytes; the limit is %d", r.ContentLength, limit)
-	}
-	// The read deadline keeps a slow caller from holding the request open indefinitely. It is
-	// removed after the body.
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(clock.Until(c.deadline)))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.New(result.TooLarge, "the body is larger than the limit of %d bytes", limit)
-	}
-	if err != nil {
-		return result.New(result.Malformed, "the body could not be read: %s", err.Error())
-	}
-	c.body = body
-
-	return nil
-}
-
-// defaultMaxBodyBytes limits bodies if the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
 // refuse writes an error response of the box itself and logs the reason.
 func (h *Handler) refuse(w http.ResponseWriter, c *inboundRequest, e *result.Error) {
 	h.metrics.requestDone(c, e.Code)
@@ -267,6 +243,9 @@
 		fields = append(fields, zap.Any("unusable", h.fleet.UnusableServers(c.service)))
 	}
 	event.Log(h.logger, event.RequestRefused, fields...)
+	if !c.bodyRead {
+		limitDiscard(w)
+	}
 	h.codec.WriteError(w, c.ID, e)
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -117,8 +116,8 @@
 		URL:           &url.URL{Scheme: "http", Host: a.Server.PoolHost(), Opaque: c.target},
 		Host:          c.host,
 		Header:        header,
-		Body:          nonRewindableBody{bytes.NewReader(c.body)},
-		ContentLength: int64(len(c.body)),
+		Body:          nonRewindableBody{c.body.Reader()},
+		ContentLength: c.body.Size(),
 	}
 
 	return req.WithContext(ctx)
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -42,7 +42,7 @@
 
 // NewFingerprint returns the fingerprint of a request. The hash covers the length of each part, so
 // that moving bytes between parts changes it.
-func NewFingerprint(account, host, method, target string, body []byte) Fingerprint {
+func NewFingerprint(account, host, method, target string, body ...[]byte) Fingerprint {
 	// The pool holds only hashers.
 	h, _ := hasherPool.Get().(*hasher)
 	defer hasherPool.Put(h)
@@ -54,7 +54,9 @@
 	h.Reset()
 	// Writing to a hash never fails.
 	_, _ = h.Write(h.prefix)
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 
 	f := Fingerprint(h.Sum(h.sum[:0])[:FingerprintSize])
 	f[0] &^= partBit
--- a/result/code.go
+++ b/result/code.go
@@ -32,17 +32,21 @@
 	// more than the allowed skew.
 	KeyFromFuture Code = 1007
 	// UnknownKey means that the API key is not in the configuration in force, or is missing.
-	UnknownKey         Code = 1008
-	UnknownRoute       Code = 1009
-	TooLarge           Code = 1010
+	UnknownKey   Code = 1008
+	UnknownRoute Code = 1009
+	TooLarge     Code = 1010
+	// BodyTooSlow means that the body of the request did not arrive in time.
+	BodyTooSlow        Code = 1011
 	RateLimited        Code = 2001
 	ConcurrencyLimited Code = 2002
 	Overloaded         Code = 2003
 	Draining           Code = 2004
-	NoPipeline         Code = 3001
-	NoServer           Code = 3002
-	LogUnavailable     Code = 3003
-	NotReady           Code = 3004
+	// NoMemory means that the box has no memory left for the body of the request.
+	NoMemory       Code = 2005
+	NoPipeline     Code = 3001
+	NoServer       Code = 3002
+	LogUnavailable Code = 3003
+	NotReady       Code = 3004
 	// NotCurrent means that the configuration was not confirmed to be current recently enough, so
 	// that the API key may have been revoked.
 	NotCurrent Code = 3005
