--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/intake"
 )
 
 // Version is the version of the programs.
@@ -141,6 +142,12 @@
 	// default.
 	HeaderTimeout time.Duration
 	ReadTimeout   time.Duration
+	// HeldBytes bounds what all requests hold together, and MaxConnections the connections. Without them,
+	// the listener is not for callers: it has bounds of its own, which include the size of a body.
+	HeldBytes      int64
+	MaxConnections int
+	// Registerer, if set, gets the metrics of what the requests hold.
+	Registerer prometheus.Registerer
 }
 
 // Default timeouts and limits of listeners.
@@ -150,6 +157,11 @@
 	idleTimeout    = 2 * time.Minute
 	closeTimeout   = 2 * time.Second
 	maxHeaderBytes = 16 << 10
+	// internalHeldBytes and internalConnections are for listeners that no caller reaches, and
+	// internalBodyBytes bounds the bodies there: what boxes and operators send is small.
+	internalHeldBytes   = 16 << 20
+	internalConnections = 1000
+	internalBodyBytes   = 1 << 20
 )
 
 // HTTPServers are the HTTP servers of a set of open listeners.
@@ -176,16 +188,27 @@
 }
 
 func (s *HTTPServers) serve(l ListenerConfig, ln net.Listener) {
+	handler, held, connections := l.Handler, l.HeldBytes, l.MaxConnections
+	if held == 0 {
+		handler, held, connections = http.MaxBytesHandler(l.Handler, internalBodyBytes), internalHeldBytes, internalConnections
+	}
+	memory := intake.NewMemory(held)
+	var opts []intake.Option
+	if l.Registerer != nil {
+		opts = append(opts, intake.WithOnClose(intake.NewMetrics(l.Registerer, memory).ConnectionClosed))
+	}
+	limited := intake.NewListener(ln, memory, connections, opts...)
 	srv := &http.Server{
-		Handler:           l.Handler,
+		Handler:           handler,
 		ReadHeaderTimeout: orDefault(l.HeaderTimeout, headerTimeout),
 		ReadTimeout:       orDefault(l.ReadTimeout, readTimeout),
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	limited.Attach(srv)
 	s.servers = append(s.servers, srv)
 	go func() {
-		err := srv.Serve(ln)
+		err := srv.Serve(limited)
 		if !errors.Is(err, http.ErrServerClosed) {
 			event.Log(s.logger, event.ListenerFailed, zap.String("listener", l.Name), event.Error(err))
 		}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -87,6 +87,7 @@
 			Handler:       g.CallerHandler(),
 			HeaderTimeout: time.Duration(cfg.Limits.HeaderTimeout),
 			ReadTimeout:   time.Duration(cfg.Limits.ReadTimeout),
+			HeldBytes:     cfg.Limits.MaxHeldBytes, MaxConnections: cfg.Limits.MaxConnections, Registerer: reg,
 		},
 		{Name: "peers", Addr: cfg.Listen.Peers, Handler: g.PeerHandler()},
 		{Name: "operators", Addr: cfg.Listen.Operators, Handler: NewOperatorMux(reg, g.Ready)},
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -8,6 +8,7 @@
 
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/engine"
+	"github.com/slatebridge/slatebridge/intake"
 	"github.com/slatebridge/slatebridge/result"
 	"github.com/slatebridge/slatebridge/stream"
 )
@@ -54,9 +55,33 @@
 	}
 }
 
+const (
+	// wordBytes is what a word of a prompt takes: twice as a string in a list, and encoded for an engine.
+	wordBytes = 48
+	// textCopies is how often the text of a prompt is held besides the body: decoded, and encoded for an
+	// engine into a buffer that doubles.
+	textCopies = 4
+)
+
+// decodedBytes returns what a chat request with the body takes, besides the body, until it is answered.
+func decodedBytes(body []byte) int64 {
+	words := 1
+	for _, b := range body {
+		if b == ' ' || b == '\\' || b == '{' {
+			words++
+		}
+	}
+
+	return textCopies*int64(len(body)) + wordBytes*int64(words)
+}
+
 // promptWords returns the words of all messages, each message preceded by its role.
 func (c ChatRequest) promptWords() []string {
-	var words []string
+	n := len(c.Messages)
+	for _, m := range c.Messages {
+		n += strings.Count(m.Content, " ") + 1
+	}
+	words := make([]string, 0, n)
 	for _, m := range c.Messages {
 		words = append(words, m.Role+":")
 		words = append(words, strings.Fields(m.Content)...)
@@ -107,6 +132,9 @@
 	if err != nil {
 		return ChatRequest{}, slatebridge.Service{}, err
 	}
+	if !intake.RequestOf(q.req.Context()).Hold().Grow(decodedBytes(body)) {
+		return ChatRequest{}, slatebridge.Service{}, errNoMemory()
+	}
 	chat, err := decodeStrict[ChatRequest](body)
 	if err != nil {
 		return chat, slatebridge.Service{}, err
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/intake"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -138,14 +140,61 @@
 	handle(ctx)
 }
 
-// readBody reads the request body, which must not exceed limit bytes.
+const (
+	// retryAfterFull is the Retry-After delay of requests for which there is no memory.
+	retryAfterFull = time.Second
+	// discardTimeout bounds how long the rest of a refused body is read after the answer.
+	discardTimeout = 100 * time.Millisecond
+)
+
+// readBody reads the request body, which must not exceed limit bytes. Without a whole body, nothing of the
+// request is run.
 func readBody(q *request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(q.resp, q.req.Body, limit))
+	req := intake.RequestOf(q.req.Context())
+	limit = min(limit, req.Largest())
+	if q.req.ContentLength > limit {
+		q.refuseRest()
+
+		return nil, bodyError(&http.MaxBytesError{Limit: limit})
+	}
+	body, err := intake.ReadBody(http.MaxBytesReader(q.resp, q.req.Body, limit), q.req.ContentLength, req.Hold())
 	if err != nil {
-		return nil, result.New(result.Malformed, "body: %v", err)
+		q.refuseRest()
+
+		return nil, bodyError(err)
+	}
+	if !req.WasRead() {
+		return nil, result.New(result.Overloaded, "the connection was closed, as there were too many").WithRetryAfter(retryAfterFull)
+	}
+	if len(body.Parts()) > 1 && !req.Hold().Grow(body.Size()) {
+		return nil, errNoMemory()
 	}
 
-	return body, nil
+	return body.Bytes(), nil
+}
+
+// refuseRest has the answer sent without waiting for the rest of the body, and the connection closed.
+func (q *request) refuseRest() {
+	q.resp.Header().Set("Connection", "close")
+	// A writer without deadlines has no connection that could be held.
+	_ = http.NewResponseController(q.resp).SetReadDeadline(time.Now().Add(discardTimeout))
+}
+
+// bodyError returns the error for a body that was not read to its end.
+func bodyError(err error) error {
+	switch {
+	case errors.Is(err, intake.ErrFull):
+		return errNoMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.New(result.BodyTooSlow, "the body did not arrive in time")
+	default:
+		return result.New(result.Malformed, "body: %v", err)
+	}
+}
+
+// errNoMemory returns the error for a request that does not fit.
+func errNoMemory() *result.Error {
+	return result.New(result.NoMemory, "there is no memory for the request").WithRetryAfter(retryAfterFull)
 }
 
 // decodeStrict decodes JSON into a T and rejects unknown fields and trailing data.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,6 +14,8 @@
 // Defaults and upper bounds of the settings.
 const (
 	defaultMaxBodyBytes      = 1 << 20
+	defaultMaxHeldBytes      = 64 << 20
+	defaultMaxConnections    = 2000
 	defaultHeaderTimeout     = 5 * time.Second
 	defaultReadTimeout       = 10 * time.Second
 	defaultDedupWindow       = 15 * time.Minute
@@ -57,10 +59,14 @@
 
 // Limits bounds the requests that a box accepts from callers.
 type Limits struct {
-	MaxInFlight   int                  `toml:"max_in_flight"`
-	MaxBodyBytes  int64                `toml:"max_body_bytes"`
-	HeaderTimeout slatebridge.Duration `toml:"header_timeout"`
-	ReadTimeout   slatebridge.Duration `toml:"read_timeout"`
+	MaxInFlight  int   `toml:"max_in_flight"`
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MaxHeldBytes bounds what all requests hold together while they are read and served, and
+	// MaxConnections the connections of callers.
+	MaxHeldBytes   int64                `toml:"max_held_bytes"`
+	MaxConnections int                  `toml:"max_connections"`
+	HeaderTimeout  slatebridge.Duration `toml:"header_timeout"`
+	ReadTimeout    slatebridge.Duration `toml:"read_timeout"`
 }
 
 // Routing configures the choice of backend servers.
@@ -105,10 +111,12 @@
 func defaultGateway() Gateway {
 	return Gateway{
 		Limits: Limits{
-			MaxInFlight:   admit.DefaultMaxInFlight,
-			MaxBodyBytes:  defaultMaxBodyBytes,
-			HeaderTimeout: slatebridge.Duration(defaultHeaderTimeout),
-			ReadTimeout:   slatebridge.Duration(defaultReadTimeout),
+			MaxInFlight:    admit.DefaultMaxInFlight,
+			MaxBodyBytes:   defaultMaxBodyBytes,
+			MaxHeldBytes:   defaultMaxHeldBytes,
+			MaxConnections: defaultMaxConnections,
+			HeaderTimeout:  slatebridge.Duration(defaultHeaderTimeout),
+			ReadTimeout:    slatebridge.Duration(defaultReadTimeout),
 		},
 		Routing: Routing{Policy: route.DefaultPolicy},
 		Claims: Claims{
@@ -141,6 +149,8 @@
 	c.baseURL("platform.log", g.Platform.LogURL)
 	c.positive("limits.max_in_flight", int64(g.Limits.MaxInFlight))
 	c.positive("limits.max_body_bytes", g.Limits.MaxBodyBytes)
+	c.positive("limits.max_held_bytes", g.Limits.MaxHeldBytes)
+	c.positive("limits.max_connections", int64(g.Limits.MaxConnections))
 	c.durationBetween("limits.header_timeout", g.Limits.HeaderTimeout, time.Millisecond, maxTimeout)
 	c.durationBetween("limits.read_timeout", g.Limits.ReadTimeout, time.Millisecond, maxTimeout)
 	if !slices.Contains(route.Policies(), g.Routing.Policy) {
