--- a/controller/follow_log.go
+++ b/controller/follow_log.go
@@ -227,15 +227,33 @@
 // followMembership polls the platform's membership list. While it is unreachable, the last reading
 // stays in force.
 func (c *Controller) followMembership(ctx context.Context) {
+	refused := make(map[string]bool)
 	every(ctx, refreshInterval, func() {
 		ctx, cancel := context.WithTimeout(ctx, membershipTimeout)
 		defer cancel()
-		if m, err := c.membership.Get(ctx); err == nil {
-			c.send(membershipRead{membership: m})
+		m, err := c.membership.Get(ctx)
+		if err != nil {
+			return
 		}
+		refused = c.logRefusedEntries(m.Refused, refused)
+		c.send(membershipRead{membership: m})
 	})
 }
 
+// logRefusedEntries logs the entries that could not be decoded, unless the previous reading had them as
+// well, and returns them.
+func (c *Controller) logRefusedEntries(list []error, before map[string]bool) map[string]bool {
+	refused := make(map[string]bool, len(list))
+	for _, err := range list {
+		refused[err.Error()] = true
+		if !before[err.Error()] {
+			event.Log(c.logger, event.EntryRefused, event.Error(err))
+		}
+	}
+
+	return refused
+}
+
 // sleep waits for d and reports whether ctx is still active.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/jsonscan/scanner.go
+++ b/internal/jsonscan/scanner.go
@@ -1,4 +1,5 @@
-package platform
+// Package jsonscan splits JSON objects and arrays into their elements, however deeply these are nested.
+package jsonscan
 
 import (
 	"bytes"
@@ -6,19 +7,22 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errMalformedJSON is returned for JSON text that is not the expected object or array.
-var errMalformedJSON = errors.New("platform: malformed JSON object or array")
+// ErrMalformed is returned for JSON text that is not the expected object or array.
+var ErrMalformed = errors.New("malformed JSON object or array")
 
-// jsonScanner splits a JSON object or array into its elements without parsing them, so that a large
+// Scanner splits a JSON object or array into its elements without parsing them, so that a large
 // document can be parsed one element at a time. An element is validated only when it is parsed; the
 // values of unknown top-level fields are scanned to find their end, but never parsed.
-type jsonScanner struct {
+type Scanner struct {
 	data []byte
 	pos  int
 }
 
-// peek skips white space and returns the next byte without consuming it, or 0 at the end.
-func (s *jsonScanner) peek() byte {
+// New returns a Scanner of the text.
+func New(data []byte) Scanner { return Scanner{data: data} }
+
+// Peek skips white space and returns the next byte without consuming it, or 0 at the end.
+func (s *Scanner) Peek() byte {
 	for s.pos < len(s.data) {
 		switch c := s.data[s.pos]; c {
 		case ' ', '\t', '\r', '\n':
@@ -32,8 +36,8 @@
 }
 
 // consume skips white space and, if the next byte is c, that byte. It reports whether it was c.
-func (s *jsonScanner) consume(c byte) bool {
-	if s.peek() != c {
+func (s *Scanner) consume(c byte) bool {
+	if s.Peek() != c {
 		return false
 	}
 	s.pos++
@@ -43,7 +47,7 @@
 
 // scanString skips a quoted string and returns the bytes between the quotes, with escapes. ok is
 // false if the closing quote is missing.
-func (s *jsonScanner) scanString() (text []byte, ok bool) {
+func (s *Scanner) scanString() (text []byte, ok bool) {
 	s.pos++
 	for from := s.pos; ; {
 		n := bytes.IndexByte(s.data[s.pos:], '"')
@@ -59,15 +63,15 @@
 	}
 }
 
-// scanValue skips a value and returns its bytes.
-func (s *jsonScanner) scanValue() ([]byte, error) {
-	s.peek()
+// Value skips a value and returns its bytes.
+func (s *Scanner) Value() ([]byte, error) {
+	s.Peek()
 	from, depth := s.pos, 0
 	for s.pos < len(s.data) {
 		switch s.data[s.pos] {
 		case '"':
 			if _, ok := s.scanString(); !ok {
-				return nil, errMalformedJSON
+				return nil, ErrMalformed
 			}
 
 			continue
@@ -86,23 +90,23 @@
 		s.pos++
 	}
 
-	return nil, errMalformedJSON
+	return nil, ErrMalformed
 }
 
-// eachElement calls f for each element of an array. f has to consume the element.
-func (s *jsonScanner) eachElement(f func() error) error {
+// EachElement calls f for each element of an array. f has to consume the element.
+func (s *Scanner) EachElement(f func() error) error {
 	return s.eachItem('[', ']', f)
 }
 
-// eachField calls f with the name of each field of an object. f has to consume the value.
-func (s *jsonScanner) eachField(f func(name []byte) error) error {
+// EachField calls f with the name of each field of an object. f has to consume the value.
+func (s *Scanner) EachField(f func(name []byte) error) error {
 	return s.eachItem('{', '}', func() error {
-		if s.peek() != '"' {
-			return errMalformedJSON
+		if s.Peek() != '"' {
+			return ErrMalformed
 		}
 		name, ok := s.scanString()
 		if !ok || !s.consume(':') {
-			return errMalformedJSON
+			return ErrMalformed
 		}
 
 		return f(name)
@@ -110,13 +114,13 @@
 }
 
 // eachItem calls f for each of the comma-separated items between the two delimiters.
-func (s *jsonScanner) eachItem(begin, end byte, f func() error) error {
+func (s *Scanner) eachItem(begin, end byte, f func() error) error {
 	if !s.consume(begin) {
-		return errMalformedJSON
+		return ErrMalformed
 	}
 	for first := true; !s.consume(end); first = false {
 		if !first && !s.consume(',') {
-			return errMalformedJSON
+			return ErrMalformed
 		}
 		if err := f(); err != nil {
 			return err
@@ -126,10 +130,10 @@
 	return nil
 }
 
-// expectEnd returns an error unless only white space is left.
-func (s *jsonScanner) expectEnd() error {
-	if s.peek(); s.pos < len(s.data) {
-		return errMalformedJSON
+// ExpectEnd returns an error unless only white space is left.
+func (s *Scanner) ExpectEnd() error {
+	if s.Peek(); s.pos < len(s.data) {
+		return ErrMalformed
 	}
 
 	return nil
--- a/logstore/log.go
+++ b/logstore/log.go
@@ -105,18 +105,28 @@
 }
 
 func doJSON(client *http.Client, req *http.Request, result any) error {
+	body, err := call(client, req)
+	if err != nil {
+		return err
+	}
+
+	return errors.Wrap(json.Unmarshal(body, result), "logstore: decode response")
+}
+
+// call sends a request and returns the body of the response.
+func call(client *http.Client, req *http.Request) ([]byte, error) {
 	resp, err := client.Do(req)
 	if err != nil {
-		return errors.Mark(err, ErrNoValidResponse)
+		return nil, errors.Mark(err, ErrNoValidResponse)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return errors.Mark(err, ErrNoValidResponse)
+		return nil, errors.Mark(err, ErrNoValidResponse)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errors.Mark(errors.Newf("logstore: unexpected status %d", resp.StatusCode), ErrNoValidResponse)
+		return nil, errors.Mark(errors.Newf("logstore: unexpected status %d", resp.StatusCode), ErrNoValidResponse)
 	}
 
-	return errors.Wrap(json.Unmarshal(body, result), "logstore: decode response")
+	return body, nil
 }
