--- a/daemon/box.go
+++ b/daemon/box.go
@@ -39,6 +39,9 @@
 	logFlushTimeout = 200 * time.Millisecond
 	// maxIdleConnsPerServer bounds the idle connections to one server.
 	maxIdleConnsPerServer = 64
+	// maxAnswerHeadBytes bounds the head of an answer, interim ones included. It is four times what callers
+	// may send as the head of a request.
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // BoxOption configures a box.
@@ -195,11 +198,12 @@
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: connpool.New(&http.Transport{
-			DialContext:           dial,
-			DisableCompression:    true,
-			MaxIdleConnsPerHost:   maxIdleConnsPerServer,
-			IdleConnTimeout:       serverIdleTimeout,
-			ExpectContinueTimeout: time.Second,
+			DialContext:            dial,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
+			MaxIdleConnsPerHost:    maxIdleConnsPerServer,
+			IdleConnTimeout:        serverIdleTimeout,
+			ExpectContinueTimeout:  time.Second,
 		}, connpool.WithOnIdleClosed(onIdleClosed)),
 	}
 }
@@ -209,7 +213,7 @@
 	dial := keepalive.NewDialer(forward.ConnectTimeout()).DialContext
 
 	return &http.Client{Transport: connpool.New(&http.Transport{
-		DialContext: dial, DisableCompression: true, IdleConnTimeout: serverIdleTimeout,
+		DialContext: dial, DisableCompression: true, IdleConnTimeout: serverIdleTimeout, MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}, connpool.WithOnIdleClosed(onIdleClosed))}
 }
 
@@ -217,8 +221,9 @@
 func newStoreClient(onIdleClosed func()) *http.Client {
 	const maxIdleConns = 4
 	return &http.Client{Transport: connpool.New(&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		IdleConnTimeout:        idleTimeout,
 	}, connpool.WithOnIdleClosed(onIdleClosed))}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -254,9 +254,10 @@
 func NewHTTPClient() *http.Client {
 	const maxIdleConnsPerHost = 256
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		IdleConnTimeout:        idleTimeout,
 	}
 
 	return &http.Client{Transport: t}
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -11,6 +11,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 64 << 10
+
 // ErrNotSent marks errors of calls of which no byte was sent.
 var ErrNotSent = errors.New("engine: not sent")
 
@@ -47,7 +50,7 @@
 // not retry. Redirects are not followed because they can resend the body.
 func NewPlainClient(dial DialFunc) PlainClient {
 	c := plainClient{client: &http.Client{
-		Transport:     &http.Transport{DialContext: markNotSent(dial), DisableKeepAlives: true},
+		Transport:     &http.Transport{DialContext: markNotSent(dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 
--- a/forward/body.go
+++ b/forward/body.go
@@ -29,6 +29,7 @@
 		limit = defaultMaxBodyBytes
 	}
 	req := intake.RequestOf(r.Context())
+	c.hold = req.Hold()
 	limit = min(limit, req.Largest())
 	if r.ContentLength > limit {
 		return result.New(result.TooLarge, "the body has %d bytes; the limit is %d", r.ContentLength, limit)
@@ -37,7 +38,7 @@
 	// removed after the body.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(clock.Until(c.deadline)))
-	body, err := intake.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, req.Hold())
+	body, err := intake.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, c.hold)
 	if err != nil {
 		return bodyError(err, limit)
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -95,11 +94,11 @@
 	if t.headWritten || (r.resp.StatusCode >= http.StatusInternalServerError && t.takeRetryNow()) {
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(r.resp.Body, maxBufferedResponse))
-	if err != nil {
+	o := &outcome{attemptResult: r}
+	if err := o.readBody(t.c.hold); err != nil {
 		return false
 	}
-	t.h.writeResponse(t.w, t.c, &outcome{attemptResult: r, body: body})
+	t.h.writeResponse(t.w, t.c, o)
 
 	return true
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -31,6 +31,9 @@
 	host   string
 	header http.Header
 	body   intake.Body
+	// hold is what the request holds of the memory for requests, including the answers that are buffered
+	// for it.
+	hold *intake.Hold
 	// bodyRead is set once the body has been read to its end, or if there is none.
 	bodyRead  bool
 	startedAt time.Time
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -16,6 +16,7 @@
 	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/fleet"
+	"github.com/slatebridge/slatebridge/intake"
 	"github.com/slatebridge/slatebridge/overload"
 	"github.com/slatebridge/slatebridge/quarantine"
 	"github.com/slatebridge/slatebridge/result"
@@ -43,8 +44,8 @@
 	server      catalog.Server
 	reservation *fleet.Reservation
 	// body is the complete response body, unless remainder is set.
-	body []byte
-	// remainder is the unread part of a body that is too large to buffer.
+	body intake.Body
+	// remainder is the unread part of a body that is too large to buffer, or for which there is no memory.
 	remainder io.ReadCloser
 	duration  time.Duration
 	cancel    context.CancelFunc
@@ -293,17 +294,23 @@
 	if o.fate != answered {
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(o.resp.Body, maxBufferedResponse))
+	if err := o.readBody(c.hold); err != nil {
+		o.attemptResult = attemptResult{fate: mayHaveRun, err: errors.Wrap(err, "response truncated")}
+	}
+}
+
+// readBody reads the response body, as much of it as is buffered.
+func (o *outcome) readBody(h *intake.Hold) error {
+	body, whole, err := intake.ReadPrefix(o.resp.Body, maxBufferedResponse, h)
 	o.body = body
-	if err == nil && len(body) == maxBufferedResponse {
+	if err == nil && !whole {
 		o.remainder = o.resp.Body
 
-		return
+		return nil
 	}
 	_ = o.resp.Body.Close()
-	if err != nil {
-		o.attemptResult = attemptResult{fate: mayHaveRun, err: errors.Wrap(err, "response truncated")}
-	}
+
+	return err
 }
 
 // recordOutcome reports the outcome to the fleet and logs a failed attempt.
@@ -394,10 +401,10 @@
 func (h *Handler) writeResponse(w http.ResponseWriter, c *inboundRequest, o *outcome) {
 	copyHeaders(w, o.resp)
 	if o.remainder == nil && c.method != http.MethodHead {
-		setContentLength(w, len(o.body))
+		setContentLength(w, o.body.Size())
 	}
 	w.WriteHeader(o.resp.StatusCode)
-	_, err := w.Write(o.body)
+	_, err := io.Copy(w, o.body.Reader())
 	if o.remainder != nil {
 		if err == nil {
 			_, err = io.Copy(w, o.remainder)
--- a/forward/send.go
+++ b/forward/send.go
@@ -163,6 +163,6 @@
 	}
 }
 
-func setContentLength(w http.ResponseWriter, n int) {
-	w.Header().Set("Content-Length", strconv.Itoa(n))
+func setContentLength(w http.ResponseWriter, n int64) {
+	w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 }
--- a/intake/body.go
+++ b/intake/body.go
@@ -72,6 +72,27 @@
 	}
 }
 
+// ReadPrefix reads up to limit bytes of a body, and fewer if they do not fit. whole reports whether that was
+// all.
+func ReadPrefix(r io.Reader, limit int64, h *Hold) (b Body, whole bool, err error) {
+	for b.size < limit {
+		part, err := readPart(r, min(b.nextPart(-1), limit-b.size), h)
+		if len(part) > 0 {
+			b.parts, b.size = append(b.parts, part), b.size+int64(len(part))
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return b, true, nil
+		case errors.Is(err, ErrFull):
+			return b, false, nil
+		case err != nil:
+			return b, false, err
+		}
+	}
+
+	return b, false, nil
+}
+
 // nextPart returns the size of the next part, and one byte for a body that is complete: reading it finds
 // the end.
 func (b *Body) nextPart(length int64) int64 {
