--- a/forward/send.go
+++ b/forward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -40,7 +41,7 @@
 	return [...]string{"unsent", "withheld", "not run", "may have run", "answered"}[f]
 }
 
-// errInvalidResponse is the error for a response that does not belong to the request, has a content
+// errInvalidResponse is the error for a response that does not repeat the ID of the request, has a content
 // encoding, or reports success without proof that a server wrote it.
 var errInvalidResponse = errors.New("response belongs to another request, is encoded or lacks proof of origin")
 
@@ -69,13 +70,13 @@
 
 		return attemptResult{fate: withheld, err: err}
 	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	var used atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { used.Store(&i.Conn) }}
 	req := h.newRequest(httptrace.WithClientTrace(ctx, trace), c, a)
 	times := exchangeTimes{sent: clock.Now()}
 	resp, err := h.httpClient.Do(req)
 	if err != nil {
-		if !sent.Load() {
+		if used.Load() == nil {
 			a.Grant.release()
 
 			return attemptResult{fate: unsent, err: err}
@@ -91,8 +92,11 @@
 	}
 	h.applyNotice(a.Server.ID, head.Notice, times)
 	switch {
-	case head.RequestID != "" && head.RequestID != c.ID, head.RequestID == "" && !head.NotExecuted:
+	case head.RequestID != c.ID:
+		// The request had an ID, which its answer repeats. This is an answer too many, perhaps to a request
+		// of the box's own, and the next one on the connection would not be the one that is due either.
 		_ = resp.Body.Close()
+		_ = (*used.Load()).Close()
 
 		return attemptResult{fate: mayHaveRun, head: head, err: errInvalidResponse}
 	case head.NotExecuted:
