--- a/box/box.go
+++ b/box/box.go
@@ -356,10 +356,13 @@
 }
 
 func (b *Box) followConfig() *follow.Follower {
+	// era is that of the last read. The follower calls its functions from a single goroutine.
+	var era int64
 	f := b.newFollower(b.platform.Config, topicConfig,
 		func() time.Time { return b.state.Load().ConfigVerifiedAt },
-		func(at time.Time) { b.post(&configConfirmed{at: at}) })
+		func(at time.Time) { b.post(&configConfirmed{at: at, era: era}) })
 	f.OnSnapshot = func(c logstore.Changes, _ time.Duration) {
+		era = c.NextPosition.Era()
 		cat, raw, err := b.platform.DecodeConfig(c.Entries)
 		if err != nil {
 			b.post(&configInvalid{err: err})
--- a/box/config_updates.go
+++ b/box/config_updates.go
@@ -40,6 +40,34 @@
 	event.Log(c.box.logger, event.CatalogUnreadable, event.Error(m.err))
 }
 
+// configJoinTimeout is how long a box that has started waits for what others know of the configuration. They
+// answer its first report, which it sends within a round of gossip.
+const configJoinTimeout = 4 * tickInterval
+
+// onConfigRead handles that the store's configuration was read. If the store has come back from an older copy,
+// it may lack a version that other boxes know, and a box that has just started asks these first.
+func (c *control) onConfigRead(m *configConfirmed, now time.Time) {
+	if m.era > 0 && !c.joinsConfig(now) {
+		return
+	}
+	c.onConfigConfirmed(m.at)
+}
+
+// joinsConfig reports whether the box knows what others know of the configuration, as far as they can be heard.
+func (c *control) joinsConfig(now time.Time) bool {
+	if c.configJoined {
+		return true
+	}
+	for _, o := range c.peers {
+		if o.live() && c.hasNewerConfig(o) {
+			return false
+		}
+	}
+	c.configJoined = now.Sub(c.box.startedAt) >= configJoinTimeout
+
+	return c.configJoined
+}
+
 // onConfigConfirmed records that the configuration was the newest at a time.
 func (c *control) onConfigConfirmed(at time.Time) {
 	if c.catalog == nil || !at.After(c.configConfirmedAt) {
--- a/box/control.go
+++ b/box/control.go
@@ -35,6 +35,9 @@
 
 	catalog           *catalog.Catalog
 	configConfirmedAt time.Time
+	// configJoined is set once another box has confirmed a configuration that is not newer than this box's,
+	// or none has done so within configJoinTimeout.
+	configJoined bool
 	// serversPosition is the position up to which the server entries in box.entries are known.
 	serversPosition logstore.Position
 	// serversByName maps the names of server entries to the servers that they describe.
@@ -204,7 +207,7 @@
 	case *configInvalid:
 		c.onConfigInvalid(m)
 	case *configConfirmed:
-		c.onConfigConfirmed(m.at)
+		c.onConfigRead(m, clock.Now())
 	case *serversUpdate:
 		c.onServers(m)
 	case *serversConfirmed:
--- a/box/messages.go
+++ b/box/messages.go
@@ -24,8 +24,12 @@
 	}
 	// configInvalid reports a configuration in the store that could not be decoded.
 	configInvalid struct{ err error }
-	// configConfirmed reports that the configuration topic was completely known at the given time.
-	configConfirmed struct{ at time.Time }
+	// configConfirmed reports that the configuration topic was completely known at the given time, in an
+	// era of the store.
+	configConfirmed struct {
+		at  time.Time
+		era int64
+	}
 	// serversUpdate carries server entries up to the position next. If full is set, entries lists
 	// all servers, otherwise only changes.
 	serversUpdate struct {
@@ -36,7 +40,7 @@
 		grace     time.Duration
 		fromStore bool
 	}
-	// serversConfirmed is configConfirmed for the server entries.
+	// serversConfirmed reports the same of the server entries.
 	serversConfirmed struct{ at time.Time }
 	// storeFailed reports a failed store call.
 	storeFailed struct {
