--- a/box/config_updates.go
+++ b/box/config_updates.go
@@ -50,7 +50,7 @@
 	if m.era > 0 && !c.joinsConfig(now) {
 		return
 	}
-	c.onConfigConfirmed(m.at)
+	c.onConfigConfirmed(m.at, sourceStore)
 }
 
 // joinsConfig reports whether the box knows what others know of the configuration, as far as they can be heard.
@@ -68,12 +68,13 @@
 	return c.configJoined
 }
 
-// onConfigConfirmed records that the configuration was the newest at a time.
-func (c *control) onConfigConfirmed(at time.Time) {
+// onConfigConfirmed records that the configuration was the newest at a time, and by whose word: the store's
+// or that of another box.
+func (c *control) onConfigConfirmed(at time.Time, by string) {
 	if c.catalog == nil || !at.After(c.configConfirmedAt) {
 		return
 	}
-	c.configConfirmedAt = at
+	c.configConfirmedAt, c.configConfirmedBy = at, by
 	c.publish()
 	if !c.box.ready.Load() {
 		c.updateReadiness(clock.Now())
@@ -82,7 +83,7 @@
 
 // publish makes the state visible to requests.
 func (c *control) publish() {
-	c.box.state.Store(&forward.State{Catalog: c.catalog, ConfigVerifiedAt: c.configConfirmedAt, BoxCount: c.retryBudgetBoxes(), LiveBoxes: c.liveBoxes(), Synced: c.catalog != nil && len(c.serversByName) > 0})
+	c.box.state.Store(&forward.State{Catalog: c.catalog, ConfigVerifiedAt: c.configConfirmedAt, ConfigVerifiedBy: c.configConfirmedBy, BoxCount: c.retryBudgetBoxes(), LiveBoxes: c.liveBoxes(), Synced: c.catalog != nil && len(c.serversByName) > 0})
 }
 
 func (c *control) onStoreFailed(m *storeFailed) {
--- a/box/control.go
+++ b/box/control.go
@@ -35,6 +35,8 @@
 
 	catalog           *catalog.Catalog
 	configConfirmedAt time.Time
+	// configConfirmedBy is by whose word: the store's, or that of the box that it names.
+	configConfirmedBy string
 	// configJoined is set once another box has confirmed a configuration that is not newer than this box's,
 	// or none has done so within configJoinTimeout.
 	configJoined bool
--- a/box/peers.go
+++ b/box/peers.go
@@ -264,7 +264,7 @@
 	// The local state is at least as new as what was confirmed as current there.
 	if c.catalog != nil && msg.ConfigVersion > 0 && msg.ConfigVersion <= c.catalog.Version {
 		c.configJoined = c.configJoined || msg.ConfigAge >= 0
-		c.onConfigConfirmed(o.configConfirmedAt)
+		c.onConfigConfirmed(o.configConfirmedAt, string(o.id))
 	}
 	if msg.ServersPosition > 0 && msg.ServersPosition <= c.serversPosition {
 		c.onServersConfirmed(o.serversConfirmedAt)
--- a/box/ready.go
+++ b/box/ready.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/internal/program"
 )
 
 // readyTimeout is how long after its start a box waits until every model has all its layers. After
@@ -17,13 +18,13 @@
 func (c *control) updateReadiness(now time.Time) {
 	b := c.box
 	s := Status{
-		Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.serversByName), Complete: c.complete(),
+		Program: program.Current(), Box: c.settings.Box, Hall: c.settings.Hall, Servers: len(c.serversByName), Complete: c.complete(),
 		Leader: c.term.Box, FencingToken: c.term.Token, Boxes: c.liveBoxes(), Isolated: b.isolated(), Detours: c.detours,
 		Suspects: b.fleet.Suspects(), Resting: b.fleet.CoolingDown(), Leaving: b.fleet.Leaving(), Limited: b.fleet.RateLimits(), Slow: b.handler.LocalSlowServers(), InFlight: b.handler.InFlight(),
 		ReadsStore: b.isReader.Load(), FailedTopics: c.failedTopics(), Quarantine: b.quarantine.ledger.Suspects(now), Suspended: c.suspendedTotal,
 	}
 	if c.catalog != nil {
-		s.Config, s.ConfigAge = c.catalog.Version, now.Sub(c.configConfirmedAt)
+		s.Config, s.ConfigAge, s.ConfigBy = c.catalog.Version, now.Sub(c.configConfirmedAt), c.configConfirmedBy
 	}
 	c.everComplete = c.everComplete || s.Complete
 	fresh := c.catalog != nil && now.Sub(c.configConfirmedAt) < c.settings.Bounds.MaxRevocationDelay
--- a/box/status.go
+++ b/box/status.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/internal/program"
 	"github.com/slatebridge/slatebridge/quarantine"
 )
 
@@ -28,13 +29,17 @@
 
 // Status is the status reported to operators. It needs neither the store nor other boxes.
 type Status struct {
-	Box   slatebridge.BoxID  `json:"box"`
-	Hall  slatebridge.HallID `json:"hall"`
-	Ready bool               `json:"ready"`
+	// Program is the program that the box runs.
+	Program program.Identity   `json:"program"`
+	Box     slatebridge.BoxID  `json:"box"`
+	Hall    slatebridge.HallID `json:"hall"`
+	Ready   bool               `json:"ready"`
 	// Config is the version of the configuration, and ConfigAge the time since it was last
 	// confirmed current.
 	Config    int64         `json:"config"`
 	ConfigAge time.Duration `json:"config_age"`
+	// ConfigBy is by whose word: the store's, or that of the box that it names.
+	ConfigBy string `json:"config_by"`
 	// Servers counts the known backend servers, and Complete reports whether every model has all
 	// its layers on usable servers.
 	Servers  int  `json:"servers"`
@@ -98,9 +103,10 @@
 		value any
 	}{
 		{"box", s.Box},
+		{"program", s.Program},
 		{"hall", s.Hall},
 		{"ready", s.Ready},
-		{"configuration", fmt.Sprintf("version %d, confirmed current %s ago", s.Config, s.ConfigAge.Round(time.Millisecond))},
+		{"configuration", fmt.Sprintf("version %d, confirmed current %s ago by %s", s.Config, s.ConfigAge.Round(time.Millisecond), s.ConfigBy)},
 		{"servers", fmt.Sprintf("%d, all layers of every model present: %t", s.Servers, s.Complete)},
 		{"store", fmt.Sprintf("read for the hall: %t, topics whose last call failed: %v", s.ReadsStore, s.FailedTopics)},
 		{"orders", fmt.Sprintf("leader: %s, fencing token %d", s.Leader, s.FencingToken)},
--- a/box/status_test.go
+++ b/box/status_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/slatebridge/slatebridge"
+	"github.com/slatebridge/slatebridge/internal/program"
 	"github.com/slatebridge/slatebridge/quarantine"
 )
 
@@ -69,13 +70,14 @@
 }
 
 func ExampleStatus_String() {
-	s := Status{Box: "box-1", Hall: "hall-a", Config: 7, ConfigAge: time.Second, Servers: 9, Complete: true, Leader: "box-2", FencingToken: 3, Boxes: 4}
+	s := Status{Program: program.Identity{Name: "slatebridge-box", Version: "0.1.0", Digest: "4yQx", Architecture: "arm64", Toolchain: "go1.26"}, Box: "box-1", Hall: "hall-a", Config: 7, ConfigAge: time.Second, ConfigBy: "store", Servers: 9, Complete: true, Leader: "box-2", FencingToken: 3, Boxes: 4}
 	fmt.Print(s)
 	// Output:
 	// box            box-1
+	// program        slatebridge-box 0.1.0 4yQx arm64 go1.26
 	// hall           hall-a
 	// ready          false
-	// configuration  version 7, confirmed current 1s ago
+	// configuration  version 7, confirmed current 1s ago by store
 	// servers        9, all layers of every model present: true
 	// store          read for the hall: false, topics whose last call failed: []
 	// orders         leader: box-2, fencing token 3
--- a/cmd/slatebridge/commands.go
+++ b/cmd/slatebridge/commands.go
@@ -28,7 +28,7 @@
 		{"delete", "delete an object", &deleteCommand{baseCommand: baseCommand{opts: opts}}},
 		{"stop", "announce the stop of a box or a backend server", &stopCommand{baseCommand: baseCommand{opts: opts}}},
 		{"status", "show the status and the configuration in force", &statusCommand{baseCommand: baseCommand{opts: opts}}},
-		{"box", "show the status of one box; needs neither the store nor other boxes", &boxCommand{}},
+		{"box", "show the status of boxes, and which program each runs; needs neither the store nor other boxes", &boxCommand{}},
 		{"lift", "lift the quarantine of a request", &liftCommand{}},
 		{"explain", "explain what happened to a request, from the logs of many boxes", &explainCommand{}},
 		{"timeline", "summarize what the boxes logged in each second, from their logs", &timelineCommand{}},
@@ -199,21 +199,27 @@
 type boxCommand struct {
 	Timeout time.Duration `long:"wait" description:"how long to wait for the box" default:"5s"`
 	Args    struct {
-		Address string `positional-arg-name:"HOST:PORT" required:"yes" description:"the operators' listener of the box"`
+		Addresses []string `positional-arg-name:"HOST:PORT" required:"1" description:"the operators' listener of a box"`
 	} `positional-args:"yes"`
 }
 
-// Execute prints the status of the box.
+// Execute prints the status of the boxes.
 func (c *boxCommand) Execute([]string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	s, err := box.FetchStatus(ctx, daemon.NewHTTPClient(), c.Args.Address)
-	if err != nil {
-		return err
+	client := daemon.NewHTTPClient()
+	var failed error
+	for _, address := range c.Args.Addresses {
+		ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+		s, err := box.FetchStatus(ctx, client, address)
+		cancel()
+		if err != nil {
+			failed = errors.CombineErrors(failed, err)
+
+			continue
+		}
+		fmt.Print(s)
 	}
-	fmt.Print(s)
 
-	return nil
+	return failed
 }
 
 type liftCommand struct {
--- a/cmd/slatebridge/main.go
+++ b/cmd/slatebridge/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/slatebridge/slatebridge/daemon"
+	"github.com/slatebridge/slatebridge/internal/program"
 )
 
 // options are the global flags, given before the command.
@@ -24,7 +24,7 @@
 func main() {
 	var opts options
 	opts.Version = func() {
-		fmt.Println("slatebridge", daemon.Version)
+		fmt.Println(program.Current())
 		os.Exit(0)
 	}
 	parser := flags.NewParser(&opts, flags.Default)
--- a/daemon/box.go
+++ b/daemon/box.go
@@ -17,6 +17,7 @@
 	"github.com/slatebridge/slatebridge/connpool"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/forward"
+	"github.com/slatebridge/slatebridge/internal/program"
 	"github.com/slatebridge/slatebridge/keepalive"
 	"github.com/slatebridge/slatebridge/mesh"
 	"github.com/slatebridge/slatebridge/platform"
@@ -74,6 +75,7 @@
 	logWriter := event.NewAsyncWriter(os.Stdout)
 	defer logWriter.Close(logFlushTimeout)
 	logger := logWriter.Logger(zap.InfoLevel).With(zap.String("box", string(s.Box)))
+	logProgram(logger, s)
 	go logWriter.RunReports(ctx.Done(), logger)
 	reg := newRegistry()
 	onIdleClosed := func() { event.Log(logger, event.ChannelsDropped) }
@@ -118,7 +120,7 @@
 	ln := callerListener(s, tcp, b.Handler().Load(), reg)
 	ln.Attach(callers)
 	go func() { _ = callers.Serve(ln) }()
-	event.Log(logger, event.Started, zap.String("version", Version), zap.String("hall", string(s.Hall)))
+	event.Log(logger, event.Started, zap.String("version", program.Version), zap.String("hall", string(s.Hall)))
 	watchSettings(ctx, s, logger, func(next box.Settings) {
 		store.SetAddress(next.Store)
 		b.Reconfigure(next)
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/slatebridge/slatebridge/controller"
 	"github.com/slatebridge/slatebridge/event"
+	"github.com/slatebridge/slatebridge/internal/program"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/settings"
 )
@@ -16,6 +17,7 @@
 // RunController runs a controller until ctx ends.
 func RunController(ctx context.Context, cfg settings.Controller) error {
 	logger := NewLogger(cfg.Logging.Level).With(zap.String("box", string(cfg.Box)), zap.String("hall", string(cfg.Hall)))
+	logProgram(logger, cfg)
 	client := NewHTTPClient()
 	c := controller.New(cfg.Box, cfg.Hall,
 		controller.WithLogger(logger),
@@ -36,7 +38,7 @@
 	defer servers.Close()
 	var wg sync.WaitGroup
 	wg.Go(func() { c.Run(ctx) })
-	event.Log(logger, event.Started, zap.String("version", Version))
+	event.Log(logger, event.Started, zap.String("version", program.Version))
 	wg.Wait()
 	event.Log(logger, event.Stopped)
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,11 +21,9 @@
 
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/intake"
+	"github.com/slatebridge/slatebridge/internal/program"
 )
 
-// Version is the version of the programs.
-const Version = "0.1.0"
-
 // Exit codes of the programs.
 const (
 	exitOK    = 0
@@ -78,7 +76,7 @@
 		return parseExit(err)
 	}
 	if f.Version {
-		fmt.Println(name, Version)
+		fmt.Println(program.Current())
 
 		return exitOK
 	}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/slatebridge/slatebridge/claim"
 	"github.com/slatebridge/slatebridge/event"
 	"github.com/slatebridge/slatebridge/gateway"
+	"github.com/slatebridge/slatebridge/internal/program"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/settings"
 )
@@ -23,6 +24,7 @@
 // RunGateway runs a gateway until ctx ends, and then drains it.
 func RunGateway(ctx context.Context, cfg settings.Gateway) error {
 	logger := NewLogger(cfg.Logging.Level).With(zap.String("box", string(cfg.Box)), zap.String("hall", string(cfg.Hall)))
+	logProgram(logger, cfg)
 	reg := newRegistry()
 	g, err := newGateway(cfg, logger, reg)
 	if err != nil {
@@ -38,7 +40,7 @@
 		return err
 	}
 	defer servers.Close()
-	event.Log(logger, event.Started, zap.String("version", Version))
+	event.Log(logger, event.Started, zap.String("version", program.Version))
 	<-ctx.Done()
 	drainGateway(cfg, g, logger)
 
@@ -97,7 +99,7 @@
 func newRegistry() *prometheus.Registry {
 	reg := prometheus.NewRegistry()
 	// The memory statistics of the runtime are longer than all other metrics together, and come first.
-	reg.MustRegister(collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reg.MustRegister(collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled()), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), programInfo(program.Current()))
 
 	return reg
 }
--- a/event/event.go
+++ b/event/event.go
@@ -28,6 +28,7 @@
 	BoxSuspended          ID = 109
 	OwnLoadLimited        ID = 110
 	OwnLoadLifted         ID = 111
+	Program               ID = 112
 	RecordAccepted        ID = 200
 	RecordRefused         ID = 201
 	LogUnreachable        ID = 202
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -103,6 +103,8 @@
 	Catalog *catalog.Catalog
 	// ConfigVerifiedAt is when the configuration was last verified to be current.
 	ConfigVerifiedAt time.Time
+	// ConfigVerifiedBy names by whose word: the store, or the box that said so.
+	ConfigVerifiedBy string
 	// Synced is set once the configuration and the backend servers are known, shortly after start.
 	Synced bool
 	// BoxCount is the number of boxes that share the work and the retry budget.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -256,7 +256,8 @@
 func (h *Handler) logFields(c *inboundRequest) []zap.Field {
 	fields := []zap.Field{zap.String("request", c.ID), zap.Duration("took_ms", clock.Since(c.startedAt))}
 	if c.state.Catalog != nil {
-		fields = append(fields, zap.Int64("config", c.state.Catalog.Version), zap.Duration("config_age_ms", c.startedAt.Sub(c.state.ConfigVerifiedAt)))
+		fields = append(fields, zap.Int64("config", c.state.Catalog.Version), zap.Duration("config_age_ms", c.startedAt.Sub(c.state.ConfigVerifiedAt)),
+			zap.String("config_by", c.state.ConfigVerifiedBy))
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name), zap.Stringer("kind", c.route.Kind), zap.String("service", c.service),
