--- a/forward/end_log_test.go
+++ b/forward/end_log_test.go
@@ -90,7 +90,7 @@
 		f.handler.RetryBudget().RecordGrant("llm", time.Now())
 		l := f.breakStream(t, s, event.RequestBroken, result.New(result.AttemptsExhausted, "the budget for retries is used up"))
 		wantFields(t, l, "event", "request", "code", "events", "silent_ms", "why", "own_retries", "all_retries", "grantor_lost", "grantor", "pool", "pool_age_ms", "config_now", "lag_ms",
-			"took_ms", "config", "config_age_ms", "route", "kind", "service", "account", "attempts", "tried")
+			"took_ms", "config", "config_age_ms", "config_by", "route", "kind", "service", "account", "attempts", "tried")
 		wantValues(t, l, map[string]any{
 			"request": "r1", "code": int64(result.AttemptsExhausted), "events": int64(3), "silent_ms": 1600 * time.Millisecond, "why": "the budget for retries is used up",
 			"own_retries": 18.0, "all_retries": 69.0, "grantor_lost": false, "grantor": "b7", "pool": "refused", "pool_age_ms": 30 * time.Millisecond,
@@ -153,7 +153,7 @@
 		s := f.stream(0, 50)
 		s.fail(result.New(result.Overloaded, noRoom))
 		l := f.lastLine(t, event.RequestRefused)
-		wantFields(t, l, "event", "request", "code", "ran", "why", "retry_after_ms", "took_ms", "config", "config_age_ms", "route", "kind", "service", "account", "attempts", "tried")
+		wantFields(t, l, "event", "request", "code", "ran", "why", "retry_after_ms", "took_ms", "config", "config_age_ms", "config_by", "route", "kind", "service", "account", "attempts", "tried")
 		wantValues(t, l, map[string]any{"code": int64(result.Overloaded), "why": noRoom})
 	})
 }
