--- a/forward/body.go
+++ b/forward/body.go
@@ -38,7 +38,7 @@
 	// removed after the body.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(clock.Until(c.deadline)))
-	body, err := intake.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, c.hold)
+	body, err := req.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	if err != nil {
 		return bodyError(err, limit)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -157,7 +157,7 @@
 
 		return nil, bodyError(&http.MaxBytesError{Limit: limit})
 	}
-	body, err := intake.ReadBody(http.MaxBytesReader(q.resp, q.req.Body, limit), q.req.ContentLength, req.Hold())
+	body, err := req.ReadBody(http.MaxBytesReader(q.resp, q.req.Body, limit), q.req.ContentLength)
 	if err != nil {
 		q.refuseRest()
 
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -39,7 +40,8 @@
 	// onClose is called for each connection that is closed because there are too many.
 	onClose func()
 	// next is the ConnState hook of the listener below, if it has one.
-	next func(net.Conn, http.ConnState)
+	next  func(net.Conn, http.ConnState)
+	turns *turns
 
 	mu sync.Mutex
 	// open is the number of connections, and unread has those that are waiting and those that are being
@@ -65,7 +67,7 @@
 func NewListener(ln net.Listener, memory *Memory, maxConnections int, opts ...Option) *Listener {
 	l := &Listener{
 		Listener: ln, memory: memory, maxConnections: max(1, maxConnections), onClose: func() {},
-		next: func(net.Conn, http.ConnState) {},
+		next: func(net.Conn, http.ConnState) {}, turns: newTurns(),
 	}
 	for _, o := range opts {
 		o(l)
@@ -87,7 +89,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: inner, listener: l, hold: l.memory.Hold()}
+		c := &Conn{Conn: inner, listener: l, hold: l.memory.Hold(), body: bodyReader{turns: l.turns}}
 		closed, ok := l.admit(c)
 		if closed != nil {
 			l.onClose()
@@ -194,6 +196,7 @@
 	listener *Listener
 	hold     *Hold
 	phase    atomic.Int32
+	body     bodyReader
 
 	// element is the place in the list of unread connections, and removed is set once the connection is
 	// closed. Both are guarded by the Listener's mutex.
@@ -203,6 +206,14 @@
 
 // Read reads from the connection. It fails if the head that is being read does not fit into the Memory.
 func (c *Conn) Read(p []byte) (int, error) {
+	// net/http watches a connection whose body has been read by reading a single byte on another goroutine.
+	if len(p) > 1 && c.body.active {
+		c.body.beforeRead()
+		n, err := c.Conn.Read(p)
+		c.body.afterRead(n)
+
+		return n, err
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && phase(c.phase.Load()) == waiting && !c.hold.Grow(headCost*int64(n)) {
 		// An error of this type makes net/http close the connection without an answer, so that the caller
@@ -263,6 +274,22 @@
 	return r.conn.listener.memory.Largest()
 }
 
+// ReadBody reads the body of the request; see the function ReadBody. While the caller's bytes are decoded,
+// a long body takes turns with those of other requests.
+func (r *Request) ReadBody(body io.Reader, length int64) (Body, error) {
+	if r == nil {
+		return ReadBody(body, length, nil)
+	}
+	b := &r.conn.body
+	b.active, b.n = true, 0
+	defer func() {
+		b.beforeRead()
+		b.active = false
+	}()
+
+	return ReadBody(body, length, r.conn.hold)
+}
+
 // WasRead records that the request has been read to its end, so that the Listener keeps its connection. It
 // reports whether that is still open: otherwise the request must not be run.
 func (r *Request) WasRead() bool {
