--- a/forward/latency.go
+++ b/forward/latency.go
@@ -26,10 +26,12 @@
 	// complete response of a single server, both by service.
 	gaps      *sync.Map
 	responses *sync.Map
+	// answerSizes holds the sizes of whole answers that were too large to buffer, by service.
+	answerSizes *sync.Map
 }
 
 func newLatencyStats() latencyStats {
-	return latencyStats{streams: observe.NewDurationHistogram(latencyWindow), gaps: &sync.Map{}, responses: &sync.Map{}}
+	return latencyStats{streams: observe.NewDurationHistogram(latencyWindow), gaps: &sync.Map{}, responses: &sync.Map{}, answerSizes: &sync.Map{}}
 }
 
 // histogramOf returns the histogram of the service, and creates it if needed.
@@ -59,6 +61,16 @@
 	return histogramOf(h.latencies.responses, service)
 }
 
+// answerSizes returns the size of the service's largest whole answer among those too large to buffer.
+func (h *Handler) answerSizes(service string) *observe.Maximum {
+	v, ok := h.latencies.answerSizes.Load(service)
+	if !ok {
+		v, _ = h.latencies.answerSizes.LoadOrStore(service, observe.NewMaximum(answerSizeWindow))
+	}
+
+	return v.(*observe.Maximum)
+}
+
 // medianGap returns the median time between two events of the service's streams; zero if there are
 // none. It is the initial estimate for a new stream. With a shorter one, the servers of each new
 // stream would be queried before its second event.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -47,6 +47,8 @@
 	body intake.Body
 	// remainder is the unread part of a body that is too large to buffer, or for which there is no memory.
 	remainder io.ReadCloser
+	// startedAt is when the attempt started, and duration the time until its body was read or buffered.
+	startedAt time.Time
 	duration  time.Duration
 	cancel    context.CancelFunc
 	// ledgerAttempt identifies the attempt in the quarantine ledger.
@@ -281,9 +283,18 @@
 // request is over.
 func (t *plainRequest) runAttempt(ctx context.Context, o *outcome) {
 	h, c := t.h, t.c
-	began := clock.Now()
-	defer func() { o.duration = clock.Since(began) }()
-	defer o.reservation.Release()
+	o.startedAt = clock.Now()
+	defer func() { o.duration = clock.Since(o.startedAt) }()
+	defer func() {
+		if o.remainder == nil {
+			o.reservation.Release()
+
+			return
+		}
+		// The place of an answer that is still being sent is taken until its end, or that of the attempt if
+		// another answer is relayed.
+		context.AfterFunc(ctx, o.reservation.Release)
+	}()
 	grant, err := h.awaitGrant(t.ctx, o.server, o.grantTimeout)
 	if err != nil {
 		o.attemptResult = attemptResult{fate: withheld, err: err}
@@ -318,9 +329,11 @@
 	h.metrics.attemptDone(c, o.fate)
 	if o.acceptable() {
 		h.recordAlive(o.server.ID)
-		h.responseTimes(c.service).Record(o.duration)
-		h.fleet.RecordResponse(o.server.ID, true, o.duration)
 		h.fleet.RecordAcceptance(o.server.ID)
+		if o.remainder == nil {
+			h.responseTimes(c.service).Record(o.duration)
+			h.fleet.RecordResponse(o.server.ID, true, o.duration)
+		}
 
 		return
 	}
@@ -404,13 +417,7 @@
 		setContentLength(w, o.body.Size())
 	}
 	w.WriteHeader(o.resp.StatusCode)
-	_, err := io.Copy(w, o.body.Reader())
-	if o.remainder != nil {
-		if err == nil {
-			_, err = io.Copy(w, o.remainder)
-		}
-		_ = o.remainder.Close()
-	}
+	err := h.writeBody(w, c, o)
 	h.metrics.requestDone(c, result.OK)
 	event.Log(h.logger, event.RequestAnswered, append(h.finalLogFields(c), zap.Int("status", o.resp.StatusCode), event.Error(err))...)
 	if err != nil {
