--- a/intake/listener.go
+++ b/intake/listener.go
@@ -184,7 +184,7 @@
 		l.mu.Lock()
 		l.remove(c)
 		l.mu.Unlock()
-		c.hold.Release()
+		c.hold.Close()
 	case http.StateNew:
 	}
 	l.next(c.Conn, state)
--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -30,6 +30,9 @@
 	closed chan struct{}
 	// runs receives whether a request that was read may be run.
 	runs chan bool
+	// serveNext is called for each request, and ended receives each connection that the server has closed.
+	serveNext func(r *http.Request)
+	ended     chan struct{}
 }
 
 func newListenerFixture(t *testing.T) *listenerFixture {
@@ -37,10 +40,18 @@
 	f := &listenerFixture{
 		t: t, net: memnet.New(), memory: NewMemory(memoryBytes), began: make(chan string, 100), release: make(chan struct{}),
 		closed: make(chan struct{}, 100), runs: make(chan bool, 100),
+		serveNext: func(*http.Request) {}, ended: make(chan struct{}, 100),
 	}
 	ln := NewListener(f.net.Listen(address), f.memory, maxConnections, WithOnClose(func() { f.closed <- struct{}{} }))
 	srv := &http.Server{Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	ln.Attach(srv)
+	hook := srv.ConnState
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		hook(c, state)
+		if state == http.StateClosed {
+			f.ended <- struct{}{}
+		}
+	}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 
@@ -51,6 +62,7 @@
 func (f *listenerFixture) serve(w http.ResponseWriter, r *http.Request) {
 	req := RequestOf(r.Context())
 	f.began <- r.URL.Path
+	f.serveNext(r)
 	if _, err := ReadBody(r.Body, r.ContentLength, req.Hold()); err != nil {
 		return
 	}
@@ -61,6 +73,9 @@
 	_, _ = io.WriteString(w, "done")
 }
 
+// awaitClosed waits until the server has closed a connection.
+func (f *listenerFixture) awaitClosed() { <-f.ended }
+
 // dial opens a connection and sends the text.
 func (f *listenerFixture) dial(text string) net.Conn {
 	f.t.Helper()
@@ -165,6 +180,22 @@
 	f.wantAnswer(f.dial(request("/")))
 }
 
+// TestLateReservation guards against memory that stays reserved for good: what an attempt reserves that outlives
+// its request is given back by nobody once the connection is closed.
+func TestLateReservation(t *testing.T) {
+	f := newListenerFixture(t)
+	holds := make(chan *Hold, 1)
+	f.serveNext = func(r *http.Request) { holds <- RequestOf(r.Context()).Hold() }
+	c := f.dial(request("/"))
+	f.wantAnswer(c)
+	h := <-holds
+	_ = c.Close()
+	f.awaitClosed()
+	if h.Grow(1000) || f.memory.Used() != 0 {
+		t.Errorf("%d bytes stay reserved", f.memory.Used())
+	}
+}
+
 // TestEvictedRequestIsNotRun guards against a request that runs although its connection was closed for
 // others while the request was read.
 func TestEvictedRequestIsNotRun(t *testing.T) {
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -79,6 +79,8 @@
 
 	mu   sync.Mutex
 	size int64
+	// closed is set once nothing may be reserved any more.
+	closed bool
 }
 
 // Hold returns an empty Hold.
@@ -91,7 +93,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.memory.reserve(h.size, n) {
+	if h.closed || !h.memory.reserve(h.size, n) {
 		return false
 	}
 	h.size += n
@@ -107,25 +109,37 @@
 	if !h.Grow(n) {
 		return false
 	}
-	h.shrink(n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.giveBack(n)
 
 	return true
 }
 
 // Release gives back all that is reserved.
 func (h *Hold) Release() {
-	if h != nil {
-		h.shrink(-1)
+	if h == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.giveBack(h.size)
 }
 
-// shrink gives back n bytes, or all if n is negative.
-func (h *Hold) shrink(n int64) {
+// Close gives back all that is reserved, for good: an attempt that outlives its request and still reads an
+// answer would otherwise reserve what nobody gives back.
+func (h *Hold) Close() {
+	if h == nil {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if n < 0 {
-		n = h.size
-	}
+	h.closed = true
+	h.giveBack(h.size)
+}
+
+// giveBack gives back n bytes. h.mu must be held.
+func (h *Hold) giveBack(n int64) {
 	h.size -= n
 	h.memory.release(n)
 }
