--- a/engine/frames.go
+++ b/engine/frames.go
@@ -12,8 +12,8 @@
 	"github.com/slatebridge/slatebridge"
 )
 
-// maxFrameBytes is the maximum size of an encoded frame, in bytes.
-const maxFrameBytes = 1 << 20
+// maxFrameBytes is the maximum size of an encoded frame, in bytes: a token and the layers that ran it.
+const maxFrameBytes = 64 << 10
 
 // StreamRequest starts one attempt of a stream.
 type StreamRequest struct {
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -9,6 +9,8 @@
 	"net/url"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/slatebridge/slatebridge/intake"
 )
 
 // maxHeadBytes bounds the head of an answer.
@@ -23,6 +25,8 @@
 	// IdempotencyKey is the value of the Idempotency-Key header; empty for none.
 	IdempotencyKey string
 	Body           []byte
+	// Hold reserves the bytes of the answer; nil for no bound.
+	Hold *intake.Hold
 }
 
 // Response is the complete response of a plain server.
@@ -89,13 +93,25 @@
 		return Response{}, errors.Wrap(err, "engine: call")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := readAnswer(resp.Body, call.Hold)
 	if err != nil {
-		return Response{}, errors.Wrap(err, "engine: call: the answer was cut")
-	}
-	if len(body) > maxResponseBytes {
-		return Response{}, errors.New("engine: call: the answer is too large")
+		return Response{}, err
 	}
 
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
+
+// readAnswer reads the body of an answer, and reserves what it takes.
+func readAnswer(r io.Reader, h *intake.Hold) ([]byte, error) {
+	body, whole, err := intake.ReadPrefix(r, maxResponseBytes+1, h)
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "engine: call: the answer was cut")
+	case body.Size() > maxResponseBytes:
+		return nil, errors.New("engine: call: the answer is too large")
+	case !whole, len(body.Parts()) > 1 && !h.Grow(body.Size()):
+		return nil, errors.New("engine: call: there is no memory for the answer")
+	}
+
+	return body.Bytes(), nil
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/slatebridge/slatebridge"
 	"github.com/slatebridge/slatebridge/claim"
 	"github.com/slatebridge/slatebridge/engine"
+	"github.com/slatebridge/slatebridge/intake"
 	"github.com/slatebridge/slatebridge/result"
 )
 
@@ -75,7 +76,7 @@
 
 // call sends the call according to the deduplication mode of its service.
 func (g *Gateway) call(ctx context.Context, q *request, svc slatebridge.Service, body []byte) (claim.Response, error) {
-	c := engine.Call{Service: svc.Template.Name, IdempotencyKey: q.idempotencyKey, Body: body}
+	c := engine.Call{Service: svc.Template.Name, IdempotencyKey: q.idempotencyKey, Body: body, Hold: intake.RequestOf(q.req.Context()).Hold()}
 	switch svc.Template.Deduplication {
 	case slatebridge.DeduplicatedByRouter:
 		return g.callDeduplicated(ctx, q, svc, c)
--- a/internal/standin/processes/cluster_test.go
+++ b/internal/standin/processes/cluster_test.go
@@ -153,6 +153,13 @@
 
 func startCluster(t *testing.T, gatewayExtra string) *cluster {
 	t.Helper()
+
+	return startClusterWith(t, gatewayExtra, func(*cluster) {})
+}
+
+// startClusterWith is startCluster with a function that may add members to the list before anything reads it.
+func startClusterWith(t *testing.T, gatewayExtra string, addMembers func(c *cluster)) *cluster {
+	t.Helper()
 	t.Parallel()
 	c := newCluster(t)
 	c.logAddr, c.memberListAddr, c.plainAddr = c.freeAddr(), c.freeAddr(), c.freeAddr()
@@ -169,6 +176,7 @@
 		})
 		c.startProcess(id, "slatebridge-standin", "engine", "--listen", addr, "--id", id, "--speed", "1", "--checks-tokens")
 	}
+	addMembers(c)
 	c.startBoxes(gatewayExtra)
 	c.publishServices()
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -92,6 +93,9 @@
 }
 
 // errNotFound is returned if a controller answers with status 404.
+// maxStatusBytes limits how much is read of a controller's answer.
+const maxStatusBytes = 64 << 20
+
 var errNotFound = errors.New("operator: not found")
 
 func (c *Client) get(ctx context.Context, url string, v any) error {
@@ -108,7 +112,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return errors.Wrap(json.NewDecoder(resp.Body).Decode(v), "operator")
+		return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(v), "operator")
 	case http.StatusNotFound:
 		return errNotFound
 	default:
