--- a/forward/relay_body.go
+++ b/forward/relay_body.go
@@ -67,7 +67,7 @@
 
 		return
 	}
-	failure := h.relayFailure(c, o, src, size, took)
+	failure := h.relayFailure(c, src, size, took)
 	if failure == nil {
 		return
 	}
@@ -78,7 +78,7 @@
 // relayFailure returns what the server is to blame for if a body was not passed on whole; nil if the caller
 // left or read slowly. A caller may leave whenever it likes, so that its leaving is a word about the server
 // only where the answer has outgrown all whole ones of the service.
-func (h *Handler) relayFailure(c *inboundRequest, o *outcome, src *sourceReader, size int64, took time.Duration) error {
+func (h *Handler) relayFailure(c *inboundRequest, src *sourceReader, size int64, took time.Duration) error {
 	if src.err != nil && !errors.IsAny(src.err, context.Canceled, context.DeadlineExceeded) {
 		return src.err
 	}
--- a/internal/standin/processes/crowd_test.go
+++ b/internal/standin/processes/crowd_test.go
@@ -44,9 +44,9 @@
 			return "POST /v1/chat/completions HTTP/1.1\r\nHost: a.example\r\nSlatebridge-Account: store\r\nContent-Type: application/json\r\n"
 		},
 	}, size)
-	c.awaitChat("b1", "x")
+	c.awaitChat("x")
 	end()
-	c.awaitChat("b1", "x")
+	c.awaitChat("x")
 	peak, err := u.PeakMemoryMB()
 	if err != nil {
 		t.Fatal(err)
@@ -59,14 +59,14 @@
 		t.Errorf("the gateway had %d descriptors, want %d at most", n, crowdMaxDescriptors)
 	}
 	const aboutLargest = gateway.DefaultMaxBodyBytes - 1000
-	c.awaitChat("b1", strings.Repeat("x", aboutLargest))
+	c.awaitChat(strings.Repeat("x", aboutLargest))
 }
 
 // awaitChat waits until a chat request with the content is answered.
-func (c *cluster) awaitChat(box, content string) {
+func (c *cluster) awaitChat(content string) {
 	c.t.Helper()
 	c.eventually("a chat request is answered", func() bool {
-		resp, err := c.post(context.Background(), box, "/v1/chat/completions", "",
+		resp, err := c.post(context.Background(), "b1", "/v1/chat/completions", "",
 			fmt.Sprintf(`{"model":"assistant","messages":[{"role":"user","content":%q}],"max_tokens":1}`, content))
 		if err != nil {
 			return false
--- a/internal/standin/processes/endless_server_test.go
+++ b/internal/standin/processes/endless_server_test.go
@@ -88,7 +88,7 @@
 		})
 	}
 	callers.Wait()
-	c.awaitChat("b1", "x")
+	c.awaitChat("x")
 	c.eventually("a call is answered", func() bool {
 		return c.request("b1", refundPath, uuid.Must(uuid.NewV7()).String(), fmt.Sprintf(`{"n":%d}`, 2)).status == http.StatusOK
 	})
