--- a/forward/relay_body.go
+++ b/forward/relay_body.go
@@ -52,7 +52,9 @@
 	defer o.reservation.Release()
 	src := &sourceReader{r: o.remainder}
 	_, err := io.Copy(w, src)
-	h.recordRelayed(c, o, src, err)
+	if o.acceptable() {
+		h.recordRelayed(c, o, src, err)
+	}
 
 	return err
 }
