Test: a stopped process is one of which no thread runs (TestStoppedGateway)

The logs: the gateway won its claim at 21.163 s, the retry reached the other box at 21.220, after SIGSTOP had been sent; the gateway ended its call of 1 s at 22.166, and the retry got that answer. So it went on for 0.95 s. Ruled out: the product, since the retry got the answer of the only run, as it should while the gateway lives; that stops usually take long: 150 stops of a small program at a load of 27 took 26 ms at most. Why this one did is not known. Cause in the test: it took the signal for its effect, and had a call of 1 s, a bound on the machine's speed. Change: stop waits until all threads are stopped, for all three tests that stop a process; the call takes 6 s, so that it still runs then. All checks are as they were.

--- a/internal/standin/processes/cluster_test.go
+++ b/internal/standin/processes/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -255,6 +256,36 @@
 	}
 }
 
+// stop stops a process, and returns once none of its threads runs any more: the kernel may take its time, and
+// until then the process goes on.
+func (c *cluster) stop(name string) {
+	c.t.Helper()
+	c.signal(name, syscall.SIGSTOP)
+	c.eventually(name+" is stopped", func() bool { return isStopped(c.processes[name].Process.Pid) })
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func isStopped(pid int) bool {
+	const stopped = "T"
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, file := range threads {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false
+		}
+		// The state follows the name of the thread, which is in brackets.
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, stopped) {
+			return false
+		}
+	}
+
+	return true
+}
+
 // eventually waits until f returns true, and fails the test after waitTimeout.
 func (c *cluster) eventually(condition string, f func() bool) {
 	c.t.Helper()
--- a/internal/standin/processes/processes_test.go
+++ b/internal/standin/processes/processes_test.go
@@ -46,7 +46,7 @@
 
 		return engine != ""
 	})
-	c.signal(engine, syscall.SIGSTOP)
+	c.stop(engine)
 	wg.Wait()
 	c.signal(engine, syscall.SIGCONT)
 	c.requireChat("b1", 20, expectedText(20))
@@ -56,13 +56,15 @@
 // box must not execute the call again, and the first caller gets the answer after the gateway is
 // continued.
 func TestStoppedGateway(t *testing.T) {
+	// The call still runs when its gateway has been stopped.
+	const callTime = 6 * time.Second
 	c := startCluster(t, "")
-	c.put("http://"+c.plainAddr+"/v1/faults", fmt.Sprintf(`{"delay":%d}`, time.Second))
+	c.put("http://"+c.plainAddr+"/v1/faults", fmt.Sprintf(`{"delay":%d}`, callTime))
 	key := uuid.Must(uuid.NewV7()).String()
 	first := make(chan answer, 1)
 	go func() { first <- c.request("b1", refundPath, key, `{"amount":1}`) }()
 	c.eventually("the call is running", func() bool { return c.executions(key) == 1 })
-	c.signal("gw-b1", syscall.SIGSTOP)
+	c.stop("gw-b1")
 	if a := c.request("b2", refundPath, key, `{"amount":1}`); a.status != 502 || a.executionStatus != "maybe" {
 		t.Errorf("retry while the first gateway is stopped: %+v", a)
 	}
@@ -86,7 +88,7 @@
 	if c.status("b2").HoldsLease {
 		holder, other = "b2", "b1"
 	}
-	c.signal("ct-"+holder, syscall.SIGSTOP)
+	c.stop("ct-" + holder)
 	c.eventually("the other box holds the lease", func() bool { return c.status(other).HoldsLease })
 	c.signal("ct-"+holder, syscall.SIGCONT)
 	c.eventually("the former holder knows the new holder", func() bool {
