--- a/box/box.go
+++ b/box/box.go
@@ -368,7 +368,7 @@
 			b.post(&configInvalid{err: err})
 		}
 		if cat != nil {
-			b.post(&configUpdate{catalog: cat, raw: raw, from: sourceStore})
+			b.post(&configUpdate{catalog: cat, raw: raw, from: sourceStore, call: c.Call, decodedAt: clock.Now()})
 		}
 	}
 	f.OnChanges = f.OnSnapshot
--- a/box/config_updates.go
+++ b/box/config_updates.go
@@ -24,7 +24,7 @@
 	clear(c.rebalanced)
 	c.box.fleet.SetCatalog(m.catalog)
 	c.box.metrics.configVersion(m.catalog.Version)
-	event.Log(c.box.logger, event.CatalogTaken, zap.Int64("version", m.catalog.Version), zap.String("from", m.from))
+	event.Log(c.box.logger, event.CatalogTaken, append([]zap.Field{zap.Int64("version", m.catalog.Version), zap.String("from", m.from)}, m.timeFields(clock.Now())...)...)
 	c.publish()
 	c.box.configDocument.Store(mesh.NewConfigDocument(m.raw))
 	if c.box.links != nil {
@@ -33,6 +33,15 @@
 	c.pushConfig(clock.Now())
 }
 
+// timeFields returns the log fields for how long each step took until the control actor handled the
+// update.
+func (m *configUpdate) timeFields(now time.Time) []zap.Field {
+	return []zap.Field{
+		zap.Duration("call_ms", m.call.AnsweredAt.Sub(m.call.SentAt)), zap.Duration("decode_ms", m.decodedAt.Sub(m.call.AnsweredAt)),
+		zap.Duration("apply_ms", now.Sub(m.decodedAt)),
+	}
+}
+
 // onConfigInvalid records a configuration that could not be decoded. The version in force is kept.
 // It still counts as current, since the store has no newer one that can be decoded.
 func (c *control) onConfigInvalid(m *configInvalid) {
@@ -75,12 +84,34 @@
 		return
 	}
 	c.configConfirmedAt, c.configConfirmedBy = at, by
+	c.noteConfigAge(clock.Now())
 	c.publish()
 	if !c.box.ready.Load() {
 		c.updateReadiness(clock.Now())
 	}
 }
 
+// noteConfigAge logs when the configuration becomes outdated, and when it is current again.
+func (c *control) noteConfigAge(now time.Time) {
+	if c.catalog == nil || c.configConfirmedAt.IsZero() {
+		return
+	}
+	age := now.Sub(c.configConfirmedAt)
+	outdated := age > c.settings.Bounds.MaxStaleness
+	if outdated == !c.configOutdatedAt.IsZero() {
+		return
+	}
+	fields := []zap.Field{zap.Int64("version", c.catalog.Version), zap.Duration("age_ms", age), zap.String("by", c.configConfirmedBy)}
+	if outdated {
+		c.configOutdatedAt = now
+		event.Log(c.box.logger, event.CatalogOutdated, append(fields, zap.Bool("reads", c.box.isReader.Load()), zap.Strings("store_lost", c.failedTopics()))...)
+
+		return
+	}
+	event.Log(c.box.logger, event.CatalogCurrent, append(fields, zap.Duration("outdated_ms", now.Sub(c.configOutdatedAt)))...)
+	c.configOutdatedAt = time.Time{}
+}
+
 // publish makes the state visible to requests.
 func (c *control) publish() {
 	c.box.state.Store(&forward.State{Catalog: c.catalog, ConfigVerifiedAt: c.configConfirmedAt, ConfigVerifiedBy: c.configConfirmedBy, BoxCount: c.retryBudgetBoxes(), LiveBoxes: c.liveBoxes(), Synced: c.catalog != nil && len(c.serversByName) > 0})
--- a/box/control.go
+++ b/box/control.go
@@ -37,6 +37,9 @@
 	configConfirmedAt time.Time
 	// configConfirmedBy is by whose word: the store's, or that of the box that it names.
 	configConfirmedBy string
+	// configOutdatedAt is when the last confirmation was found to be older than MaxStaleness; zero while
+	// it is not.
+	configOutdatedAt time.Time
 	// configJoined is set once another box has confirmed a configuration that is not newer than this box's,
 	// or none has done so within configJoinTimeout.
 	configJoined bool
@@ -271,6 +274,7 @@
 		event.Log(c.box.logger, event.ServerRemoved, zap.String("server", string(id)), zap.String("why", "its entry did not come back"))
 	}
 	c.noteStaleness(now)
+	c.noteConfigAge(now)
 	c.expireTombstones(now)
 	c.expirePeers(now)
 	c.updateAllocators(now)
--- a/box/fetch.go
+++ b/box/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/slatebridge/slatebridge/clock"
 	"github.com/slatebridge/slatebridge/logstore"
 	"github.com/slatebridge/slatebridge/mesh"
 )
@@ -56,11 +57,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 		defer cancel()
+		sentAt := clock.Now()
 		raw, err := mesh.FetchConfig(ctx, c.box.peerClient, address)
-		m := &peerConfig{from: from, err: err}
+		m := &peerConfig{configUpdate: configUpdate{from: from, call: logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}}, err: err}
 		if err == nil {
 			// Decoded outside the control actor, which has peer messages to process.
 			m.catalog, m.raw, m.err = c.box.platform.DecodeConfig([]logstore.Entry{c.box.platform.EncodeConfig(raw)})
+			m.decodedAt = clock.Now()
 		}
 		c.box.post(m)
 	}()
@@ -151,7 +154,7 @@
 		return
 	}
 	if m.catalog != nil {
-		c.onConfig(&configUpdate{catalog: m.catalog, raw: m.raw, from: m.from})
+		c.onConfig(&m.configUpdate)
 	}
 }
 
--- a/box/messages.go
+++ b/box/messages.go
@@ -21,6 +21,9 @@
 		catalog *catalog.Catalog
 		raw     []byte
 		from    string
+		// call is the call that returned the configuration, and decodedAt when it had been decoded.
+		call      logstore.CallTimes
+		decodedAt time.Time
 	}
 	// configInvalid reports a configuration in the store that could not be decoded.
 	configInvalid struct{ err error }
@@ -57,10 +60,8 @@
 	// peerConfig and peerServers carry the configuration or the server entries fetched from another
 	// box, or the error of the fetch.
 	peerConfig struct {
-		from    string
-		catalog *catalog.Catalog
-		raw     []byte
-		err     error
+		configUpdate
+		err error
 	}
 	peerServers struct {
 		servers mesh.ServerEntries
--- a/event/async.go
+++ b/event/async.go
@@ -23,18 +23,24 @@
 	// those of successes.
 	otherLinesPerSecond = 300
 	otherLineBurst      = 1500
+	// controlLinesPerSecond and controlLineBurst are how many lines of control events are written
+	// whatever else is logged, and reservedLines the places of the queue that are kept for them.
+	controlLinesPerSecond = 50
+	controlLineBurst      = 300
+	reservedLines         = 256
 	// dropReportInterval is the interval between reports of dropped lines.
 	dropReportInterval = 5 * time.Second
 )
 
 // AsyncWriter writes log lines without blocking the caller. Lines above the rate limits, and lines
 // for which the queue has no room, are dropped and counted by event; lines of events that report
-// success are dropped first.
+// success are dropped first, and those of control events last.
 type AsyncWriter struct {
 	queue   chan []byte
 	done    chan struct{}
 	success *rate.Limiter
 	other   *rate.Limiter
+	control *rate.Limiter
 
 	mu      sync.Mutex
 	dropped map[string]int
@@ -46,6 +52,7 @@
 	w := &AsyncWriter{
 		queue: make(chan []byte, maxQueuedLines), done: make(chan struct{}), dropped: make(map[string]int),
 		success: rate.NewLimiter(successLinesPerSecond, successLineBurst), other: rate.NewLimiter(otherLinesPerSecond, otherLineBurst),
+		control: rate.NewLimiter(controlLinesPerSecond, controlLineBurst),
 	}
 	go func() {
 		defer close(w.done)
@@ -107,23 +114,32 @@
 	}
 }
 
-// enqueue queues a line, or drops and counts it. Lines of events that report success may fill only
-// half of the queue.
-func (w *AsyncWriter) enqueue(name string, success bool, line []byte) {
+// enqueue queues a line, or drops and counts it.
+func (w *AsyncWriter) enqueue(e loggedEvent, line []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	limiter, capacity := w.other, cap(w.queue)
-	if success {
-		limiter, capacity = w.success, cap(w.queue)/2
-	}
-	if w.closed || len(w.queue) >= capacity || !limiter.Allow() {
-		w.dropped[name]++
+	if w.closed || !w.admits(e) {
+		w.dropped[e.name]++
 
 		return
 	}
 	w.queue <- line
 }
 
+// admits reports whether there is room for a line of the event. Lines of events that report success may
+// fill only half of the queue, and only those of control events may fill all of it.
+func (w *AsyncWriter) admits(e loggedEvent) bool {
+	queued := len(w.queue)
+	switch {
+	case e.control && queued < cap(w.queue) && w.control.Allow():
+		return true
+	case e.success:
+		return queued < cap(w.queue)/2 && w.success.Allow()
+	default:
+		return queued < cap(w.queue)-reservedLines && w.other.Allow()
+	}
+}
+
 // asyncCore is a zapcore.Core that encodes log entries and passes them to an AsyncWriter.
 type asyncCore struct {
 	zapcore.LevelEnabler
@@ -156,7 +172,9 @@
 	if err != nil {
 		return err
 	}
-	c.out.enqueue(e.Message, eventsByID[idsByName[e.Message]].success, append([]byte(nil), buf.Bytes()...))
+	logged := eventsByID[idsByName[e.Message]]
+	logged.name = e.Message
+	c.out.enqueue(logged, append([]byte(nil), buf.Bytes()...))
 	buf.Free()
 
 	return nil
--- a/event/async_test.go
+++ b/event/async_test.go
@@ -110,3 +110,38 @@
 		}
 	})
 }
+
+// TestControlLinesUnderLoad guards against logs that don't say which configuration was in force because
+// lines about requests took their place.
+func TestControlLinesUnderLoad(t *testing.T) {
+	for name, written := range map[string]bool{"output blocked": false, "output written": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := &blockingWriter{release: make(chan struct{})}
+				if written {
+					close(out.release)
+				}
+				w := NewAsyncWriter(out)
+				l := w.Logger(zapcore.InfoLevel)
+				const rounds = 20
+				for range rounds {
+					for range 2000 {
+						Log(l, RequestRefused)
+						Log(l, RequestAnswered)
+					}
+					Log(l, CatalogTaken)
+					Log(l, CatalogOutdated)
+					time.Sleep(100 * time.Millisecond)
+				}
+				if !written {
+					close(out.release)
+				}
+				w.Close(time.Second)
+				got := countByEvent(t, out.lines)
+				if diff := cmp.Diff([]int{rounds, rounds}, []int{got["CatalogTaken"], got["CatalogOutdated"]}); diff != "" {
+					t.Errorf("lines about the configuration (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -44,6 +44,8 @@
 	StoreRegained         ID = 213
 	CatalogUnreadable     ID = 214
 	StoreReturned         ID = 215
+	CatalogOutdated       ID = 216
+	CatalogCurrent        ID = 217
 	LeaseTaken            ID = 300
 	LeaseLost             ID = 301
 	OrderSent             ID = 302
@@ -119,6 +121,9 @@
 	// Success marks events that report success. AsyncWriter drops their lines first when lines
 	// arrive too fast.
 	Success bool `toml:"success"`
+	// Control marks rare events about what the decisions of a process rest on, such as the
+	// configuration in force. AsyncWriter drops their lines last.
+	Control bool `toml:"control"`
 }
 
 //go:embed events.toml
@@ -135,6 +140,7 @@
 	name    string
 	level   zapcore.Level
 	success bool
+	control bool
 }
 
 // Definitions returns the definitions of all events, ordered by number.
@@ -180,7 +186,7 @@
 		if err != nil {
 			panic("event: events.toml: " + err.Error())
 		}
-		m[e.Number] = loggedEvent{name: e.Name, level: level, success: e.Success}
+		m[e.Number] = loggedEvent{name: e.Name, level: level, success: e.Success, control: e.Control}
 	}
 
 	return m
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -108,6 +108,7 @@
 	if err != nil {
 		return 0, err
 	}
+	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
 	f.OnSnapshot(c, f.recordSuccess())
 	f.OnConfirmed(sentAt)
 
@@ -128,6 +129,7 @@
 	if err != nil {
 		return next, err
 	}
+	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
 	grace := f.recordSuccess()
 	if len(c.Entries) > 0 {
 		f.OnChanges(c, grace)
--- a/logstore/topic.go
+++ b/logstore/topic.go
@@ -43,8 +43,13 @@
 	// End is the position at which the topic ended when it was read. A response has a limited size, so
 	// that it may end before.
 	End Position
+	// Call is when the call that returned the changes was sent and answered.
+	Call CallTimes
 }
 
+// CallTimes are when a call was sent and when its response had been read. They are zero if unknown.
+type CallTimes struct{ SentAt, AnsweredAt time.Time }
+
 // Partial reports whether there were more changes than these when the topic was read.
 func (c Changes) Partial() bool { return c.End > c.NextPosition }
 
