--- a/box/box.go
+++ b/box/box.go
@@ -186,8 +186,9 @@
 
 func forwardBounds(b Bounds) forward.Bounds {
 	return forward.Bounds{
-		MaxConfigAge: time.Duration(confirmationShare * float64(b.MaxRevocationDelay)),
-		Retry:        retry.Bounds{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow},
+		MaxConfigAge:    time.Duration(confirmationShare * float64(b.MaxRevocationDelay)),
+		MaxRejectionAge: b.MaxStaleness,
+		Retry:           retry.Bounds{Ratio: b.RetryRatio, Extra: b.RetryExtra, Window: b.RetryWindow},
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,15 +113,31 @@
 	LiveBoxes int
 }
 
+// ConfigVersion returns the version of the configuration, or zero while none is known.
+func (s *State) ConfigVersion() int64 {
+	if s.Catalog == nil {
+		return 0
+	}
+
+	return s.Catalog.Version
+}
+
 // Bounds are limits from the settings.
 type Bounds struct {
 	// MaxConfigAge is the maximum time since the configuration was last verified to be current.
 	// Beyond it, requests that need an API key are refused.
 	MaxConfigAge time.Duration
+	// MaxRejectionAge is the same for requests that are rejected since the configuration has no such
+	// route or key; zero if they are rejected by a configuration of any age.
+	MaxRejectionAge time.Duration
 	// Retry bounds the retries of all boxes together.
 	Retry retry.Bounds
 }
 
+func (b *Bounds) configAgeLimits() configAgeLimits {
+	return configAgeLimits{accept: b.MaxConfigAge, reject: b.MaxRejectionAge}
+}
+
 // Handler serves callers' requests.
 type Handler struct {
 	codec        HeaderCodec
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -194,10 +194,11 @@
 		return c, result.New(result.NotReady, "no configuration is known yet").WithRetryAfter(overload.MinRetryAfter)
 	}
 	path, _, _ := strings.Cut(c.target, "?")
+	age, limits := c.startedAt.Sub(c.state.ConfigVerifiedAt), h.bounds.Load().configAgeLimits()
 	if c.route = c.state.Catalog.Route(r.Host, path); c.route == nil {
-		return c, result.New(result.UnknownRoute, "no route for host %s and path %s", r.Host, path)
+		return c, rejection(result.New(result.UnknownRoute, "no route for host %s and path %s", r.Host, path), age, limits)
 	}
-	account, e := authorize(c.state.Catalog, c.route, c.APIKey, c.startedAt.Sub(c.state.ConfigVerifiedAt), h.bounds.Load().MaxConfigAge)
+	account, e := authorize(c.state.Catalog, c.route, c.APIKey, age, limits)
 	if e != nil {
 		return c, e
 	}
--- a/result/code.go
+++ b/result/code.go
@@ -48,7 +48,7 @@
 	LogUnavailable Code = 3003
 	NotReady       Code = 3004
 	// NotCurrent means that the configuration was not confirmed to be current recently enough, so
-	// that the API key may have been revoked.
+	// that the API key may have been revoked, or the route or key may have been added since.
 	NotCurrent Code = 3005
 	// HeldBack means that the request is quarantined.
 	HeldBack Code = 3006
