--- a/box/box.go
+++ b/box/box.go
@@ -43,9 +43,9 @@
 	Quarantine logstore.KeyedTopic
 	// CloseIdleConnections closes unused connections to the store.
 	CloseIdleConnections func()
-	// DecodeConfig returns the newest configuration among the entries that can be decoded, and its
-	// raw bytes; nil if there is none. The error is that of a newer entry that cannot be decoded.
-	DecodeConfig func(entries []logstore.Entry) (*catalog.Catalog, []byte, error)
+	// DecodeConfig returns the newest configuration among the entries that can be decoded. Versions up to
+	// the known one are not decoded. The error is that of a newer entry that cannot be decoded.
+	DecodeConfig func(entries []logstore.Entry, known int64) (DecodedConfig, error)
 	// EncodeConfig returns an entry that DecodeConfig accepts.
 	EncodeConfig func(raw []byte) logstore.Entry
 	// DecodeServer returns the server described by an entry, or a *catalog.EntryError if the entry
@@ -61,6 +61,15 @@
 	LoadLayers func(ctx context.Context, o Order) (fleet.Notice, error)
 }
 
+// DecodedConfig is one version of the configuration. The zero value stands for none.
+type DecodedConfig struct {
+	Version int64
+	// Catalog and Raw are the decoded configuration and its bytes. They are nil for a version that was
+	// known already.
+	Catalog *catalog.Catalog
+	Raw     []byte
+}
+
 // Order tells a server which layers to hold.
 type Order struct {
 	Server catalog.Server
@@ -313,14 +322,14 @@
 
 // newFollower returns a follower of a topic. confirmedAt returns the time of the last confirmation,
 // and onConfirmed receives a new one.
-func (b *Box) newFollower(topic logstore.KeyedTopic, name string, confirmedAt func() time.Time, onConfirmed func(time.Time)) *follow.Follower {
+func (b *Box) newFollower(topic logstore.KeyedTopic, name string, confirmedAt func() time.Time, onConfirmed func(time.Time)) follow.Follower {
 	maxStaleness := float64(b.settings.Bounds.MaxStaleness)
 	// ownRead is the last confirmation from this box's own reads. The control actor processes it
 	// slightly later; without ownRead each starting box would read every topic twice.
 	var ownRead atomic.Pointer[time.Time]
 	ownRead.Store(&time.Time{})
 
-	return follow.New(follow.Follower{
+	return follow.Follower{
 		Topic:        topic,
 		LongPollWait: time.Duration(readWaitShare * maxStaleness),
 		ReadDelay: func() time.Duration {
@@ -344,7 +353,7 @@
 			b.post(&storeSucceeded{name})
 		},
 		OnError: func(err error) { b.post(&storeFailed{topic: name, err: err}) },
-	})
+	}
 }
 
 // wakeFollowers makes the followers check whether a read is due.
@@ -357,24 +366,31 @@
 }
 
 func (b *Box) followConfig() *follow.Follower {
-	// era is that of the last read. The follower calls its functions from a single goroutine.
-	var era int64
+	// era is that of the last read, and readVersion the newest version read. The follower calls its
+	// functions from a single goroutine.
+	var era, readVersion int64
 	f := b.newFollower(b.platform.Config, topicConfig,
 		func() time.Time { return b.state.Load().ConfigVerifiedAt },
 		func(at time.Time) { b.post(&configConfirmed{at: at, era: era}) })
+	f.Behind = func() bool { return readVersion < b.state.Load().ConfigVersion() }
 	f.OnSnapshot = func(c logstore.Changes, _ time.Duration) {
 		era = c.NextPosition.Era()
-		cat, raw, err := b.platform.DecodeConfig(c.Entries)
+		known := b.state.Load().ConfigVersion()
+		d, err := b.platform.DecodeConfig(c.Entries, known)
 		if err != nil {
 			b.post(&configInvalid{err: err})
 		}
-		if cat != nil {
-			b.post(&configUpdate{catalog: cat, raw: raw, from: sourceStore, call: c.Call, decodedAt: clock.Now()})
+		readVersion = max(readVersion, d.Version)
+		switch {
+		case d.Catalog != nil:
+			b.post(&configUpdate{catalog: d.Catalog, raw: d.Raw, from: sourceStore, call: c.Call, decodedAt: clock.Now()})
+		case d.Version > 0 && d.Version < known:
+			event.Log(b.logger, event.CatalogRefused, zap.Int64("version", d.Version), zap.Int64("have", known), zap.String("from", sourceStore))
 		}
 	}
 	f.OnChanges = f.OnSnapshot
 
-	return f
+	return follow.New(f)
 }
 
 func (b *Box) followServers() *follow.Follower {
@@ -388,7 +404,7 @@
 	}
 	f.OnSnapshot, f.OnChanges = update(true), update(false)
 
-	return f
+	return follow.New(f)
 }
 
 // Names of the followed topics in logs and metrics.
--- a/box/fetch.go
+++ b/box/fetch.go
@@ -53,7 +53,7 @@
 		return
 	}
 	c.configGap.fetching = true
-	from, address := string(o.id), o.address
+	from, address, known := string(o.id), o.address, c.box.state.Load().ConfigVersion()
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 		defer cancel()
@@ -62,8 +62,9 @@
 		m := &peerConfig{configUpdate: configUpdate{from: from, call: logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}}, err: err}
 		if err == nil {
 			// Decoded outside the control actor, which has peer messages to process.
-			m.catalog, m.raw, m.err = c.box.platform.DecodeConfig([]logstore.Entry{c.box.platform.EncodeConfig(raw)})
-			m.decodedAt = clock.Now()
+			var d DecodedConfig
+			d, m.err = c.box.platform.DecodeConfig([]logstore.Entry{c.box.platform.EncodeConfig(raw)}, known)
+			m.catalog, m.raw, m.decodedAt = d.Catalog, d.Raw, clock.Now()
 		}
 		c.box.post(m)
 	}()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -38,6 +38,10 @@
 	// calls take adds to both. A shorter wait keeps the copy fresher but takes more calls, and each
 	// call has a price.
 	LongPollWait time.Duration
+	// Behind, if set, says that only the newest record of each key counts. It reports whether others
+	// have provided a later record than this Follower has read. What it has missed is then listed
+	// instead of read, as are changes that don't fit into one response.
+	Behind func() bool
 	// ReadDelay returns how long the topic need not be read, for instance because others read it
 	// for this process; zero means read now. It is called again after that time, after maxIdle if
 	// that is shorter, or after Wake.
@@ -60,6 +64,8 @@
 	failing bool
 	// recoveredAt is when the last store outage ended or the last rollback was noticed.
 	recoveredAt time.Time
+	// idled reports whether others have read the topic for this process since the last read.
+	idled bool
 	// wakeSignal holds an element while a call of Wake is pending.
 	wakeSignal chan struct{}
 }
@@ -85,12 +91,13 @@
 	next, haveSnapshot := logstore.Position(0), false
 	for ctx.Err() == nil {
 		if delay := f.ReadDelay(); delay > 0 {
+			f.idled = true
 			f.idle(ctx, min(delay, maxIdle))
 
 			continue
 		}
 		var err error
-		if haveSnapshot {
+		if haveSnapshot && !f.skipsMissed() {
 			next, err = f.readChanges(ctx, next)
 		} else {
 			next, err = f.readSnapshot(ctx)
@@ -102,12 +109,16 @@
 	}
 }
 
+// skipsMissed reports whether the topic is to be listed since what was missed meanwhile doesn't count.
+func (f *Follower) skipsMissed() bool { return f.idled && f.Behind != nil && f.Behind() }
+
 func (f *Follower) readSnapshot(ctx context.Context) (logstore.Position, error) {
 	sentAt := clock.Now()
 	c, err := f.Topic.ListAll(ctx, f.timeout(responseTimeout), func() bool { return f.ReadDelay() > 0 })
 	if err != nil {
 		return 0, err
 	}
+	f.idled = false
 	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
 	f.OnSnapshot(c, f.recordSuccess())
 	f.OnConfirmed(sentAt)
@@ -129,20 +140,14 @@
 	if err != nil {
 		return next, err
 	}
+	f.idled = false
 	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
 	grace := f.recordSuccess()
-	if len(c.Entries) > 0 {
-		f.OnChanges(c, grace)
-	}
 	if c.Partial() {
-		// The rest is read at once. Until then nothing says that the copy is current.
-		if len(c.Entries) == 0 {
-			sleep(parent, f.Backoff())
-		}
-
-		return c.NextPosition, nil
+		return f.readOn(parent, c, grace)
 	}
 	if len(c.Entries) > 0 {
+		f.OnChanges(c, grace)
 		f.OnConfirmed(sentAt)
 		sleep(parent, coalesceDelay)
 
@@ -155,6 +160,21 @@
 	return c.NextPosition, nil
 }
 
+// readOn handles a part of the changes, which says nothing on whether the copy is current. The rest is read
+// or listed at once.
+func (f *Follower) readOn(ctx context.Context, c logstore.Changes, grace time.Duration) (logstore.Position, error) {
+	switch {
+	case len(c.Entries) == 0:
+		sleep(ctx, f.Backoff())
+	case f.Behind != nil:
+		return f.readSnapshot(ctx)
+	default:
+		f.OnChanges(c, grace)
+	}
+
+	return c.NextPosition, nil
+}
+
 // timeout returns the timeout for one call that normally takes up to d. It is longer while calls
 // fail, so that a slow store can still be followed.
 func (f *Follower) timeout(d time.Duration) time.Duration {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 // fakeTopic is a topic whose reads are answered by functions.
 type fakeTopic struct {
+	mu        sync.Mutex
 	reads     int
 	pageReads int
 	// page returns a page of the whole topic; if nil, the topic is empty.
@@ -32,9 +34,12 @@
 			return logstore.Page{Changes: logstore.Changes{NextPosition: 10}}, nil
 		},
 		Read: func(ctx context.Context, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
+			ft.mu.Lock()
 			ft.reads++
+			n := ft.reads
+			ft.mu.Unlock()
 
-			return ft.read(ctx, ft.reads, from, wait)
+			return ft.read(ctx, n, from, wait)
 		},
 	}
 }
