--- a/box/box.go
+++ b/box/box.go
@@ -305,6 +305,8 @@
 	// store reader of its hall should do so. The reader's confirmations are at most as old as one
 	// wait plus two messages.
 	ownReadShare = 0.7
+	// hedgeShare is how long a box waits for the answer to such a read before it makes another one.
+	hedgeShare = 0.1
 )
 
 // Pauses after a failed call to the store. Each call is billed. The store reader of a hall pauses
@@ -332,6 +334,7 @@
 	return follow.Follower{
 		Topic:        topic,
 		LongPollWait: time.Duration(readWaitShare * maxStaleness),
+		Steady:       true,
 		ReadDelay: func() time.Duration {
 			if b.isReader.Load() {
 				return 0
@@ -352,7 +355,10 @@
 			onConfirmed(confirmedAt)
 			b.post(&storeSucceeded{name})
 		},
-		OnError: func(err error) { b.post(&storeFailed{topic: name, err: err}) },
+		OnError:             func(err error) { b.post(&storeFailed{topic: name, err: err}) },
+		Single:              func() bool { return !b.isReader.Load() },
+		HedgeDelay:          time.Duration(hedgeShare * maxStaleness),
+		DropIdleConnections: b.platform.CloseIdleConnections,
 	}
 }
 
--- a/box/relays.go
+++ b/box/relays.go
@@ -179,14 +179,19 @@
 	return true
 }
 
+// maxReadDelayShare bounds storeReadDelay as a share of MaxStaleness. What is left of it is for the read.
+const maxReadDelayShare = 0.1
+
 // storeReadDelay returns how much longer than a relay this box waits without a confirmation before
-// it reads the store itself. While the store is down for all boxes, those of a hall together try it
-// about twice per second.
+// it reads the store itself: as long as those of the hall together would call about twice per second,
+// but no longer than the bound allows.
 func (c *control) storeReadDelay(now time.Time) time.Duration {
 	if c.hallWork.live <= 1 || c.isRelay(now) {
 		return 0
 	}
 	part := float64(fleet.ShortID(slatebridge.ServerID(c.settings.Box))) / math.MaxUint32
 
-	return time.Duration(part * float64(c.hallWork.live) * float64(pausePerPeer))
+	limit := maxReadDelayShare * float64(c.settings.Bounds.MaxStaleness)
+
+	return time.Duration(part * min(limit, float64(c.hallWork.live)*float64(pausePerPeer)))
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -38,6 +38,18 @@
 	// calls take adds to both. A shorter wait keeps the copy fresher but takes more calls, and each
 	// call has a price.
 	LongPollWait time.Duration
+	// Steady shortens a wait that follows changes or a pause, so that confirmations are at most about
+	// LongPollWait apart.
+	Steady bool
+	// Single, if set, reports whether others read the topic for this process, so that a read only makes
+	// up for what they lack. It then returns at once, and if it has no answer after HedgeDelay, another
+	// one is made beside it.
+	Single func() bool
+	// HedgeDelay is how long a single read may take before another one is made.
+	HedgeDelay time.Duration
+	// DropIdleConnections is called before that read, so that it is sent over a new connection. It may
+	// be nil.
+	DropIdleConnections func()
 	// Behind, if set, says that only the newest record of each key counts. It reports whether others
 	// have provided a later record than this Follower has read. What it has missed is then listed
 	// instead of read, as are changes that don't fit into one response.
@@ -66,6 +78,8 @@
 	recoveredAt time.Time
 	// idled reports whether others have read the topic for this process since the last read.
 	idled bool
+	// confirmedAt is the last time that was passed to OnConfirmed.
+	confirmedAt time.Time
 	// wakeSignal holds an element while a call of Wake is pending.
 	wakeSignal chan struct{}
 }
@@ -114,29 +128,29 @@
 
 func (f *Follower) readSnapshot(ctx context.Context) (logstore.Position, error) {
 	sentAt := clock.Now()
-	c, err := f.Topic.ListAll(ctx, f.timeout(responseTimeout), func() bool { return f.ReadDelay() > 0 })
+	c, err := f.call(ctx, func(ctx context.Context) (logstore.Changes, error) {
+		return f.Topic.ListAll(ctx, f.timeout(responseTimeout), func() bool { return f.ReadDelay() > 0 })
+	})
 	if err != nil {
 		return 0, err
 	}
 	f.idled = false
 	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
 	f.OnSnapshot(c, f.recordSuccess())
-	f.OnConfirmed(sentAt)
+	f.confirm(sentAt)
 
 	return c.NextPosition, nil
 }
 
 func (f *Follower) readChanges(parent context.Context, next logstore.Position) (logstore.Position, error) {
-	wait := f.LongPollWait
-	if f.failing {
-		// After a failure, read without a long-poll wait, so that the Follower learns immediately
-		// how far the copy lags behind.
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(parent, f.timeout(wait+responseTimeout))
-	defer cancel()
+	wait := f.wait()
 	sentAt := clock.Now()
-	c, err := f.Topic.Read(ctx, next, wait)
+	c, err := f.call(parent, func(ctx context.Context) (logstore.Changes, error) {
+		ctx, cancel := context.WithTimeout(ctx, f.timeout(wait+responseTimeout))
+		defer cancel()
+
+		return f.Topic.Read(ctx, next, wait)
+	})
 	if err != nil {
 		return next, err
 	}
@@ -148,14 +162,14 @@
 	}
 	if len(c.Entries) > 0 {
 		f.OnChanges(c, grace)
-		f.OnConfirmed(sentAt)
+		f.confirm(sentAt)
 		sleep(parent, coalesceDelay)
 
 		return c.NextPosition, nil
 	}
 	// The store held back an empty response for the whole wait, so the copy is current as of the
 	// end of the wait.
-	f.OnConfirmed(earlier(sentAt.Add(wait), clock.Now()))
+	f.confirm(earlier(sentAt.Add(wait), clock.Now()))
 
 	return c.NextPosition, nil
 }
@@ -175,6 +189,38 @@
 	return c.NextPosition, nil
 }
 
+// wait returns how long the next read waits for changes.
+func (f *Follower) wait() time.Duration {
+	if f.failing || f.single() {
+		// After a failure, read without a long-poll wait, so that the Follower learns immediately
+		// how far the copy lags behind.
+		return 0
+	}
+	if !f.Steady {
+		return f.LongPollWait
+	}
+
+	return max(0, min(f.LongPollWait, f.LongPollWait-clock.Since(f.confirmedAt)))
+}
+
+func (f *Follower) single() bool { return f.Single != nil && f.Single() }
+
+// confirm reports that the copy includes everything written before the time.
+func (f *Follower) confirm(at time.Time) {
+	f.confirmedAt = at
+	f.OnConfirmed(at)
+}
+
+// call makes a call to the store. A single read that has no answer after HedgeDelay is made once more over a
+// new connection, and the first answer of both counts.
+func (f *Follower) call(ctx context.Context, read func(ctx context.Context) (logstore.Changes, error)) (logstore.Changes, error) {
+	if f.HedgeDelay <= 0 || !f.single() {
+		return read(ctx)
+	}
+
+	return hedge(ctx, f.HedgeDelay, f.DropIdleConnections, read)
+}
+
 // timeout returns the timeout for one call that normally takes up to d. It is longer while calls
 // fail, so that a slow store can still be followed.
 func (f *Follower) timeout(d time.Duration) time.Duration {
--- a/follow/takeover_test.go
+++ b/follow/takeover_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/slatebridge/slatebridge/logstore"
 )
 
@@ -75,3 +78,110 @@
 		}
 	})
 }
+
+// TestSingleRead guards against a process that learns of a change too late because its only call got no answer.
+func TestSingleRead(t *testing.T) {
+	const hedgeDelay = 200 * time.Millisecond
+	stall := func(ctx context.Context) (logstore.Changes, error) {
+		<-ctx.Done()
+
+		return logstore.Changes{}, ctx.Err()
+	}
+	for name, v := range map[string]struct {
+		read func(ctx context.Context, n int, from logstore.Position, wait time.Duration) (logstore.Changes, error)
+		// wantAt is when the first read is confirmed, and wantReads the number of reads until then.
+		wantAt    time.Duration
+		wantReads int
+	}{
+		"answered": {func(ctx context.Context, _ int, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
+			return idleRead(ctx, from, wait)
+		}, 0, 1},
+		"no answer to the first": {func(ctx context.Context, n int, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
+			if n == 1 {
+				return stall(ctx)
+			}
+
+			return idleRead(ctx, from, wait)
+		}, hedgeDelay, 2},
+		"the second fails, the first answers late": {func(_ context.Context, n int, from logstore.Position, _ time.Duration) (logstore.Changes, error) {
+			if n == 2 {
+				return logstore.Changes{}, errors.New("refused")
+			}
+			time.Sleep(2 * hedgeDelay)
+
+			return logstore.Changes{NextPosition: from}, nil
+		}, 2 * hedgeDelay, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var confirmed atomic.Int64
+			var dropped atomic.Int32
+			ft := &fakeTopic{read: v.read}
+			runUntil(t, ft, 5*time.Second, func(f *Follower) {
+				begin, confirmations := time.Now(), 0
+				f.Single, f.HedgeDelay = func() bool { return true }, hedgeDelay
+				f.DropIdleConnections = func() { dropped.Add(1) }
+				f.OnConfirmed = func(time.Time) {
+					// The first one is that of the listing at the start.
+					if confirmations++; confirmations == 2 {
+						confirmed.Store(int64(time.Since(begin)))
+					}
+				}
+				f.ReadDelay = func() time.Duration {
+					if confirmations < 2 {
+						return 0
+					}
+
+					return time.Hour
+				}
+			})
+			if got := time.Duration(confirmed.Load()); got != v.wantAt || ft.reads != v.wantReads || int(dropped.Load()) != v.wantReads-1 {
+				t.Errorf("confirmed after %s with %d reads, idle connections dropped %d times, want %s, %d and %d",
+					got, ft.reads, dropped.Load(), v.wantAt, v.wantReads, v.wantReads-1)
+			}
+		})
+	}
+}
+
+// TestSteadyConfirmations guards against a reader whose word is nearly as old as the bound after each change.
+func TestSteadyConfirmations(t *testing.T) {
+	const late = longPollWait - time.Millisecond
+	ft := &fakeTopic{read: func(ctx context.Context, n int, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
+		if n%2 == 0 && wait > late {
+			time.Sleep(late)
+
+			return change("late", from+1)
+		}
+
+		return idleRead(ctx, from, wait)
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		var confirmed atomic.Pointer[time.Time]
+		f := New(Follower{
+			Topic: ft.topic(), LongPollWait: longPollWait, Steady: true,
+			ReadDelay:   func() time.Duration { return 0 },
+			Backoff:     func() time.Duration { return 300 * time.Millisecond },
+			OnSnapshot:  func(logstore.Changes, time.Duration) {},
+			OnChanges:   func(logstore.Changes, time.Duration) {},
+			OnConfirmed: func(at time.Time) { confirmed.Store(&at) },
+			OnError:     func(err error) { t.Error(err) },
+		})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		time.Sleep(time.Second)
+		for range 280 {
+			time.Sleep(100 * time.Millisecond)
+			if age := time.Since(*confirmed.Load()); age > longPollWait+coalesceDelay {
+				t.Fatalf("the last confirmation is %s old", age)
+			}
+		}
+	})
+}
