--- a/follow/follow.go
+++ b/follow/follow.go
@@ -114,7 +114,7 @@
 		if haveSnapshot && !f.skipsMissed() {
 			next, err = f.readChanges(ctx, next)
 		} else {
-			next, err = f.readSnapshot(ctx)
+			next, err = f.readSnapshot(ctx, next)
 		}
 		haveSnapshot = err == nil || (haveSnapshot && !needsSnapshot(err))
 		if err != nil {
@@ -126,13 +126,12 @@
 // skipsMissed reports whether the topic is to be listed since what was missed meanwhile doesn't count.
 func (f *Follower) skipsMissed() bool { return f.idled && f.Behind != nil && f.Behind() }
 
-func (f *Follower) readSnapshot(ctx context.Context) (logstore.Position, error) {
+// readSnapshot lists the topic and returns the position to read from next: the given one if the listing fails.
+func (f *Follower) readSnapshot(ctx context.Context, next logstore.Position) (logstore.Position, error) {
 	sentAt := clock.Now()
-	c, err := f.call(ctx, func(ctx context.Context) (logstore.Changes, error) {
-		return f.Topic.ListAll(ctx, f.timeout(responseTimeout), func() bool { return f.ReadDelay() > 0 })
-	})
+	c, err := f.list(ctx)
 	if err != nil {
-		return 0, err
+		return next, err
 	}
 	f.idled = false
 	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
@@ -158,7 +157,7 @@
 	c.Call = logstore.CallTimes{SentAt: sentAt, AnsweredAt: clock.Now()}
 	grace := f.recordSuccess()
 	if c.Partial() {
-		return f.readOn(parent, c, grace)
+		return f.readOn(parent, c, next, grace)
 	}
 	if len(c.Entries) > 0 {
 		f.OnChanges(c, grace)
@@ -174,14 +173,26 @@
 	return c.NextPosition, nil
 }
 
+func (f *Follower) list(ctx context.Context) (logstore.Changes, error) {
+	list := func(ctx context.Context) (logstore.Changes, error) {
+		return f.Topic.ListAll(ctx, f.timeout(responseTimeout), func() bool { return f.ReadDelay() > 0 })
+	}
+	if f.Behind == nil {
+		// The list of a topic of which all records count can be long, and takes its time.
+		return list(ctx)
+	}
+
+	return f.call(ctx, list)
+}
+
 // readOn handles a part of the changes, which says nothing on whether the copy is current. The rest is read
 // or listed at once.
-func (f *Follower) readOn(ctx context.Context, c logstore.Changes, grace time.Duration) (logstore.Position, error) {
+func (f *Follower) readOn(ctx context.Context, c logstore.Changes, next logstore.Position, grace time.Duration) (logstore.Position, error) {
 	switch {
 	case len(c.Entries) == 0:
 		sleep(ctx, f.Backoff())
 	case f.Behind != nil:
-		return f.readSnapshot(ctx)
+		return f.readSnapshot(ctx, next)
 	default:
 		f.OnChanges(c, grace)
 	}
--- a/follow/takeover_test.go
+++ b/follow/takeover_test.go
@@ -79,6 +79,48 @@
 	})
 }
 
+// TestFailedListing guards against a follower that reads the whole history of a topic since a listing failed.
+func TestFailedListing(t *testing.T) {
+	for name, partial := range map[string]bool{"after a pause": false, "after a part of the changes": true} {
+		t.Run(name, func(t *testing.T) {
+			ft := &fakeTopic{}
+			ft.page = func(context.Context, string) (logstore.Page, error) {
+				if ft.pageReads == 2 {
+					return logstore.Page{}, errors.New("no answer")
+				}
+
+				return logstore.Page{Changes: logstore.Changes{NextPosition: 10}}, nil
+			}
+			ft.read = func(ctx context.Context, n int, from logstore.Position, wait time.Duration) (logstore.Changes, error) {
+				if from < 10 {
+					t.Errorf("read %d is from %d, want 10 at least", n, from)
+				}
+				c, err := idleRead(ctx, from, wait)
+				if partial && n == 1 {
+					c, err = change("old", from+1)
+					c.End = from + 5
+				}
+
+				return c, err
+			}
+			runUntil(t, ft, 4*time.Second, func(f *Follower) {
+				start := time.Now()
+				f.Behind = func() bool { return ft.pageReads < 3 }
+				f.ReadDelay = func() time.Duration {
+					if age := time.Since(start); !partial && age > time.Second && age < 2*time.Second {
+						return 100 * time.Millisecond
+					}
+
+					return 0
+				}
+			})
+			if ft.pageReads < 2 || ft.reads < 2 {
+				t.Errorf("%d listings and %d reads, want two at least", ft.pageReads, ft.reads)
+			}
+		})
+	}
+}
+
 // TestSingleRead guards against a process that learns of a change too late because its only call got no answer.
 func TestSingleRead(t *testing.T) {
 	const hedgeDelay = 200 * time.Millisecond
