--- a/follow/follow.go
+++ b/follow/follow.go
@@ -20,6 +20,9 @@
 	// responseTimeout is how long a response may take beyond the long-poll wait. A slow store takes
 	// up to 50 times its usual 4 ms.
 	responseTimeout = 700 * time.Millisecond
+	// maxClockGain is how much earlier than the wait an empty response may come because the store's clock
+	// runs faster than that of the box.
+	maxClockGain = 20 * time.Millisecond
 	// restoreGrace is how long after a store outage or rollback a receiver keeps entries that are
 	// missing or removed: they may merely have expired during the outage, and the servers that
 	// wrote them write them again within about two seconds. A server that has really left is sent
@@ -166,6 +169,13 @@
 
 		return c.NextPosition, nil
 	}
+	if held := c.Call.AnsweredAt.Sub(sentAt); held < wait-maxClockGain {
+		// The store didn't hold the response back, and nothing says when it made it.
+		f.confirm(sentAt)
+		sleep(parent, coalesceDelay)
+
+		return c.NextPosition, nil
+	}
 	// The store held back an empty response for the whole wait, so the copy is current as of the
 	// end of the wait.
 	f.confirm(earlier(sentAt.Add(wait), clock.Now()))
--- a/follow/takeover_test.go
+++ b/follow/takeover_test.go
@@ -184,6 +184,38 @@
 	}
 }
 
+// TestEarlyEmptyAnswer guards against a copy that counts as current for a time at which nobody has looked, since
+// the store did not wait for changes for as long as it was asked to.
+func TestEarlyEmptyAnswer(t *testing.T) {
+	for name, v := range map[string]struct{ held, wantClaim time.Duration }{
+		"at once":                      {0, 0},
+		"after a tenth of the wait":    {longPollWait / 10, 0},
+		"after the wait":               {longPollWait, longPollWait},
+		"by a clock that runs ahead":   {longPollWait - 5*time.Millisecond, longPollWait - 5*time.Millisecond},
+		"after more time than allowed": {longPollWait + 100*time.Millisecond, longPollWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sentAt time.Time
+			ft := &fakeTopic{read: func(_ context.Context, _ int, from logstore.Position, _ time.Duration) (logstore.Changes, error) {
+				sentAt = time.Now()
+				time.Sleep(v.held)
+
+				return logstore.Changes{NextPosition: from}, nil
+			}}
+			runUntil(t, ft, 10*time.Second, func(f *Follower) {
+				f.OnConfirmed = func(at time.Time) {
+					if claim := at.Sub(sentAt); !sentAt.IsZero() && claim != v.wantClaim {
+						t.Errorf("current as of %s after the read was sent, want %s", claim, v.wantClaim)
+					}
+				}
+			})
+			if limit := 1 + int(10*time.Second/coalesceDelay); ft.reads > limit {
+				t.Errorf("%d reads in ten seconds, want %d at most", ft.reads, limit)
+			}
+		})
+	}
+}
+
 // TestSteadyConfirmations guards against a reader whose word is nearly as old as the bound after each change.
 func TestSteadyConfirmations(t *testing.T) {
 	const late = longPollWait - time.Millisecond
