--- a/box/box.go
+++ b/box/box.go
@@ -109,7 +109,7 @@
 	// hallPeers is the number of other live boxes known in the hall.
 	hallPeers atomic.Int64
 	// storeReadDelay is the extra time in nanoseconds that this box waits for the relays of its
-	// hall before it reads the store itself.
+	// hall before it reads the store itself; see control.storeReadDelay.
 	storeReadDelay atomic.Int64
 	// grants requests and allocates grants for rate-limited servers and retries from the shared
 	// pools.
--- a/box/control.go
+++ b/box/control.go
@@ -280,10 +280,10 @@
 	c.updateAllocators(now)
 	c.updateServerLinks(now)
 	c.gossip(now)
-	if reads := c.isStoreReader(now); c.box.isReader.Swap(reads) != reads {
+	reads, delay := c.isStoreReader(now), int64(c.storeReadDelay(now))
+	if c.box.isReader.Swap(reads) != reads || c.box.storeReadDelay.Swap(delay) > delay {
 		c.box.wakeFollowers()
 	}
-	c.box.storeReadDelay.Store(int64(c.storeReadDelay(now)))
 	c.fetchMissingState(now)
 	c.noteIsolation()
 	c.sendQuarantine(now)
--- a/box/relays.go
+++ b/box/relays.go
@@ -179,19 +179,46 @@
 	return true
 }
 
-// maxReadDelayShare bounds storeReadDelay as a share of MaxStaleness. What is left of it is for the read.
-const maxReadDelayShare = 0.1
+// Shares of MaxStaleness.
+const (
+	// maxReadDelayShare bounds how much longer than a relay a box waits before it reads the store. What is
+	// left of the bound is for the read.
+	maxReadDelayShare = 0.1
+	// readerSilenceShare is for how long the store reader of the hall may be silent before a relay reads the
+	// store itself, once its last confirmation is silentReadShare old. A box that many callers turn to at
+	// that moment may take long over a call.
+	readerSilenceShare = 0.3
+	silentReadShare    = 0.35
+	// readerSilenceIntervals is the same in usual message intervals, if that is longer.
+	readerSilenceIntervals = 3
+)
 
 // storeReadDelay returns how much longer than a relay this box waits without a confirmation before
 // it reads the store itself: as long as those of the hall together would call about twice per second,
-// but no longer than the bound allows.
+// but no longer than the bound allows. It is negative for a relay that doesn't hear the store reader.
 func (c *control) storeReadDelay(now time.Time) time.Duration {
-	if c.hallWork.live <= 1 || c.isRelay(now) {
+	maxStaleness := float64(c.settings.Bounds.MaxStaleness)
+	switch {
+	case c.hallWork.live <= 1:
+		return 0
+	case c.isRelay(now) && c.isReaderSilent(now):
+		return time.Duration((silentReadShare - ownReadShare) * maxStaleness)
+	case c.isRelay(now):
 		return 0
 	}
 	part := float64(fleet.ShortID(slatebridge.ServerID(c.settings.Box))) / math.MaxUint32
 
-	limit := maxReadDelayShare * float64(c.settings.Bounds.MaxStaleness)
+	return time.Duration(part * min(maxReadDelayShare*maxStaleness, float64(c.hallWork.live)*float64(pausePerPeer)))
+}
+
+// isReaderSilent reports whether the store reader of the hall, another box, was not heard for some time although
+// it does not count as lost yet.
+func (c *control) isReaderSilent(now time.Time) bool {
+	o, ok := c.peers[c.selectStoreReader(now)]
+	if !ok {
+		return false
+	}
+	limit := max(time.Duration(readerSilenceShare*float64(c.settings.Bounds.MaxStaleness)), readerSilenceIntervals*o.messageInterval)
 
-	return time.Duration(part * min(limit, float64(c.hallWork.live)*float64(pausePerPeer)))
+	return now.Sub(o.lastSeenAt) > limit+c.box.handler.Load().RecentLag(now)
 }
