--- a/box/peers.go
+++ b/box/peers.go
@@ -198,6 +198,7 @@
 	if o.bootID != msg.Boot {
 		o.lastReport, o.hallDigest, o.storeReader, o.messageInterval = work{}, work{}, "", tickInterval
 		o.completeReportAt, o.reportShards = 0, shardTimes{}
+		o.configConfirmedAt, o.serversConfirmedAt = time.Time{}, time.Time{}
 	}
 	if msg.Leaving && !o.lastMessage.Leaving && o.isReporting(at) && o.inHall(c.settings.Hall) {
 		c.recentHallBoxes--
