--- a/cmd/slatebridge/commands.go
+++ b/cmd/slatebridge/commands.go
@@ -32,6 +32,7 @@
 		{"lift", "lift the quarantine of a request", &liftCommand{}},
 		{"explain", "explain what happened to a request, from the logs of many boxes", &explainCommand{}},
 		{"timeline", "summarize what the boxes logged in each second, from their logs", &timelineCommand{}},
+		{"versions", "show which configuration each box had, when and by whose word, from their logs", &versionsCommand{}},
 		{"lab", "simulate boxes, servers and callers under load, in virtual time", &labCommand{}},
 		{"key", "print a new Idempotency-Key", &keyCommand{}},
 	}
--- a/cmd/slatebridge/explain.go
+++ b/cmd/slatebridge/explain.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -78,6 +79,23 @@
 	return explain.PrintTable(os.Stdout, timeline)
 }
 
+type versionsCommand struct {
+	Behind time.Duration `long:"behind" value-name:"TIME" default:"0s" description:"only boxes that had a version at least this long after the first one that had it"`
+	Args   struct {
+		Files []string `positional-arg-name:"FILE" description:"logs of boxes; standard input if there are none"`
+	} `positional-args:"yes"`
+}
+
+// Execute shows which version of the configuration each box had, the latest first.
+func (c *versionsCommand) Execute([]string) error {
+	l, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
+	}
+
+	return explain.BuildVersions(l).Print(os.Stdout, c.Behind)
+}
+
 func writeFile(name string, write func(w io.Writer) error) error {
 	f, err := os.Create(name)
 	if err != nil {
--- a/cmd/slatebridge/main.go
+++ b/cmd/slatebridge/main.go
@@ -3,7 +3,7 @@
 // analyses the logs of boxes, simulates load, and prints idempotency keys.
 //
 // The commands publish, delete, stop and status work with slatebridge-controller; box, lift,
-// explain and timeline work with slatebridge-box.
+// explain, timeline and versions work with slatebridge-box.
 package main
 
 import (
