--- a/box/control.go
+++ b/box/control.go
@@ -280,10 +280,7 @@
 	c.updateAllocators(now)
 	c.updateServerLinks(now)
 	c.gossip(now)
-	reads, delay := c.isStoreReader(now), int64(c.storeReadDelay(now))
-	if c.box.isReader.Swap(reads) != reads || c.box.storeReadDelay.Swap(delay) > delay {
-		c.box.wakeFollowers()
-	}
+	c.updateReadSchedule(now)
 	c.fetchMissingState(now)
 	c.noteIsolation()
 	c.sendQuarantine(now)
--- a/box/relays.go
+++ b/box/relays.go
@@ -193,6 +193,15 @@
 	readerSilenceIntervals = 3
 )
 
+// updateReadSchedule decides whether this box reads the store, or when it does so by itself.
+func (c *control) updateReadSchedule(now time.Time) {
+	reads, delay := c.isStoreReader(now), int64(c.storeReadDelay(now))
+	changed := c.box.isReader.Swap(reads) != reads
+	if sooner := c.box.storeReadDelay.Swap(delay) > delay; changed || sooner {
+		c.box.wakeFollowers()
+	}
+}
+
 // storeReadDelay returns how much longer than a relay this box waits without a confirmation before
 // it reads the store itself: as long as those of the hall together would call about twice per second,
 // but no longer than the bound allows. It is negative for a relay that doesn't hear the store reader.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -37,8 +37,8 @@
 	Topic logstore.KeyedTopic
 	// LongPollWait is how long one read waits for changes; it returns as soon as there are any.
 	// Just before a response arrives, the copy is stale by up to this much if the previous response
-	// was empty, and by up to twice as much plus coalesceDelay if it had changes. The time that the
-	// calls take adds to both. A shorter wait keeps the copy fresher but takes more calls, and each
+	// was empty, and by up to twice as much plus coalesceDelay if it had changes; see Steady. The time
+	// that the calls take adds to both. A shorter wait keeps the copy fresher but takes more calls, and each
 	// call has a price.
 	LongPollWait time.Duration
 	// Steady shortens a wait that follows changes or a pause, so that confirmations are at most about
