Test: runs of the processes' tests beside each other have addresses of their own (TestSignalEndsDaemon)

Cause: the tests' clusters are on 127.77.N.1, counted in the process, and a box listens on ports that are the same on all machines. Two runs at once meet. Evidence: two runs of this test alone at once, one fails likewise; with the second octet from the process's number three runs at once passed. Nothing that is checked has changed.

--- a/internal/standin/processes/cluster_test.go
+++ b/internal/standin/processes/cluster_test.go
@@ -142,12 +142,19 @@
 	}
 }
 
+// The second octet of a cluster's address keeps runs beside each other apart: boxes listen on ports that are the same
+// on all machines.
+const (
+	firstSubnet = 20
+	subnetCount = 230
+)
+
 // newCluster returns a cluster without processes.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 
 	return &cluster{
-		t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.77.%d.1", clusterCount.Add(1)),
+		t: t, dir: t.TempDir(), ip: fmt.Sprintf("127.%d.%d.177", firstSubnet+os.Getpid()%subnetCount, clusterCount.Add(1)),
 		callerAddrs: make(map[string]string), operatorAddrs: make(map[string]string), processes: make(map[string]*exec.Cmd), usedAddrs: make(map[string]bool),
 	}
 }
